--- /dev/null
+++ b/testing/test_configuration.py
@@ -0,0 +1,18 @@
+from lacewinglift.configuration import Configuration, Fleet, Route
+
+
+def make_configuration(*prefixes):
+    routes = tuple(Route(prefix=prefix, service="s") for prefix in prefixes)
+    return Configuration(1, Fleet(name="f"), {}, routes, {})
+
+
+def test_longest_prefix_wins():
+    """Guards against a request sent to the service of a shorter prefix."""
+    configuration = make_configuration("/a", "/a/b")
+    assert configuration.route_for("/a/b/c?x=1").prefix == "/a/b"
+    assert configuration.route_for("/a/bc").prefix == "/a"
+
+
+def test_path_without_route_has_none():
+    """Guards against a default route that no operator configured."""
+    assert make_configuration("/a").route_for("/ab") is None
