Add membership, standing, peer streams and the control half

Standing needs recent store contact or echoes of a majority of the roster, so that one rule covers withdrawn keys and quota shares of an instance that is cut off. Ages count from the sending of what was echoed, so a pause or a delay can only shorten them. Promises are counted from the heartbeat they answer for the same reason.

--- /dev/null
+++ b/src/lacewinglift/allocation_duty.py
@@ -0,0 +1,96 @@
+"""Writing of the ledger by the member that divides the quotas."""
+
+import asyncio
+
+from lacewinglift.allocator import Allocator
+from lacewinglift.distribution import Distribution
+from lacewinglift.errors import StoreError
+from lacewinglift.identity import Identity
+from lacewinglift.logs import log_exception, log_info, log_warning
+from lacewinglift.members import Members
+from lacewinglift.store import Store
+from lacewinglift.store_duty import StoreDuty, ledger_key
+from lacewinglift.timers import Timers
+
+STEP_INTERVAL_S = 0.25
+# Bounds the writes of a cell, whatever the demand does.
+WRITE_INTERVAL_S = 0.5
+
+
+class AllocationDuty:
+    """Plans and writes the next ledger while this instance is the allocator."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        store: Store,
+        store_duty: StoreDuty,
+        members: Members,
+        distribution: Distribution,
+        allocator: Allocator,
+        timers: Timers,
+    ) -> None:
+        self.identity = identity
+        self.store = store
+        self.store_duty = store_duty
+        self.members = members
+        self.distribution = distribution
+        self.allocator = allocator
+        self.timers = timers
+        self.active = False
+        self.written_at_s = float("-inf")
+
+    async def run(self) -> None:
+        """Plan for as long as the instance runs."""
+        while True:
+            try:
+                await self.step()
+            except Exception:
+                log_exception("allocation_failed")
+            await asyncio.sleep(STEP_INTERVAL_S)
+
+    async def step(self) -> None:
+        """Write the next ledger if this instance is to, and there is one."""
+        if not self._is_allocator():
+            self.active = False
+            return
+        if not self.active:
+            # The ledger may have changed since the last poll.
+            if not await self.store_duty.read_ledger():
+                return
+            self.active = True
+            log_info("allocator_started")
+        configuration = self.distribution.current()
+        now = self.timers.now()
+        if configuration is None or now - self.written_at_s < WRITE_INTERVAL_S:
+            return
+        planned = self.allocator.plan(
+            self.store_duty.ledger, self.members.views(), configuration, now
+        )
+        if planned is not None:
+            await self._write(planned)
+
+    def _is_allocator(self) -> bool:
+        view = self.members.allocator()
+        return view is not None and view.instance == self.identity.instance
+
+    async def _write(self, planned) -> None:
+        key = ledger_key(self.identity.fleet, self.identity.cell)
+        revision = self.store_duty.ledger_revision
+        try:
+            written = await self.store.compare_and_swap(
+                key, planned.SerializeToString(), revision
+            )
+        except StoreError as error:
+            # The write may have taken effect; reading settles it.
+            log_warning("ledger_write_failed", reason=error)
+            await self.store_duty.read_ledger()
+            return
+        if written is None:
+            log_info("ledger_write_lost", version=planned.version)
+            await self.store_duty.read_ledger()
+            return
+        now = self.timers.now()
+        self.written_at_s = now
+        self.allocator.note_written(planned.version, now)
+        self.store_duty.note_ledger(planned, written)
--- /dev/null
+++ b/src/lacewinglift/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of the command line, one module each."""
--- /dev/null
+++ b/src/lacewinglift/control.py
@@ -0,0 +1,336 @@
+"""The control half of an instance: one asyncio loop on a thread of its own."""
+
+import asyncio
+import threading
+
+from lacewinglift.admission import Admission
+from lacewinglift.allocation_duty import AllocationDuty
+from lacewinglift.allocator import Allocator
+from lacewinglift.configuration import Configuration
+from lacewinglift.distribution import Distribution
+from lacewinglift.errors import ConfigurationError, PeerError
+from lacewinglift.generated import fleet_pb2
+from lacewinglift.identity import Identity
+from lacewinglift.ledger import LedgerHolder
+from lacewinglift.logs import log_exception, log_info, log_warning
+from lacewinglift.members import HEARTBEAT_INTERVAL_S, Members
+from lacewinglift.peers import (
+    CALL_TIMEOUT_S,
+    Dialer,
+    Links,
+    PeerCalls,
+    PeerService,
+    serve_peers,
+)
+from lacewinglift.standing import Standing
+from lacewinglift.statuses import status_reply
+from lacewinglift.store import Store
+from lacewinglift.store_duty import StoreDuty
+from lacewinglift.targets import TargetTable
+from lacewinglift.timers import Timers
+
+BORROW_TIMEOUT_S = 0.03
+LEAVE_POLL_S = 0.1
+# The allocator frees the shares of a leaving instance in two writes, half a
+# second apart at most, each after at most one heartbeat.
+GIVE_BACK_TIMEOUT_S = 4.0
+
+
+class Control:
+    """Membership, standing, distribution and quota duties of one instance.
+
+    Parameters
+    ----------
+    identity : Identity
+        This instance.
+    store_address : str
+        ``host:port`` of the key-value service.
+    seeds : list of str
+        Peer addresses that are dialled besides those of known members.
+    targets : TargetTable
+        Gives and takes suspicions.
+    timers : Timers
+        Timer service.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        store_address: str,
+        seeds: list[str],
+        targets: TargetTable,
+        timers: Timers,
+    ) -> None:
+        self.identity = identity
+        self.seeds = list(seeds)
+        self.targets = targets
+        self.timers = timers
+        self.members = Members(identity, timers)
+        self.standing = Standing(identity, self.members, timers)
+        self.calls = PeerCalls()
+        self.links = Links()
+        self.distribution = Distribution(identity.fleet, self.calls)
+        self.holder = LedgerHolder(identity)
+        self.admission = Admission(
+            identity=identity,
+            timers=timers,
+            holder=self.holder,
+            standing_refusal=self.standing.refusal,
+            borrow=self.borrow_from,
+        )
+        self.allocator = Allocator(identity)
+        self.store_address = store_address
+        self.dump_state = lambda: "{}"
+        self.fetching: set[str] = set()
+        self.background: set[asyncio.Task] = set()
+        self.loop = asyncio.new_event_loop()
+        self.stopping = asyncio.Event()
+        self.started = threading.Event()
+        self.failure: BaseException | None = None
+        self.thread = threading.Thread(target=self._run, name="control", daemon=True)
+        self.distribution.subscribe(self._configuration_changed)
+
+    def start(self) -> None:
+        """Start the loop; raises what kept it from listening."""
+        self.thread.start()
+        self.started.wait()
+        if self.failure is not None:
+            raise self.failure
+
+    def stop(self) -> None:
+        """End all tasks, streams and the loop."""
+        if self.thread.is_alive():
+            self.loop.call_soon_threadsafe(self.stopping.set)
+            self.thread.join()
+
+    def set_state(self, state: fleet_pb2.InstanceState) -> None:
+        """Announce a new state of this instance to all peers."""
+        self.identity.state = state
+        self.loop.call_soon_threadsafe(self.links.wake_all)
+
+    def give_back_shares(self) -> None:
+        """Wait until the ledger holds nothing for this instance, for a while.
+
+        Shares that are not given back in time are fenced by the others.
+        """
+        deadline_s = self.timers.now() + GIVE_BACK_TIMEOUT_S
+        waiting = threading.Event()
+        while self.timers.now() < deadline_s and self._holds_shares():
+            waiting.wait(LEAVE_POLL_S)
+
+    def borrow_from(self, member: fleet_pb2.Member, workspace: str, tokens: int) -> int:
+        """Borrow tokens of a workspace from another instance; 0 on failure."""
+        request = fleet_pb2.BorrowRequest(
+            workspace=workspace,
+            tokens=tokens,
+            instance=self.identity.instance,
+            incarnation=self.identity.incarnation,
+        )
+        future = asyncio.run_coroutine_threadsafe(
+            self._borrow(member.peer_address, request), self.loop
+        )
+        try:
+            return future.result(BORROW_TIMEOUT_S * 2)
+        except TimeoutError:
+            future.cancel()
+            return 0
+
+    # Calls from other instances.
+
+    async def fetch_configuration(
+        self, request: fleet_pb2.FetchConfigurationRequest
+    ) -> fleet_pb2.FetchConfigurationReply:
+        """Return the manifest and the segments asked for."""
+        return self.distribution.reply(request)
+
+    async def fetch_ledger(
+        self, request: fleet_pb2.FetchLedgerRequest
+    ) -> fleet_pb2.FetchLedgerReply:
+        """Return the ledger if it is newer than the caller's."""
+        ledger = self.holder.ledger()
+        if ledger is None or ledger.version <= request.newer_than_version:
+            return fleet_pb2.FetchLedgerReply()
+        return fleet_pb2.FetchLedgerReply(ledger=ledger)
+
+    async def offer_configuration(
+        self, request: fleet_pb2.OfferConfigurationRequest
+    ) -> fleet_pb2.OfferConfigurationReply:
+        """Take in a configuration that was accepted by the store."""
+        segments = {segment.sha256: segment.content for segment in request.segments}
+        try:
+            await self.distribution.offer(request.manifest, segments)
+        except ConfigurationError as error:
+            log_warning("offered_configuration_refused", reason=error)
+        return fleet_pb2.OfferConfigurationReply(
+            generation=self.distribution.generation()
+        )
+
+    async def borrow(self, request: fleet_pb2.BorrowRequest) -> fleet_pb2.BorrowReply:
+        """Lend tokens of a workspace."""
+        return self.admission.lend(request)
+
+    def status(self) -> fleet_pb2.GetStatusReply:
+        """Return what this instance knows of itself and the others."""
+        return status_reply(self.members, self.timers.now())
+
+    def dump(self) -> str:
+        """Return the state as JSON."""
+        return self.dump_state()
+
+    def heartbeat_received(self, heartbeat: fleet_pb2.Heartbeat) -> None:
+        """React to a heartbeat: judge standing, fetch what is newer."""
+        self.targets.note_peer_suspicions(
+            heartbeat.instance, list(heartbeat.suspicions)
+        )
+        record = self.members.peers.get(heartbeat.instance)
+        address = record.peer_address if record is not None else ""
+        if address and heartbeat.generation > self.distribution.generation():
+            self._fetch_once("configuration", address, heartbeat.generation)
+        if address and heartbeat.ledger_version > self.holder.version():
+            self._fetch_once("ledger", address, heartbeat.ledger_version)
+        self.standing.update()
+
+    # The loop.
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self.loop)
+        try:
+            self.loop.run_until_complete(self._main())
+        except BaseException as error:
+            self.failure = error
+            log_exception("control_failed")
+        finally:
+            self.started.set()
+            self.loop.close()
+
+    async def _main(self) -> None:
+        store = Store(self.store_address, self.timers)
+        self.store = store
+        self.store_duty = StoreDuty(
+            self.identity,
+            store,
+            self.members,
+            self.standing,
+            self.distribution,
+            self.timers,
+            self.apply_ledger,
+        )
+        allocation = AllocationDuty(
+            self.identity,
+            store,
+            self.store_duty,
+            self.members,
+            self.distribution,
+            self.allocator,
+            self.timers,
+        )
+        dialer = Dialer(self.identity, self.members, self.links, self)
+        service = PeerService(self.links, self.members, self)
+        server = await serve_peers(service, self.identity.peer_address)
+        self.started.set()
+        tasks = [
+            asyncio.create_task(self.store_duty.run()),
+            asyncio.create_task(allocation.run()),
+            asyncio.create_task(self._tick(dialer)),
+        ]
+        await self.stopping.wait()
+        for task in [*tasks, *self.background]:
+            task.cancel()
+        await asyncio.gather(*tasks, *self.background, return_exceptions=True)
+        await dialer.close()
+        await self.store_duty.close()
+        server.close()
+        await server.wait_closed()
+        self.calls.close()
+        store.close()
+
+    async def _tick(self, dialer: Dialer) -> None:
+        while True:
+            try:
+                self.members.demands = {
+                    demand.workspace: demand.milli_tokens_per_s / 1000
+                    for demand in self.admission.demands()
+                }
+                self.members.suspicions = self.targets.suspicions()
+                self.members.tick()
+                self.standing.update()
+                dialer.update(self.seeds + self.store_duty.platform_addresses)
+            except Exception:
+                log_exception("control_tick_failed")
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+
+    def apply_ledger(self, ledger: fleet_pb2.Ledger) -> None:
+        """Apply a ledger from the store or a peer if it is newer."""
+        if ledger.version <= self.holder.version():
+            return
+        self.holder.apply(ledger)
+        if self._is_fenced(ledger):
+            self.identity.renew(self.timers.wall_ms())
+            self.members.reset_echoes()
+            log_warning("incarnation_fenced", renewed=self.identity.incarnation)
+        self.members.ledger_version = ledger.version
+        self.members.learn_members(list(ledger.members))
+        self.standing.apply_ledger(ledger)
+        self.links.wake_all()
+
+    def _is_fenced(self, ledger: fleet_pb2.Ledger) -> bool:
+        return any(
+            member.instance == self.identity.instance
+            and member.incarnation == self.identity.incarnation
+            and member.fenced_in_version
+            for member in ledger.members
+        )
+
+    def _holds_shares(self) -> bool:
+        ledger = self.holder.ledger()
+        if ledger is None:
+            return False
+        return any(
+            member.instance == self.identity.instance for member in ledger.members
+        )
+
+    def _configuration_changed(self, configuration: Configuration) -> None:
+        self.members.generation = configuration.generation
+        self.targets.apply(configuration)
+        self.admission.apply_configuration(configuration)
+        self.standing.update()
+        self.links.wake_all()
+
+    def _fetch_once(self, what: str, address: str, version: int) -> None:
+        if what in self.fetching:
+            return
+        self.fetching.add(what)
+        task = asyncio.create_task(self._fetch(what, address, version))
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    async def _fetch(self, what: str, address: str, version: int) -> None:
+        try:
+            if what == "configuration":
+                await self.distribution.fetch_from_peer(address, version)
+            else:
+                await self._fetch_ledger(address)
+            self.standing.update()
+        except Exception:
+            log_exception("fetch_failed", what=what, peer=address)
+        finally:
+            self.fetching.discard(what)
+
+    async def _fetch_ledger(self, address: str) -> None:
+        request = fleet_pb2.FetchLedgerRequest(newer_than_version=self.holder.version())
+        try:
+            reply = await self.calls.call(
+                address, "FetchLedger", request, CALL_TIMEOUT_S
+            )
+        except PeerError as error:
+            log_info("ledger_fetch_failed", peer=address, reason=error)
+            return
+        if reply.HasField("ledger"):
+            self.apply_ledger(reply.ledger)
+
+    async def _borrow(self, address: str, request: fleet_pb2.BorrowRequest) -> int:
+        try:
+            reply = await self.calls.call(address, "Borrow", request, BORROW_TIMEOUT_S)
+        except PeerError:
+            return 0
+        return reply.tokens
--- /dev/null
+++ b/src/lacewinglift/distribution.py
@@ -0,0 +1,175 @@
+"""Which configuration is in force here, and how a newer one is fetched."""
+
+import asyncio
+import threading
+from collections.abc import Callable, Mapping
+
+from lacewinglift.configuration import Configuration
+from lacewinglift.errors import ConfigurationError, PeerError, StoreError
+from lacewinglift.generated import fleet_pb2
+from lacewinglift.logs import log_info, log_warning
+from lacewinglift.peers import PeerCalls
+from lacewinglift.segments import decode_configuration, missing_segments
+from lacewinglift.store import Store
+
+FETCH_TIMEOUT_S = 2.0
+# Keeps a reply of segments well below the message limit of the receiver.
+SEGMENTS_PER_FETCH = 64
+
+
+def manifest_key(fleet: str) -> str:
+    """Return the store key of the manifest."""
+    return f"/lacewinglift/{fleet}/config/manifest"
+
+
+def segment_key(fleet: str, sha256: bytes) -> str:
+    """Return the store key of one segment."""
+    return f"/lacewinglift/{fleet}/config/segments/{sha256.hex()}"
+
+
+class Distribution:
+    """The generation in force; it only ever grows.
+
+    Parameters
+    ----------
+    fleet : str
+        Name of the fleet; a manifest of another fleet is refused.
+    calls : PeerCalls
+        For fetching from other instances.
+    """
+
+    def __init__(self, fleet: str, calls: PeerCalls) -> None:
+        self.fleet = fleet
+        self.calls = calls
+        self.lock = threading.Lock()
+        self.apply_lock = asyncio.Lock()
+        self.manifest = fleet_pb2.Manifest(fleet=fleet)
+        self.segments: dict[bytes, bytes] = {}
+        self.configuration: Configuration | None = None
+        self.subscribers: list[Callable[[Configuration], None]] = []
+
+    def current(self) -> Configuration | None:
+        """Return the configuration in force, None before the first one."""
+        return self.configuration
+
+    def generation(self) -> int:
+        """Return the generation in force, 0 before the first one."""
+        return self.manifest.generation
+
+    def subscribe(self, callback: Callable[[Configuration], None]) -> None:
+        """Call `callback` with each configuration that comes into force."""
+        self.subscribers.append(callback)
+
+    async def offer(
+        self, manifest: fleet_pb2.Manifest, segments: Mapping[bytes, bytes]
+    ) -> list[bytes]:
+        """Put `manifest` into force if it is newer.
+
+        Returns
+        -------
+        list of bytes
+            Hashes of segments that are still needed; empty when it is in
+            force or not newer.
+        """
+        async with self.apply_lock:
+            if manifest.generation <= self.manifest.generation:
+                return []
+            if manifest.fleet != self.fleet:
+                raise ConfigurationError(
+                    f"configuration of fleet {manifest.fleet!r} offered to an "
+                    f"instance of fleet {self.fleet!r}; check the store address"
+                )
+            available = {**self.segments, **segments}
+            missing = missing_segments(manifest, available)
+            if missing:
+                return missing
+            self._put_into_force(manifest, available)
+            return []
+
+    async def fetch_from_peer(self, address: str, generation: int) -> bool:
+        """Fetch a newer generation from another instance; return success."""
+        try:
+            return await self._fetch_from_peer(address, generation)
+        except (PeerError, ConfigurationError) as error:
+            log_warning("configuration_fetch_failed", peer=address, reason=error)
+            return False
+
+    async def fetch_from_store(self, store: Store, value: bytes) -> bool:
+        """Put the manifest `value` read from the store into force."""
+        try:
+            return await self._fetch_from_store(store, value)
+        except (StoreError, ConfigurationError) as error:
+            log_warning("configuration_fetch_failed", peer="store", reason=error)
+            return False
+
+    def reply(
+        self, request: fleet_pb2.FetchConfigurationRequest
+    ) -> fleet_pb2.FetchConfigurationReply:
+        """Return the manifest in force and those segments that are here."""
+        reply = fleet_pb2.FetchConfigurationReply(manifest=self.manifest)
+        for sha256 in request.sha256[:SEGMENTS_PER_FETCH]:
+            content = self.segments.get(sha256)
+            if content is not None:
+                reply.segments.add(sha256=sha256, content=content)
+        return reply
+
+    async def _fetch_from_peer(self, address: str, generation: int) -> bool:
+        request = fleet_pb2.FetchConfigurationRequest(generation=generation)
+        reply = await self._call_fetch(address, request)
+        manifest = reply.manifest
+        fetched: dict[bytes, bytes] = {}
+        while manifest.generation >= generation:
+            missing = await self.offer(manifest, fetched)
+            if not missing:
+                return True
+            request = fleet_pb2.FetchConfigurationRequest(
+                generation=manifest.generation, sha256=missing[:SEGMENTS_PER_FETCH]
+            )
+            reply = await self._call_fetch(address, request)
+            if not reply.segments:
+                break
+            fetched |= {s.sha256: s.content for s in reply.segments}
+        return False
+
+    async def _call_fetch(
+        self, address: str, request: fleet_pb2.FetchConfigurationRequest
+    ) -> fleet_pb2.FetchConfigurationReply:
+        return await self.calls.call(
+            address, "FetchConfiguration", request, FETCH_TIMEOUT_S
+        )
+
+    async def _fetch_from_store(self, store: Store, value: bytes) -> bool:
+        manifest = parse_manifest(value)
+        fetched: dict[bytes, bytes] = {}
+        missing = await self.offer(manifest, fetched)
+        for sha256 in missing:
+            entry = await store.get(segment_key(self.fleet, sha256))
+            if entry is None:
+                return False
+            fetched[sha256] = entry.value
+        if missing:
+            missing = await self.offer(manifest, fetched)
+        return not missing
+
+    def _put_into_force(
+        self, manifest: fleet_pb2.Manifest, available: Mapping[bytes, bytes]
+    ) -> None:
+        needed = {reference.sha256 for reference in manifest.segments}
+        segments = {sha256: available[sha256] for sha256 in needed}
+        configuration = decode_configuration(manifest, segments)
+        self.segments = segments
+        self.configuration = configuration
+        self.manifest = manifest
+        log_info("configuration_in_force", generation=manifest.generation)
+        for callback in self.subscribers:
+            callback(configuration)
+
+
+def parse_manifest(value: bytes) -> fleet_pb2.Manifest:
+    """Return the manifest in a store value; raises ConfigurationError."""
+    try:
+        return fleet_pb2.Manifest.FromString(value)
+    except Exception as error:
+        raise ConfigurationError(
+            "the manifest in the store cannot be read; publish the configuration again"
+        ) from error
--- /dev/null
+++ b/src/lacewinglift/members.py
@@ -0,0 +1,475 @@
+"""What this instance knows of the other members of its cell."""
+
+import threading
+from collections import OrderedDict
+
+from attrs import define, field
+
+from lacewinglift.generated import fleet_pb2
+from lacewinglift.identity import Identity
+from lacewinglift.logs import log_info, log_warning
+from lacewinglift.rendezvous import rank_candidates
+from lacewinglift.timers import Timers
+from lacewinglift.views import MemberView, PromiseView
+
+HEARTBEAT_INTERVAL_S = 1.0
+SUSPECT_AFTER_S = 4.0
+PROMISE_LIFETIME_S = 30.0
+# A promise is extended while it still has this long to run, so that an
+# allocator which sees a silent member always finds one that lasts.
+PROMISE_RENEW_BELOW_S = 27.0
+STORE_CONTACT_MAX_AGE_S = 4.0
+# A tick that comes this late means that this process was paused; what it did
+# not hear meanwhile says nothing about the others.
+PAUSE_TOLERANCE_S = 2.0
+SENT_HISTORY = 64
+FORGET_AFTER_S = 60.0
+NO_STORE_CONTACT_MS = 2**32 - 1
+
+
+@define(eq=False)
+class PeerRecord:
+    """The last state heard from one other instance."""
+
+    instance: str
+    incarnation: int
+    heard_at_s: float
+    heard: bool = False
+    """False while the peer is only known by name."""
+    state: fleet_pb2.InstanceState = fleet_pb2.STARTING
+    data_centre: str = ""
+    caller_address: str = ""
+    peer_address: str = ""
+    generation: int = 0
+    ledger_version: int = 0
+    store_contact_at_s: float = float("-inf")
+    standing: bool = False
+    promises: tuple[PromiseView, ...] = ()
+    demands: dict[str, float] = field(factory=dict)
+    leaving: frozenset[str] = frozenset()
+    sequence: int = 0
+    """Last sequence number received."""
+    next_sequence: int = 1
+    sent_at_s: OrderedDict[int, float] = field(factory=OrderedDict)
+    echoed_at_s: float = float("-inf")
+    """When the last heartbeat that the peer echoed was sent."""
+
+
+class Members:
+    """Heartbeats received and to be sent, promises, and the live list.
+
+    Parameters
+    ----------
+    identity : Identity
+        This instance.
+    timers : Timers
+        Timer service; `tick` is subscribed by the owner.
+    """
+
+    def __init__(self, identity: Identity, timers: Timers) -> None:
+        self.identity = identity
+        self.timers = timers
+        self.lock = threading.RLock()
+        self.peers: dict[str, PeerRecord] = {}
+        self.promised_until_s: dict[tuple[str, int], float] = {}
+        self.ledger_incarnations: frozenset[tuple[str, int]] = frozenset()
+        self.last_tick_s = timers.now()
+        self.generation = 0
+        self.ledger_version = 0
+        self.store_contact_at_s = float("-inf")
+        self.standing = False
+        self.platform_leaving: frozenset[str] = frozenset()
+        self.demands: dict[str, float] = {}
+        self.suspicions: list[fleet_pb2.Suspicion] = []
+
+    def receive(self, heartbeat: fleet_pb2.Heartbeat) -> bool:
+        """Take in a heartbeat; return False if it is from an old incarnation."""
+        if heartbeat.instance == self.identity.instance:
+            return False
+        now = self.timers.now()
+        with self.lock:
+            record = self._record_for(heartbeat, now)
+            if record is None:
+                return False
+            self._update_echo(record, heartbeat)
+            self._update_fields(record, heartbeat, now)
+        return True
+
+    def heartbeat_for(self, instance: str, first: bool) -> fleet_pb2.Heartbeat:
+        """Return the next heartbeat to send to `instance`.
+
+        Parameters
+        ----------
+        instance : str
+            Receiver; empty while the dialled peer has not said its name.
+        first : bool
+            Whether this is the first heartbeat of a stream, which carries the
+            fields that do not change.
+        """
+        now = self.timers.now()
+        with self.lock:
+            heartbeat = self._common_heartbeat(now)
+            if first:
+                self._add_constant_fields(heartbeat)
+            record = self.peers.get(instance)
+            if record is not None:
+                self._add_pair_fields(heartbeat, record, now)
+            if instance and instance == self._allocator_name(now):
+                self._add_demands(heartbeat)
+        return heartbeat
+
+    def tick(self) -> None:
+        """Make and extend promises against silent peers; once a heartbeat."""
+        now = self.timers.now()
+        with self.lock:
+            if now - self.last_tick_s > HEARTBEAT_INTERVAL_S + PAUSE_TOLERANCE_S:
+                self._restart_silence(now)
+            self.last_tick_s = now
+            for record in list(self.peers.values()):
+                self._judge_silence(record, now)
+            self._drop_expired_promises(now)
+
+    def learn_members(self, members: list[fleet_pb2.Member]) -> None:
+        """Take note of the members that a ledger names."""
+        now = self.timers.now()
+        with self.lock:
+            self.ledger_incarnations = frozenset(
+                (member.instance, member.incarnation) for member in members
+            )
+            for member in members:
+                self._learn_member(member, now)
+
+    def live(self) -> list[MemberView]:
+        """Return the members that are live, this instance included."""
+        now = self.timers.now()
+        with self.lock:
+            views = [self._own_view(now)]
+            views += [
+                self._view(record)
+                for record in self.peers.values()
+                if self._is_live(record, now)
+            ]
+        return [view for view in views if view.state == fleet_pb2.LIVE]
+
+    def views(self) -> list[MemberView]:
+        """Return all that were heard from, live or not, this instance included."""
+        now = self.timers.now()
+        with self.lock:
+            views = [self._own_view(now)]
+            views += [self._view(r) for r in self.peers.values() if r.heard]
+        return views
+
+    def addressable(self) -> list[MemberView]:
+        """Return the members that new callers may be sent to."""
+        leaving = self.leaving_instances()
+        return [view for view in self.live() if view.instance not in leaving]
+
+    def leaving_instances(self) -> frozenset[str]:
+        """Return the instances that the platform's list calls leaving."""
+        with self.lock:
+            named = set(self.platform_leaving)
+            for record in self.peers.values():
+                named |= record.leaving
+        return frozenset(named)
+
+    def allocator(self) -> MemberView | None:
+        """Return the member that divides the quotas now."""
+        now = self.timers.now()
+        with self.lock:
+            name = self._allocator_name(now)
+            if name is None:
+                return None
+            if name == self.identity.instance:
+                return self._own_view(now)
+            return self._view(self.peers[name])
+
+    def watchers(self, data_centre: str, count: int) -> list[str]:
+        """Return the instances of a data centre that watch the store."""
+        names = [v.instance for v in self.live() if v.data_centre == data_centre]
+        return rank_candidates("store-watch", names)[:count]
+
+    def echo_times(self) -> dict[tuple[str, int], float]:
+        """Return, by instance and incarnation, when its last echo was sent."""
+        with self.lock:
+            return {
+                (record.instance, record.incarnation): record.echoed_at_s
+                for record in self.peers.values()
+            }
+
+    def highest_versions(self) -> tuple[int, int]:
+        """Return the highest generation and ledger version that peers announced."""
+        with self.lock:
+            records = list(self.peers.values())
+        generation = max((r.generation for r in records), default=0)
+        version = max((r.ledger_version for r in records), default=0)
+        return generation, version
+
+    def reset_echoes(self) -> None:
+        """Forget all echoes; a new incarnation starts without them."""
+        with self.lock:
+            for record in self.peers.values():
+                record.sent_at_s.clear()
+                record.echoed_at_s = float("-inf")
+
+    def note_store_contact(self, asked_at_s: float) -> None:
+        """Record that the store answered a call made at `asked_at_s`."""
+        with self.lock:
+            self.store_contact_at_s = max(self.store_contact_at_s, asked_at_s)
+
+    def _record_for(
+        self, heartbeat: fleet_pb2.Heartbeat, now: float
+    ) -> PeerRecord | None:
+        record = self.peers.get(heartbeat.instance)
+        if record is not None and heartbeat.incarnation < record.incarnation:
+            return None
+        if record is None:
+            record = PeerRecord(heartbeat.instance, heartbeat.incarnation, now)
+            self.peers[heartbeat.instance] = record
+            log_info(
+                "peer_found",
+                peer=heartbeat.instance,
+                incarnation=heartbeat.incarnation,
+            )
+            return record
+        if heartbeat.incarnation > record.incarnation:
+            self._replace_incarnation(record, heartbeat.incarnation)
+        return record
+
+    def _replace_incarnation(self, record: PeerRecord, incarnation: int) -> None:
+        record.incarnation = incarnation
+        record.sequence = 0
+        record.promises = ()
+        record.echoed_at_s = float("-inf")
+        record.sent_at_s.clear()
+        log_info("peer_restarted", peer=record.instance, incarnation=incarnation)
+
+    def _update_echo(self, record: PeerRecord, heartbeat: fleet_pb2.Heartbeat) -> None:
+        if heartbeat.echo_incarnation != self.identity.incarnation:
+            return
+        sent_at_s = record.sent_at_s.get(heartbeat.echo)
+        if sent_at_s is None:
+            return
+        record.echoed_at_s = max(record.echoed_at_s, sent_at_s)
+
+    def _update_fields(
+        self, record: PeerRecord, heartbeat: fleet_pb2.Heartbeat, now: float
+    ) -> None:
+        if not record.heard or now - record.heard_at_s > SUSPECT_AFTER_S:
+            log_info("peer_heard", peer=record.instance)
+        record.heard = True
+        record.heard_at_s = now
+        record.sequence = max(record.sequence, heartbeat.sequence)
+        record.state = heartbeat.state
+        record.generation = max(record.generation, heartbeat.generation)
+        record.ledger_version = max(record.ledger_version, heartbeat.ledger_version)
+        record.standing = heartbeat.standing
+        record.leaving = frozenset(heartbeat.leaving)
+        if heartbeat.peer_address:
+            record.data_centre = heartbeat.data_centre
+            record.caller_address = heartbeat.caller_address
+            record.peer_address = heartbeat.peer_address
+        if heartbeat.store_contact_age_ms != NO_STORE_CONTACT_MS:
+            age_s = heartbeat.store_contact_age_ms / 1000
+            record.store_contact_at_s = now - age_s
+        record.demands = {
+            demand.workspace: demand.milli_tokens_per_s / 1000
+            for demand in heartbeat.demands
+        }
+        record.promises = self._promise_views(record, heartbeat)
+
+    def _promise_views(
+        self, record: PeerRecord, heartbeat: fleet_pb2.Heartbeat
+    ) -> tuple[PromiseView, ...]:
+        # Counted from the sending of the heartbeat that this one echoes: the
+        # promise was stated later than that, whatever the delay was.
+        if heartbeat.echo_incarnation != self.identity.incarnation:
+            return ()
+        stated_at_s = record.sent_at_s.get(heartbeat.echo)
+        if stated_at_s is None:
+            return ()
+        return tuple(
+            PromiseView(
+                promise.instance,
+                promise.incarnation,
+                stated_at_s + promise.remaining_ms / 1000,
+            )
+            for promise in heartbeat.promises
+        )
+
+    def _common_heartbeat(self, now: float) -> fleet_pb2.Heartbeat:
+        age_s = now - self.store_contact_at_s
+        age_ms = NO_STORE_CONTACT_MS
+        if age_s < NO_STORE_CONTACT_MS / 1000:
+            age_ms = int(age_s * 1000)
+        return fleet_pb2.Heartbeat(
+            instance=self.identity.instance,
+            incarnation=self.identity.incarnation,
+            state=self.identity.state,
+            generation=self.generation,
+            ledger_version=self.ledger_version,
+            store_contact_age_ms=age_ms,
+            standing=self.standing,
+            leaving=sorted(self.platform_leaving),
+            promises=self._promise_messages(now),
+            suspicions=self.suspicions,
+        )
+
+    def _promise_messages(self, now: float) -> list[fleet_pb2.Promise]:
+        return [
+            fleet_pb2.Promise(
+                instance=promise.instance,
+                incarnation=promise.incarnation,
+                remaining_ms=int((promise.until_s - now) * 1000),
+            )
+            for promise in self._own_promises(now)
+        ]
+
+    def _own_promises(self, now: float) -> tuple[PromiseView, ...]:
+        promises = [
+            PromiseView(instance, incarnation, until_s)
+            for (instance, incarnation), until_s in self.promised_until_s.items()
+            if until_s > now
+        ]
+        # Heartbeats of a superseded incarnation are never taken in again.
+        promises += [
+            PromiseView(instance, incarnation, now + PROMISE_LIFETIME_S)
+            for instance, incarnation in self.ledger_incarnations
+            if self._is_superseded(instance, incarnation)
+        ]
+        return tuple(promises)
+
+    def _is_superseded(self, instance: str, incarnation: int) -> bool:
+        if instance == self.identity.instance:
+            return incarnation < self.identity.incarnation
+        record = self.peers.get(instance)
+        return record is not None and incarnation < record.incarnation
+
+    def _add_constant_fields(self, heartbeat: fleet_pb2.Heartbeat) -> None:
+        heartbeat.cell = self.identity.cell
+        heartbeat.data_centre = self.identity.data_centre
+        heartbeat.caller_address = self.identity.caller_address
+        heartbeat.peer_address = self.identity.peer_address
+
+    def _add_pair_fields(
+        self, heartbeat: fleet_pb2.Heartbeat, record: PeerRecord, now: float
+    ) -> None:
+        heartbeat.sequence = record.next_sequence
+        record.sent_at_s[record.next_sequence] = now
+        record.next_sequence += 1
+        while len(record.sent_at_s) > SENT_HISTORY:
+            record.sent_at_s.popitem(last=False)
+        if self._has_promise(record.instance, record.incarnation, now):
+            return
+        heartbeat.echo = record.sequence
+        heartbeat.echo_incarnation = record.incarnation
+
+    def _add_demands(self, heartbeat: fleet_pb2.Heartbeat) -> None:
+        for workspace, tokens_per_s in self.demands.items():
+            heartbeat.demands.add(
+                workspace=workspace, milli_tokens_per_s=int(tokens_per_s * 1000)
+            )
+
+    def _has_promise(self, instance: str, incarnation: int, now: float) -> bool:
+        return self.promised_until_s.get((instance, incarnation), 0.0) > now
+
+    def _restart_silence(self, now: float) -> None:
+        log_warning("process_was_paused", silent_s=now - self.last_tick_s)
+        for record in self.peers.values():
+            record.heard_at_s = max(record.heard_at_s, now - HEARTBEAT_INTERVAL_S)
+
+    def _judge_silence(self, record: PeerRecord, now: float) -> None:
+        silent_s = now - record.heard_at_s
+        if silent_s <= SUSPECT_AFTER_S:
+            return
+        if silent_s > FORGET_AFTER_S and not self._in_ledger(record):
+            del self.peers[record.instance]
+            return
+        key = (record.instance, record.incarnation)
+        until_s = self.promised_until_s.get(key, 0.0)
+        if until_s - now >= PROMISE_RENEW_BELOW_S:
+            return
+        if until_s <= now:
+            log_warning("peer_suspected", peer=record.instance, silent_s=silent_s)
+        self.promised_until_s[key] = now + PROMISE_LIFETIME_S
+
+    def _drop_expired_promises(self, now: float) -> None:
+        for key, until_s in list(self.promised_until_s.items()):
+            if until_s <= now:
+                del self.promised_until_s[key]
+
+    def _in_ledger(self, record: PeerRecord) -> bool:
+        return (record.instance, record.incarnation) in self.ledger_incarnations
+
+    def _learn_member(self, member: fleet_pb2.Member, now: float) -> None:
+        if member.instance == self.identity.instance:
+            return
+        record = self.peers.get(member.instance)
+        if record is None:
+            record = PeerRecord(member.instance, member.incarnation, now)
+            self.peers[member.instance] = record
+        if record.heard:
+            return
+        record.data_centre = member.data_centre
+        record.caller_address = member.caller_address
+        record.peer_address = member.peer_address
+
+    def _is_live(self, record: PeerRecord, now: float) -> bool:
+        if not record.heard or now - record.heard_at_s > SUSPECT_AFTER_S:
+            return False
+        return record.state == fleet_pb2.LIVE
+
+    def _allocator_name(self, now: float) -> str | None:
+        names = []
+        if self._may_allocate_self(now):
+            names.append(self.identity.instance)
+        for record in self.peers.values():
+            contact_age_s = now - record.store_contact_at_s
+            if (
+                self._is_live(record, now)
+                and record.standing
+                and contact_age_s <= STORE_CONTACT_MAX_AGE_S
+            ):
+                names.append(record.instance)
+        ranked = rank_candidates("allocator", names)
+        return ranked[0] if ranked else None
+
+    def _may_allocate_self(self, now: float) -> bool:
+        return (
+            self.identity.state == fleet_pb2.LIVE
+            and self.standing
+            and now - self.store_contact_at_s <= STORE_CONTACT_MAX_AGE_S
+        )
+
+    def _own_view(self, now: float) -> MemberView:
+        return MemberView(
+            instance=self.identity.instance,
+            incarnation=self.identity.incarnation,
+            state=self.identity.state,
+            data_centre=self.identity.data_centre,
+            caller_address=self.identity.caller_address,
+            peer_address=self.identity.peer_address,
+            generation=self.generation,
+            ledger_version=self.ledger_version,
+            heard_at_s=now,
+            store_contact_age_s=now - self.store_contact_at_s,
+            standing=self.standing,
+            promises=self._own_promises(now),
+            demands=dict(self.demands),
+        )
+
+    def _view(self, record: PeerRecord) -> MemberView:
+        return MemberView(
+            instance=record.instance,
+            incarnation=record.incarnation,
+            state=record.state,
+            data_centre=record.data_centre,
+            caller_address=record.caller_address,
+            peer_address=record.peer_address,
+            generation=record.generation,
+            ledger_version=record.ledger_version,
+            heard_at_s=record.heard_at_s,
+            store_contact_age_s=record.heard_at_s - record.store_contact_at_s,
+            standing=record.standing,
+            promises=record.promises,
+            demands=dict(record.demands),
+        )
--- /dev/null
+++ b/src/lacewinglift/standing.py
@@ -0,0 +1,126 @@
+"""Whether this instance may serve requests that need a key."""
+
+import threading
+
+from lacewinglift.generated import fleet_pb2
+from lacewinglift.identity import Identity
+from lacewinglift.logs import log_info, log_warning
+from lacewinglift.members import STORE_CONTACT_MAX_AGE_S, Members
+from lacewinglift.timers import Timers
+
+ECHO_MAX_AGE_S = 4.0
+NEWER_GENERATION_GRACE_S = 2.0
+
+
+def quorum_size(members: int) -> int:
+    """Return the size of a strict majority."""
+    return members // 2 + 1
+
+
+class Standing:
+    """Evidence that this instance is not cut off from the others.
+
+    An instance that hears neither the store nor a majority of its cell can
+    know neither of a withdrawn key nor of a fence against its quota shares.
+
+    Parameters
+    ----------
+    identity : Identity
+        This instance.
+    members : Members
+        Echoes, and the versions that the others announce.
+    timers : Timers
+        Timer service.
+    """
+
+    def __init__(self, identity: Identity, members: Members, timers: Timers) -> None:
+        self.identity = identity
+        self.members = members
+        self.timers = timers
+        self.lock = threading.Lock()
+        self.roster: frozenset[tuple[str, int]] = frozenset()
+        self.fenced = False
+        self.valid_until_s = float("-inf")
+        self.behind_since_s: float | None = None
+        self.started = False
+        self.lapsed = True
+        self.logged = False
+
+    def refusal(self) -> str | None:
+        """Return None when keyed requests may be served, else a refusal code."""
+        if not self.started:
+            return "starting"
+        if self.lapsed or self.timers.now() > self.valid_until_s:
+            return "isolated"
+        return None
+
+    def apply_ledger(self, ledger: fleet_pb2.Ledger) -> None:
+        """Take the roster and the state of this incarnation from `ledger`."""
+        roster = frozenset((m.instance, m.incarnation) for m in ledger.members)
+        own = (self.identity.instance, self.identity.incarnation)
+        fenced = {
+            (m.instance, m.incarnation) for m in ledger.members if m.fenced_in_version
+        }
+        with self.lock:
+            self.roster = roster
+            self.fenced = own in fenced
+        self.update()
+
+    def update(self) -> None:
+        """Judge the evidence again; after each heartbeat and store answer."""
+        now = self.timers.now()
+        with self.lock:
+            # Judged on the old evidence first: what arrives after a pause must
+            # not hide that standing had been lost.
+            if now > self.valid_until_s:
+                self.lapsed = True
+            self.valid_until_s = self._evidence_until()
+            self._limit_by_versions(now)
+            if self.lapsed and now <= self.valid_until_s and not self._is_behind():
+                self.lapsed = False
+                self.started = True
+            standing = not self.lapsed and now <= self.valid_until_s
+            self.members.standing = standing
+            self._log_change(standing)
+
+    def _evidence_until(self) -> float:
+        if self.fenced:
+            return float("-inf")
+        store_until_s = self.members.store_contact_at_s + STORE_CONTACT_MAX_AGE_S
+        return max(store_until_s, self._quorum_until())
+
+    def _quorum_until(self) -> float:
+        if not self.roster:
+            return float("-inf")
+        echoes = self.members.echo_times()
+        own = (self.identity.instance, self.identity.incarnation)
+        times = [
+            float("inf") if member == own else echoes.get(member, float("-inf"))
+            for member in self.roster
+        ]
+        times.sort(reverse=True)
+        return times[quorum_size(len(times)) - 1] + ECHO_MAX_AGE_S
+
+    def _is_behind(self) -> bool:
+        generation, version = self.members.highest_versions()
+        return (
+            self.members.generation == 0
+            or generation > self.members.generation
+            or version > self.members.ledger_version
+        )
+
+    def _limit_by_versions(self, now: float) -> None:
+        if not self._is_behind():
+            self.behind_since_s = None
+            return
+        if self.behind_since_s is None:
+            self.behind_since_s = now
+        grace_until_s = self.behind_since_s + NEWER_GENERATION_GRACE_S
+        self.valid_until_s = min(self.valid_until_s, grace_until_s)
+
+    def _log_change(self, standing: bool) -> None:
+        if standing == self.logged:
+            return
+        self.logged = standing
+        log = log_info if standing else log_warning
+        log("standing_changed", standing=standing, fenced=self.fenced)
--- /dev/null
+++ b/src/lacewinglift/store_duty.py
@@ -0,0 +1,176 @@
+"""Reading of the store: contact, ledger, manifest and the platform's list."""
+
+import asyncio
+import json
+from collections.abc import Callable
+
+from lacewinglift.distribution import Distribution, manifest_key
+from lacewinglift.errors import StoreError
+from lacewinglift.generated import fleet_pb2
+from lacewinglift.identity import Identity
+from lacewinglift.logs import log_exception, log_info, log_warning
+from lacewinglift.members import Members
+from lacewinglift.standing import Standing
+from lacewinglift.store import Store
+from lacewinglift.timers import Timers
+
+POLL_INTERVAL_S = 1.0
+WATCHERS_PER_DATA_CENTRE = 2
+PLATFORM_LIST_INTERVAL_S = 3.0
+PLATFORM_LIST_PREFIX = "platform/instances/"
+WATCH_RETRY_S = 1.0
+
+
+def ledger_key(fleet: str, cell: str) -> str:
+    """Return the store key of the ledger of a cell."""
+    return f"/lacewinglift/{fleet}/cells/{cell}/ledger"
+
+
+class StoreDuty:
+    """Reads the store if this instance watches it or has no other evidence.
+
+    Only a few instances of each data centre watch, so that calls to the store
+    do not grow with the fleet; the others learn from their peers.
+
+    Parameters
+    ----------
+    ledger_read : callable
+        Called with each ledger that was read, before the contact counts.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        store: Store,
+        members: Members,
+        standing: Standing,
+        distribution: Distribution,
+        timers: Timers,
+        ledger_read: Callable[[fleet_pb2.Ledger], None],
+    ) -> None:
+        self.identity = identity
+        self.store = store
+        self.members = members
+        self.standing = standing
+        self.distribution = distribution
+        self.timers = timers
+        self.ledger_read = ledger_read
+        self.ledger: fleet_pb2.Ledger | None = None
+        self.ledger_revision = 0
+        self.platform_addresses: list[str] = []
+        self.list_read_at_s = float("-inf")
+        self.watch_task: asyncio.Task | None = None
+        self.reachable: bool | None = None
+
+    def is_watcher(self) -> bool:
+        """Return whether this instance watches the store for its data centre."""
+        names = self.members.watchers(
+            self.identity.data_centre, WATCHERS_PER_DATA_CENTRE
+        )
+        return not names or self.identity.instance in names
+
+    async def run(self) -> None:
+        """Poll for as long as the instance runs."""
+        while True:
+            try:
+                await self.step()
+            except Exception:
+                log_exception("store_duty_failed")
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def step(self) -> None:
+        """Do one round of polling if it is due here."""
+        watcher = self.is_watcher()
+        self._update_watch(watcher)
+        if not watcher and self.standing.refusal() is None:
+            return
+        await self.read_ledger()
+        now = self.timers.now()
+        if now - self.list_read_at_s >= PLATFORM_LIST_INTERVAL_S:
+            await self._read_platform_list()
+            self.list_read_at_s = now
+
+    async def read_ledger(self) -> bool:
+        """Read the ledger; return whether the store answered."""
+        asked_at_s = self.timers.now()
+        try:
+            entry = await self.store.get(
+                ledger_key(self.identity.fleet, self.identity.cell)
+            )
+        except StoreError as error:
+            self._note_reachable(False, error)
+            return False
+        self._note_reachable(True, None)
+        if entry is not None and entry.revision > self.ledger_revision:
+            self.note_ledger(fleet_pb2.Ledger.FromString(entry.value), entry.revision)
+        self.members.note_store_contact(asked_at_s)
+        self.standing.update()
+        return True
+
+    def note_ledger(self, ledger: fleet_pb2.Ledger, revision: int) -> None:
+        """Take in a ledger that stands in the store at `revision`."""
+        self.ledger = ledger
+        self.ledger_revision = revision
+        self.ledger_read(ledger)
+
+    async def close(self) -> None:
+        """Stop watching."""
+        if self.watch_task is not None:
+            self.watch_task.cancel()
+            await asyncio.gather(self.watch_task, return_exceptions=True)
+
+    def _update_watch(self, watcher: bool) -> None:
+        needed = watcher or self.distribution.generation() == 0
+        running = self.watch_task is not None and not self.watch_task.done()
+        if needed and not running:
+            self.watch_task = asyncio.create_task(self._watch_manifest())
+        if not needed and running:
+            self.watch_task.cancel()
+
+    async def _watch_manifest(self) -> None:
+        key = manifest_key(self.identity.fleet)
+        while True:
+            try:
+                async for entry in self.store.watch(key):
+                    await self._take_manifest(entry.value)
+            except StoreError as error:
+                log_warning("manifest_watch_failed", reason=error)
+            await asyncio.sleep(WATCH_RETRY_S)
+
+    async def _take_manifest(self, value: bytes) -> None:
+        while not await self.distribution.fetch_from_store(self.store, value):
+            await asyncio.sleep(WATCH_RETRY_S)
+
+    async def _read_platform_list(self) -> None:
+        try:
+            entries = await self.store.list_prefix(PLATFORM_LIST_PREFIX)
+        except StoreError:
+            return
+        leaving = set()
+        addresses = []
+        for entry in entries:
+            name = entry.key.removeprefix(PLATFORM_LIST_PREFIX)
+            item = _parse_list_item(entry.value)
+            if item.get("state") == "leaving":
+                leaving.add(name)
+            if isinstance(item.get("peer_address"), str):
+                addresses.append(item["peer_address"])
+        self.members.platform_leaving = frozenset(leaving)
+        self.platform_addresses = addresses
+
+    def _note_reachable(self, reachable: bool, error: Exception | None) -> None:
+        if reachable == self.reachable:
+            return
+        self.reachable = reachable
+        if reachable:
+            log_info("store_reachable")
+        else:
+            log_warning("store_unreachable", reason=error)
+
+
+def _parse_list_item(value: bytes) -> dict[str, object]:
+    try:
+        item = json.loads(value)
+    except ValueError:
+        return {}
+    return item if isinstance(item, dict) else {}
