Add JSON with comments, schemas and instance settings

The settings and configuration files are checked against JSON schemas whose validators are generated. fastjsonschema stops at the first fault, so faulty parts are taken out of a copy until the rest is valid; all faults are reported with file and line.

--- a/src/lacewinglift/errors.py
+++ b/src/lacewinglift/errors.py
@@ -1,7 +1,23 @@
 """Exceptions of lacewinglift; each class has a stable code."""
 
+from collections.abc import Iterable
 from typing import ClassVar
 
+from attrs import frozen
+
+
+@frozen(order=True)
+class Fault:
+    """One fault of a file that an operator wrote."""
+
+    file: str
+    line: int
+    """Line of the file, counted from 1."""
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}: {self.message}"
+
 
 class LacewingliftError(Exception):
     """Base class of all errors; the message names what the user can do."""
@@ -9,13 +25,29 @@
     code: ClassVar[str] = "error"
 
 
-class SettingsError(LacewingliftError):
+class FaultsError(LacewingliftError):
+    """Files that an operator wrote have faults.
+
+    Parameters
+    ----------
+    message : str, default=""
+        What is wrong; the faults, one a line, where it is empty.
+    faults : iterable of Fault, default=()
+        All faults that were found.
+    """
+
+    def __init__(self, message: str = "", faults: Iterable[Fault] = ()) -> None:
+        self.faults = list(faults)
+        super().__init__(message or "\n".join(map(str, self.faults)))
+
+
+class SettingsError(FaultsError):
     """The settings of an instance cannot be used."""
 
     code = "settings"
 
 
-class ConfigurationError(LacewingliftError):
+class ConfigurationError(FaultsError):
     """A configuration has faults; nothing of it was published or applied."""
 
     code = "configuration"
--- /dev/null
+++ b/src/lacewinglift/settings.py
@@ -0,0 +1,88 @@
+"""Settings of one instance, read when it starts."""
+
+import ipaddress
+import pathlib
+
+from attrs import frozen
+
+from lacewinglift._validation import collect_findings
+from lacewinglift.errors import Fault, SettingsError
+from lacewinglift.generated.settings_schema import validate
+from lacewinglift.jsonc import Document, Path, read_document
+
+_ADDRESSES = ("caller_address", "peer_address", "store_address")
+
+
+@frozen
+class Settings:
+    """Settings of one instance."""
+
+    instance: str
+    fleet: str
+    data_centre: str
+    caller_address: str
+    """host:port on which callers are accepted."""
+    peer_address: str
+    store_address: str
+    cell: str = "main"
+    seeds: tuple[str, ...] = ()
+    """Peer addresses of instances to ask when the store is unavailable."""
+    operator_networks: tuple[str, ...] = ("127.0.0.0/8", "::1/128")
+    """Networks from which /metrics may be read."""
+    worker_threads: int = 64
+    stop_bound_s: float = 60.0
+    """Time that a graceful stop may take."""
+
+
+def load_settings(path: str | pathlib.Path) -> Settings:
+    """Return the settings in the file at `path`.
+
+    Raises
+    ------
+    SettingsError
+        With all faults of the file.
+    """
+    document = read_document(path)
+    faults = list(document.faults)
+    if document.readable:
+        findings = collect_findings(validate, document.value)
+        findings = findings or _further_findings(document)
+        faults += [Fault(str(path), document.line(at), text) for at, text in findings]
+    if faults:
+        raise SettingsError(faults=sorted(faults))
+    return _to_settings(document.value)
+
+
+def _to_settings(value: dict) -> Settings:
+    lists = {
+        name: tuple(value[name])
+        for name in ("seeds", "operator_networks")
+        if name in value
+    }
+    return Settings(**{**value, **lists})
+
+
+def _further_findings(document: Document) -> list[tuple[Path, str]]:
+    value = document.value
+    paths: list[Path] = [(name,) for name in _ADDRESSES]
+    paths += [("seeds", index) for index in range(len(value.get("seeds", ())))]
+    findings = [
+        (path, "the port of an address is at most 65535")
+        for path in paths
+        if _port(_value_at(value, path)) > 65535
+    ]
+    for index, network in enumerate(value.get("operator_networks", ())):
+        try:
+            ipaddress.ip_network(network)
+        except ValueError as error:
+            findings.append((("operator_networks", index), str(error)))
+    return findings
+
+
+def _value_at(value: dict, path: Path) -> str:
+    found = value[path[0]]
+    return found if len(path) == 1 else found[path[1]]
+
+
+def _port(address: str) -> int:
+    return int(address.rsplit(":", 1)[1])
