Add overlays and whole-configuration checks

load_configuration merges any number of overlays into the base file and reports all faults of all files. An overlay may set targets, data centres and limits; names, routes and keys are only in the base file, so that who may reach what is the same at all sites. Two overlays may not set the same value, so their order does not matter.

--- /dev/null
+++ b/src/lacewinglift/checks.py
@@ -0,0 +1,388 @@
+"""Loads a configuration from files and checks it as a whole."""
+
+import hashlib
+import math
+import pathlib
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+from attrs import define, field, fields
+
+from lacewinglift._validation import Finding, collect_findings, nearest
+from lacewinglift.configuration import (
+    Configuration,
+    Fleet,
+    Route,
+    Service,
+    Target,
+    Workspace,
+)
+from lacewinglift.errors import ConfigurationError, Fault
+from lacewinglift.generated.configuration_schema import validate
+from lacewinglift.jsonc import Path, read_document
+from lacewinglift.overlays import Sources
+
+SECTIONS = ("services", "routes", "workspaces")
+EMPTY_KEY_DIGEST = hashlib.sha256(b"").hexdigest()
+RESERVED_PREFIXES = ("/.lacewinglift", "/metrics")
+"""Paths that every instance answers itself."""
+
+
+@define
+class Draft:
+    """A merged configuration that may have faults.
+
+    Parameters
+    ----------
+    value : dict
+        The merged files; sections that are not objects are empty.
+    faulty : set of tuple
+        Paths of entries that the schema refuses. Checks skip them, but they
+        count as names that references may use.
+    """
+
+    value: dict[str, Any]
+    faulty: set[Path] = field(factory=set)
+
+    def names(self, section: str) -> dict[str, Any]:
+        """Return all names of a section."""
+        return self.value[section]
+
+    def entries(self, section: str) -> Iterator[tuple[str, dict[str, Any]]]:
+        """Yield the entries that the schema accepts."""
+        for name, entry in self.value[section].items():
+            if (section, name) not in self.faulty:
+                yield name, entry
+
+    @property
+    def data_centres(self) -> list[str] | None:
+        """Data centres of the fleet, None where they cannot be read."""
+        if ("fleet",) in self.faulty:
+            return None
+        return self.value["fleet"]["data_centres"]
+
+
+Check = Callable[[Draft], Iterable[Finding]]
+CHECKS: list[Check] = []
+
+
+def check(function: Check) -> Check:
+    """Register a check of whole configurations."""
+    CHECKS.append(function)
+    return function
+
+
+def load_configuration(
+    base_path: str | pathlib.Path, *overlay_paths: str | pathlib.Path
+) -> Configuration:
+    """Return the configuration in the base file merged with its overlays.
+
+    Raises
+    ------
+    ConfigurationError
+        With all faults of all files.
+    """
+    base = read_document(base_path)
+    sources = Sources(base, [read_document(path) for path in overlay_paths])
+    faults = [*sources.faults, *_site_faults(sources)]
+    if base.readable:
+        faults += [sources.fault(*finding) for finding in findings_of(sources.merged)]
+    if faults:
+        raise ConfigurationError(faults=sorted(set(faults)))
+    return build_configuration(sources.merged)
+
+
+def overlays_of(base_path: str | pathlib.Path) -> list[pathlib.Path]:
+    """Return the paths of the overlays that the base file lists under `sites`."""
+    base = read_document(base_path)
+    folder = pathlib.Path(base_path).parent
+    return [folder / f"site-{site}.jsonc" for site in _sites(base.value)]
+
+
+def findings_of(merged: Any) -> list[Finding]:
+    """Return what is wrong with merged files, by path."""
+    findings = list(_schema_findings(merged))
+    draft = _draft(merged, findings)
+    for function in CHECKS:
+        findings += function(draft)
+    return findings
+
+
+def build_configuration(merged: dict[str, Any]) -> Configuration:
+    """Return the configuration of merged files without faults."""
+    return Configuration(
+        generation=0,
+        fleet=_build_fleet(merged["fleet"]),
+        services={
+            name: _build_service(name, entry)
+            for name, entry in sorted(merged["services"].items())
+        },
+        routes=tuple(
+            Route(prefix=prefix, **_with_tuples(entry))
+            for prefix, entry in sorted(merged["routes"].items())
+        ),
+        workspaces={
+            name: _build_workspace(name, entry)
+            for name, entry in sorted(merged["workspaces"].items())
+        },
+    )
+
+
+def _sites(value: Any) -> list[str]:
+    fleet = value.get("fleet") if isinstance(value, dict) else None
+    sites = fleet.get("sites") if isinstance(fleet, dict) else None
+    return [str(site) for site in sites] if isinstance(sites, list) else []
+
+
+def _site_faults(sources: Sources) -> Iterator[Fault]:
+    """Yield faults where the overlays are not those of the base's list.
+
+    A forgotten overlay would publish a fleet without the targets of its site.
+    """
+    sites = _sites(sources.base.value)
+    if not sites:
+        return
+    expected = {f"site-{site}.jsonc": site for site in sites}
+    given = {pathlib.Path(overlay.file).name for overlay in sources.overlays}
+    line = sources.base.line(("fleet", "sites"))
+    for name in sorted(expected.keys() - given):
+        message = f"the overlay {name!r} of site {expected[name]!r} was not given"
+        yield Fault(sources.base.file, line, message)
+    for overlay in sources.overlays:
+        name = pathlib.Path(overlay.file).name
+        if name not in expected:
+            hint = nearest(name, expected)
+            message = f"{name!r} is not the overlay of a site in 'sites'{hint}"
+            yield Fault(overlay.file, 1, message)
+
+
+def _schema_findings(merged: Any) -> Iterator[Finding]:
+    """Yield what the schema refuses.
+
+    Entries of a faulty configuration are validated one by one, because each fault
+    costs a further run of the validator.
+    """
+    if not isinstance(merged, dict):
+        yield (), 'the file is an object: {"fleet": {}, ...}'
+        return
+    if not _is_refused(merged):
+        return
+    outline = dict(merged)
+    for section in SECTIONS:
+        if isinstance(merged.get(section), dict):
+            outline[section] = {}
+    yield from collect_findings(validate, outline)
+    frame: dict[str, Any] = {"fleet": {"name": "f", "data_centres": ["d"]}}
+    frame |= {section: {} for section in SECTIONS}
+    for section in SECTIONS:
+        entries = merged.get(section)
+        if not isinstance(entries, dict):
+            continue
+        for name, entry in entries.items():
+            piece = {**frame, section: {name: entry}}
+            if _is_refused(piece):
+                yield from collect_findings(validate, piece)
+
+
+def _is_refused(value: Any) -> bool:
+    try:
+        validate(value)
+    except ValueError:
+        return True
+    return False
+
+
+def _draft(merged: Any, findings: list[Finding]) -> Draft:
+    source = merged if isinstance(merged, dict) else {}
+    value = {
+        section: source[section] if isinstance(source.get(section), dict) else {}
+        for section in ("fleet", *SECTIONS)
+    }
+    faulty: set[Path] = {path[:2] for path, _ in findings if len(path) > 1}
+    if not isinstance(source.get("fleet"), dict) or any(
+        path[:1] == ("fleet",) for path, _ in findings
+    ):
+        faulty.add(("fleet",))
+    return Draft(value, faulty)
+
+
+def _with_tuples(entry: dict[str, Any]) -> dict[str, Any]:
+    return {
+        name: tuple(value) if isinstance(value, list) else value
+        for name, value in entry.items()
+    }
+
+
+def _build_fleet(entry: dict[str, Any]) -> Fleet:
+    known = {name: value for name, value in entry.items() if name != "sites"}
+    return _with_types(Fleet, _with_tuples(known))
+
+
+def _build_service(name: str, entry: dict[str, Any]) -> Service:
+    defaults = entry.get("target_defaults", {})
+    targets = tuple(
+        _with_types(Target, {"name": target, **defaults, **values})
+        for target, values in sorted(entry["targets"].items())
+    )
+    known = {
+        key: value
+        for key, value in entry.items()
+        if key not in ("targets", "target_defaults")
+    }
+    return _with_types(Service, {"name": name, "targets": targets, **known})
+
+
+def _build_workspace(name: str, entry: dict[str, Any]) -> Workspace:
+    digests = tuple(bytes.fromhex(digest) for digest in entry.get("key_digests", ()))
+    known = {**entry, "name": name, "key_digests": tuple(sorted(digests))}
+    return _with_types(Workspace, known)
+
+
+_CONVERTED = {float: float, int: int}
+
+
+def _with_types(model: type, values: dict[str, Any]) -> Any:
+    """Build `model`; JSON may write 5 for 5.0 and 5.0 for 5."""
+    for attribute in fields(model):
+        convert = _CONVERTED.get(attribute.type)
+        if convert and attribute.name in values:
+            values[attribute.name] = convert(values[attribute.name])
+    return model(**values)
+
+
+# ---- checks of whole configurations ----
+
+
+@check
+def _check_target_addresses(draft: Draft) -> Iterator[Finding]:
+    for name, service in draft.entries("services"):
+        seen: dict[str, str] = {}
+        for target, values in service["targets"].items():
+            path = ("services", name, "targets", target, "address")
+            address = values["address"]
+            if int(address.rsplit(":", 1)[1]) > 65535:
+                yield path, "the port of an address is at most 65535"
+            first = seen.setdefault(address, target)
+            if first != target:
+                yield path, f"{address!r} is already the address of {first!r}"
+
+
+@check
+def _check_data_centres(draft: Draft) -> Iterator[Finding]:
+    known = draft.data_centres
+    if known is None:
+        return
+    for name, service in draft.entries("services"):
+        for target, values in service["targets"].items():
+            if values["data_centre"] in known:
+                continue
+            path = ("services", name, "targets", target, "data_centre")
+            hint = nearest(values["data_centre"], known)
+            wrong = values["data_centre"]
+            yield path, f"{wrong!r} is not in 'data_centres' of the fleet{hint}"
+
+
+@check
+def _check_slots(draft: Draft) -> Iterator[Finding]:
+    # There are no defaults: a wrong guess would overload real targets.
+    for name, service in draft.entries("services"):
+        defaults = service.get("target_defaults", {})
+        for target, values in service["targets"].items():
+            path = ("services", name, "targets", target)
+            capacity = {**defaults, **values}
+            missing = [
+                each for each in ("slots", "connections") if each not in capacity
+            ]
+            for each in missing:
+                yield path, f"{target!r} has no {each!r}; set it or 'target_defaults'"
+            if not missing and capacity["connections"] < capacity["slots"]:
+                yield (
+                    path,
+                    f"{target!r} has {capacity['slots']} slots but only "
+                    f"{capacity['connections']} connections; a slot needs a "
+                    "connection, raise 'connections'",
+                )
+
+
+@check
+def _check_floors(draft: Draft) -> Iterator[Finding]:
+    for name, service in draft.entries("services"):
+        message = _floor_message(service)
+        if message:
+            yield ("services", name, "floor"), f"{name!r}: {message}"
+
+
+def _floor_message(service: dict[str, Any]) -> str | None:
+    targets = service["targets"]
+    if not targets:
+        return "has no targets; add them here or in an overlay"
+    floor = service.get("floor", fields(Service).floor.default)
+    defaults = service.get("target_defaults", {})
+    usable = [each for each in targets.values() if not each.get("leaving", False)]
+    needed = math.ceil(floor * len(targets))
+    if len(usable) < max(needed, 1):
+        return (
+            f"the floor {floor:g} needs {max(needed, 1)} of {len(targets)} targets, "
+            f"but only {len(usable)} are not leaving; lower the floor, add targets "
+            "or let fewer leave at a time"
+        )
+    slots = sum({**defaults, **each}.get("slots", 0) for each in targets.values())
+    left = sum({**defaults, **each}.get("slots", 0) for each in usable)
+    if left < floor * slots:
+        return (
+            f"the floor {floor:g} needs {math.ceil(floor * slots)} of {slots} slots, "
+            f"but the targets that are not leaving have {left}; lower the floor or "
+            "let smaller targets leave first"
+        )
+    return None
+
+
+@check
+def _check_prefixes(draft: Draft) -> Iterator[Finding]:
+    for prefix in draft.names("routes"):
+        if any(part in (".", "..") for part in prefix.split("/")):
+            yield ("routes", prefix), f"{prefix!r} has a '.' or '..' segment; remove it"
+        for reserved in RESERVED_PREFIXES:
+            if prefix == reserved or prefix.startswith(f"{reserved}/"):
+                message = f"{reserved!r} is answered by the instances; use another"
+                yield ("routes", prefix), message
+
+
+@check
+def _check_route_references(draft: Draft) -> Iterator[Finding]:
+    services = draft.names("services")
+    for prefix, route in draft.entries("routes"):
+        if route["service"] not in services:
+            hint = nearest(route["service"], services)
+            message = f"no service is named {route['service']!r}{hint}"
+            yield ("routes", prefix, "service"), message
+        if route.get("open") and "workspaces" in route:
+            yield (
+                ("routes", prefix, "workspaces"),
+                f"{prefix!r} is open, so it cannot be kept for some workspaces; "
+                "remove 'open' or 'workspaces'",
+            )
+
+
+@check
+def _check_route_workspaces(draft: Draft) -> Iterator[Finding]:
+    known = draft.names("workspaces")
+    for prefix, route in draft.entries("routes"):
+        for index, name in enumerate(route.get("workspaces", ())):
+            if name not in known:
+                path = ("routes", prefix, "workspaces", index)
+                yield path, f"no workspace is named {name!r}{nearest(name, known)}"
+
+
+@check
+def _check_key_digests(draft: Draft) -> Iterator[Finding]:
+    owners: dict[str, list[str]] = defaultdict(list)
+    for name, workspace in draft.entries("workspaces"):
+        for index, digest in enumerate(workspace.get("key_digests", ())):
+            path = ("workspaces", name, "key_digests", index)
+            if digest == EMPTY_KEY_DIGEST:
+                yield path, "this is the digest of an empty key; use another key"
+            elif owners[digest]:
+                yield path, f"the key is already one of {owners[digest][0]!r}"
+            owners[digest].append(name)
--- /dev/null
+++ b/src/lacewinglift/overlays.py
@@ -0,0 +1,195 @@
+"""Merges overlays, which hold differences only, into the base file."""
+
+import copy
+from collections.abc import Iterator, Sequence
+from typing import Any
+
+from attrs import define, field
+
+from lacewinglift._validation import nearest
+from lacewinglift.errors import Fault
+from lacewinglift.jsonc import Document, Path
+
+ANY = "*"
+CHANGEABLE: tuple[Path, ...] = (
+    ("fleet", "data_centres"),
+    ("fleet", "cells"),
+    ("fleet", "address_lifetime_s"),
+    ("fleet", "homes_per_data_centre"),
+    ("fleet", "instances"),
+    ("services", ANY, ANY),
+    ("workspaces", ANY, "rate_per_s"),
+    ("workspaces", ANY, "burst"),
+    ("workspaces", ANY, "max_concurrent"),
+)
+"""Paths that an overlay may set, each with everything below it.
+
+Names, routes and keys decide who may reach what. They are the same at all sites,
+so that one file shows them.
+"""
+
+REMOVABLE: tuple[Path, ...] = (
+    ("services", ANY, "targets", ANY),
+    ("services", ANY, "targets", ANY, ANY),
+    ("services", ANY, "target_defaults", ANY),
+    ("services", ANY, ANY),
+    ("workspaces", ANY, "max_concurrent"),
+)
+"""Paths that an overlay may take away with null; settings return to defaults."""
+
+_FIXED: dict[str, str] = {
+    "key_digests": "keys are only in the base file",
+    "open": "routes are only in the base file",
+    "name": "the name of the fleet is only in the base file",
+    "sites": "the list of sites is only in the base file",
+}
+
+
+@define(eq=False)
+class Sources:
+    """The base document and the overlays that change it.
+
+    Parameters
+    ----------
+    base : Document
+        The base file.
+    overlays : sequence of Document
+        One overlay for each site.
+    """
+
+    base: Document
+    overlays: Sequence[Document]
+    merged: Any = field(init=False)
+    faults: list[Fault] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Merge the overlays."""
+        documents = [self.base, *self.overlays]
+        self.faults = [fault for document in documents for fault in document.faults]
+        self.merged = copy.deepcopy(self.base.value) if self.base.readable else {}
+        settings: dict[Path, Document] = {}
+        for overlay in self.overlays:
+            if overlay.readable:
+                self._merge(overlay, settings)
+
+    def locate(self, path: Path) -> tuple[str, int]:
+        """Return file and line of what decides the merged value at `path`."""
+        documents = [*reversed(self.overlays), self.base]
+        known = [(len(each.known_path(path)), each) for each in documents]
+        longest = max(length for length, _ in known)
+        if longest <= 1 or not self.overlays:
+            return self.base.file, self.base.line(path)
+        document = next(each for length, each in known if length == longest)
+        return document.file, document.line(path)
+
+    def fault(self, path: Path, message: str) -> Fault:
+        """Return a fault of the merged value at `path`."""
+        file, line = self.locate(path)
+        return Fault(file, line, message)
+
+    def _merge(self, overlay: Document, settings: dict[Path, Document]) -> None:
+        if not isinstance(self.merged, dict):
+            return
+        for path, value in _leaves(overlay.value, ()):
+            message = self._refusal(path, value) or _conflict(path, overlay, settings)
+            if message:
+                fault = Fault(overlay.file, overlay.line(path), message)
+                self.faults.append(fault)
+                continue
+            settings[path] = overlay
+            _set(self.merged, path, value)
+
+    def _refusal(self, path: Path, value: Any) -> str | None:
+        """Return why an overlay may not set `value` at `path`."""
+        if len(path) <= 1 and isinstance(value, dict):
+            return None
+        unknown = self._unknown_owner(path)
+        if unknown is not None:
+            return unknown
+        if not _is_allowed(path, CHANGEABLE):
+            return _fixed_message(path)
+        if value is not None:
+            return None
+        if not _is_allowed(path, REMOVABLE, exactly=True):
+            return f"an overlay cannot remove {path[-1]!r}; remove it in the base file"
+        parent = _find(self.merged, path[:-1])
+        if not isinstance(parent, dict) or path[-1] not in parent:
+            hint = nearest(str(path[-1]), parent if isinstance(parent, dict) else ())
+            return f"{path[-1]!r} is not in the base file, so cannot be removed{hint}"
+        return None
+
+    def _unknown_owner(self, path: Path) -> str | None:
+        """Return a message if the service or workspace is not in the base file."""
+        if not path or path[0] not in ("services", "workspaces") or len(path) < 2:
+            return None
+        known = _find(self.base.value, path[:1])
+        if isinstance(known, dict) and path[1] in known:
+            return None
+        names = known if isinstance(known, dict) else ()
+        return (
+            f"{path[1]!r} is not in {path[0]!r} of the base file, "
+            f"and an overlay cannot add it{nearest(str(path[1]), names)}"
+        )
+
+
+def _leaves(value: Any, path: Path) -> Iterator[tuple[Path, Any]]:
+    """Yield what an overlay sets; an empty object sets itself."""
+    if isinstance(value, dict) and value:
+        for name, child in value.items():
+            yield from _leaves(child, (*path, name))
+    else:
+        yield path, value
+
+
+def _conflict(
+    path: Path, overlay: Document, settings: dict[Path, Document]
+) -> str | None:
+    for length in range(1, len(path) + 1):
+        other = settings.get(path[:length])
+        if other is not None and other is not overlay:
+            line = other.line(path[:length])
+            return f"{path[-1]!r} is also set by {other.file}:{line}; set it in one"
+    return None
+
+
+def _is_allowed(path: Path, rules: tuple[Path, ...], exactly: bool = False) -> bool:
+    return any(
+        (len(path) == len(rule) if exactly else len(path) >= len(rule))
+        and all(want in (ANY, part) for want, part in zip(rule, path, strict=False))
+        for rule in rules
+    )
+
+
+def _fixed_message(path: Path) -> str:
+    reason = next((_FIXED[str(part)] for part in path if part in _FIXED), None)
+    if reason is None and path and path[0] == "routes":
+        reason = _FIXED["open"]
+    if reason is None:
+        reason = "an overlay may set targets, data centres and limits"
+    shown = ".".join(map(str, path)) or "the whole file"
+    return f"an overlay cannot change {shown!r}: {reason}"
+
+
+def _find(value: Any, path: Path) -> Any:
+    for part in path:
+        if not isinstance(value, dict) or part not in value:
+            return None
+        value = value[part]
+    return value
+
+
+def _set(merged: dict[str, Any], path: Path, value: Any) -> None:
+    if not path:
+        return
+    parent = merged
+    for part in path[:-1]:
+        child = parent.get(part)
+        if not isinstance(child, dict):
+            child = parent[part] = {}
+        parent = child
+    if value is None:
+        parent.pop(path[-1], None)
+    elif value == {} and isinstance(parent.get(path[-1]), dict):
+        return
+    else:
+        parent[path[-1]] = copy.deepcopy(value)
--- /dev/null
+++ b/testing/test_checks.py
@@ -0,0 +1,184 @@
+import re
+
+import pytest
+
+from lacewinglift.checks import load_configuration
+from lacewinglift.errors import ConfigurationError
+
+KEY = "a" * 64
+BASE = """{
+  "fleet": {"name": "f", "data_centres": ["m", "t"], "instances": 3},
+  "services": {
+    "orders": {
+      "floor": 0.5,
+      "target_defaults": {"slots": 2, "connections": 20},
+      "targets": {
+        "o1": {"address": "127.0.0.1:1001", "data_centre": "m"},
+        "o2": {"address": "127.0.0.1:1002", "data_centre": "t", "slots": 4}
+      }
+    }
+  },
+  "routes": {
+    "/orders": {"service": "orders", "workspaces": ["w1"]},
+    "/public": {"service": "orders", "open": true}
+  },
+  "workspaces": {
+    "w1": {"rate_per_s": 5, "burst": 10.0,
+      "key_digests": ["KEY"]},
+    "w2": {"rate_per_s": 0.5, "burst": 1}
+  }
+}""".replace("KEY", KEY)
+
+
+@pytest.fixture
+def load(tmp_path):
+    def load_texts(base, *overlays):
+        paths = []
+        for name, text in zip(["base", "s1", "s2"], [base, *overlays], strict=False):
+            paths.append(tmp_path / f"{name}.jsonc")
+            paths[-1].write_text(text)
+        return load_configuration(*paths)
+
+    return load_texts
+
+
+@pytest.fixture
+def faults(load):
+    def faults_of(base, *overlays):
+        with pytest.raises(ConfigurationError) as caught:
+            load(base, *overlays)
+        return [
+            f"{fault.file.rsplit('/', 1)[1].split('.')[0]}:{fault.line} {fault.message}"
+            for fault in caught.value.faults
+        ]
+
+    return faults_of
+
+
+def test_model_of_good_files(load):
+    """Guards against a setting that is lost or gets another type."""
+    configuration = load(BASE)
+    service = configuration.services["orders"]
+    assert [(each.slots, each.connections) for each in service.targets] == [
+        (2, 20),
+        (4, 20),
+    ]
+    workspace = configuration.workspace_for_digest(bytes.fromhex(KEY))
+    assert workspace.name == "w1"
+    assert type(workspace.burst) is int
+    assert type(workspace.rate_per_s) is float
+    assert configuration.route_for("/public/x").open
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "expected"),
+    [
+        ('"floor": 0.5', '"flor": 0.5', "base:5 'flor' is not known; did you mean"),
+        ('"floor": 0.5', '"floor": 50', "base:5 'floor' cannot be 50; .* write 0.5"),
+        ('"floor": 0.5', '"request_timeout_ms": 9', "base:5 .*'request_timeout_s'"),
+        ('"floor": 0.5', '"request_timeout_s": "9s"', "base:5 .*without a unit"),
+        ('"m", "t"', '"m"', "base:9 't' is not in 'data_centres'"),
+        ("1002", "1001", "base:9 .*already the address of 'o1'"),
+        ("1002", "70000", "base:9 .*65535"),
+        (', "slots": 4', ', "slots": 40', "base:9 .*40 slots but only 20 conn"),
+        ('"slots": 2, ', "", "base:8 'o1' has no 'slots'"),
+        (
+            ', "slots": 4',
+            ', "slots": 4, "leaving": true',
+            "base:5 .*needs 3 of 6 slots.* have 2",
+        ),
+        ('"t", "slots"', '"t", "leaving": true, "slots"', "base:5 'orders': the floor"),
+        ('"service": "orders", "w', '"service": "order", "w', "mean 'orders'"),
+        ('["w1"]', '["w1", "w9"]', "base:14 no workspace is named 'w9'"),
+        ('"open": true', '"open": true, "workspaces": ["w2"]', "base:15 .*is open"),
+        ('"/public"', '"/public/"', "base:15 .*cannot be a name here"),
+        ('"/public"', '"/metrics/x"', "base:15 .*answered by the instances"),
+        ('"/public"', '"/a/../b"', "base:15 .*segment"),
+        ('"w2"', '"W2"', "base:20 .*lower-case"),
+        ('"w2"', '"w1"', "base:20 'w1' is there twice, first on line 18"),
+        ('"rate_per_s": 0.5, ', "", "base:20 .*'rate_per_s' is missing"),
+        ('"services"', '"service"', "base:1 'services' is missing"),
+        (BASE, "[]", "base:1 the file is an object"),
+    ],
+)
+def test_fault_is_reported_with_its_line(faults, old, new, expected):
+    """Guards against a faulty configuration that is published."""
+    found = faults(BASE.replace(old, new))
+    assert any(re.search(expected, each) for each in found), found
+
+
+def test_all_faults_are_reported_at_once(faults):
+    """Guards against a check that stops at the first fault."""
+    text = BASE.replace('"floor"', '"flor"').replace('["w1"]', '["w7"]')
+    text = text.replace('"burst": 1}', '"burst": "1"}').replace("1002", "1001")
+    found = faults(text)
+    assert [each.split()[0] for each in found] == ["base:5", "base:14", "base:20"]
+    # Address faults of a service with another fault wait until that is corrected.
+
+
+def test_key_is_never_shown(faults):
+    """Guards against a clear-text key that reaches a terminal or log."""
+    [found] = faults(BASE.replace(KEY, "my-secret-key"))
+    assert "my-secret-key" not in found
+    assert found.startswith("base:19 'key_digests'; it is SHA-256 digest")
+
+
+@pytest.mark.parametrize("digest", [KEY, KEY.upper(), KEY[1:]])
+def test_key_digests_are_unique_and_well_formed(faults, digest):
+    """Guards against a key that is accepted for two workspaces."""
+    text = BASE.replace('"burst": 1}', f'"burst": 1, "key_digests": ["{digest}"]}}')
+    [found] = faults(text)
+    assert found.startswith("base:20")
+
+
+def test_overlay_changes_targets_and_limits(load):
+    """Guards against an overlay whose differences are lost."""
+    overlay = """{
+      "fleet": {"data_centres": ["m", "t", "v"]},
+      "services": {"orders": {"max_concurrent": 7, "targets": {
+        "o1": null, "o2": {"slots": 1},
+        "o3": {"address": "127.0.0.1:1003", "data_centre": "v"}}}},
+      "workspaces": {"w2": {"burst": 4}}
+    }"""
+    configuration = load(BASE, overlay)
+    service = configuration.services["orders"]
+    assert [each.name for each in service.targets] == ["o2", "o3"]
+    assert service.targets[0].slots == 1
+    assert service.max_concurrent == 7
+    assert configuration.workspaces["w2"].burst == 4
+
+
+@pytest.mark.parametrize(
+    ("overlay", "expected"),
+    [
+        ('{"fleet": {"name": "g"}}', "s1:1 an overlay cannot change 'fleet.name'"),
+        ('{"routes": {"/orders": {"open": true}}}', "s1:1 .*only in the base file"),
+        ('{"workspaces": {"w2": {"key_digests": []}}}', "s1:1 .*keys are only"),
+        ('{"workspaces": {"w3": {"burst": 1}}}', "s1:1 'w3' .*cannot add it"),
+        ('{"services":\n{"order": {"floor": 1}}}', "s1:2 .*did you mean 'orders'"),
+        ('{"services": {"orders": {"targets": {"o9": null}}}}', "s1:1 'o9' .*removed"),
+        ('{"services": {"orders": null}}', "s1:1 .*cannot change 'services.orders'"),
+        ('{"services": {"orders": {\n"flor": 1}}}', "s1:2 'flor' is not known"),
+        ('{"fleet": {"data_centres": ["m"]}}', "base:9 't' is not in"),
+        ("3", "s1:1 an overlay cannot change 'the whole file'"),
+    ],
+)
+def test_overlay_may_not_change_what_decides_access(faults, overlay, expected):
+    """Guards against a site that opens routes or adds keys on its own."""
+    found = faults(BASE, overlay)
+    assert any(re.search(expected, each) for each in found), found
+
+
+def test_overlays_do_not_overrule_each_other(faults):
+    """Guards against a result that depends on the order of overlays."""
+    first = '{"services": {"orders": {"floor": 0.2}}}'
+    [found] = faults(BASE, first, first)
+    assert "s2:1 'floor' is also set by" in found
+
+
+def test_listed_overlays_have_to_be_given(faults):
+    """Guards against publishing a fleet without the targets of a site."""
+    text = BASE.replace('"name": "f",', '"name": "f", "sites": ["a", "b"],')
+    found = faults(text, "{}")
+    assert "'site-a.jsonc' of site 'a' was not given" in found[0]
+    assert "'s1.jsonc' is not the overlay of a site" in found[2]
