Add content-addressed segments of the configuration

Entries are put into buckets by a hash of their names; workspaces and keys are decoded on use and stay encoded in memory. Above 64 references the manifest refers to index segments, because at 45,000 workspaces a plain manifest would hold some 3,000 references and be most of what a change sends. A key is looked up in the workspace again, so that an older bucket of keys never keeps a withdrawn key working.

--- a/src/lacewinglift/configuration.py
+++ b/src/lacewinglift/configuration.py
@@ -1,6 +1,7 @@
 """Model of what a fleet serves: services, targets, routes and workspaces."""
 
 import hashlib
+from collections.abc import Mapping
 
 from attrs import field, frozen
 
@@ -95,19 +96,24 @@
 
 @frozen(eq=False)
 class Configuration:
-    """One generation of the configuration; immutable."""
+    """One generation of the configuration; immutable.
+
+    Workspaces and their key digests may be mappings that decode entries on use,
+    see `segments`.
+    """
 
     generation: int
     fleet: Fleet
-    services: dict[str, Service]
+    services: Mapping[str, Service]
     routes: tuple[Route, ...]
-    workspaces: dict[str, Workspace]
-    by_digest: dict[bytes, Workspace] = field(init=False, repr=False)
+    workspaces: Mapping[str, Workspace]
+    by_digest: Mapping[bytes, Workspace] = field(default=None, repr=False)
     by_prefix: dict[str, Route] = field(init=False, repr=False)
 
     def __attrs_post_init__(self) -> None:
-        """Build the indexes."""
-        object.__setattr__(self, "by_digest", _workspaces_by_digest(self))
+        """Build the indexes that were not given."""
+        if self.by_digest is None:
+            object.__setattr__(self, "by_digest", _workspaces_by_digest(self))
         object.__setattr__(self, "by_prefix", _routes_by_prefix(self))
 
     def route_for(self, path: str) -> Route | None:
--- /dev/null
+++ b/src/lacewinglift/segments.py
@@ -0,0 +1,458 @@
+"""Converts a configuration to content-addressed segments and back.
+
+Entries are put into buckets by a hash of their names, so that a change of one entry
+rewrites one small segment. Where the buckets are many, the manifest refers to index
+segments that refer to the buckets, because a manifest with thousands of references
+would itself be most of what a change sends.
+"""
+
+import hashlib
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from functools import lru_cache
+from typing import Any, TypeVar
+
+from attrs import field, frozen
+from google.protobuf.message import DecodeError
+
+from lacewinglift._records import (
+    fleet_of,
+    fleet_record,
+    is_digest,
+    route_of,
+    route_record,
+    service_of,
+    service_record,
+    workspace_of,
+    workspace_record,
+)
+from lacewinglift.configuration import Configuration, Route, Service, Workspace
+from lacewinglift.errors import ConfigurationError
+from lacewinglift.generated.configuration_pb2 import KeyRecord, SegmentContent
+from lacewinglift.generated.fleet_pb2 import Manifest, SegmentReference
+
+MAX_SEGMENT_BYTES = 512 * 1024
+"""Half of the 1 MB that a value in the store may have."""
+MAX_BUCKETS = 1 << 16
+ENTRIES_PER_BUCKET = {"services": 8, "routes": 64, "workspaces": 64, "keys": 64}
+"""About 4 KB each; a service with its targets is larger than other entries."""
+MAX_PLAIN_REFERENCES = 64
+"""References that a manifest holds before they move to index segments."""
+DECODED_BUCKETS = 128
+"""Buckets of each kind that stay decoded: about 10 MB at most."""
+
+KINDS = tuple(ENTRIES_PER_BUCKET)
+_Entry = TypeVar("_Entry")
+Segments = Mapping[bytes, bytes]
+"""Contents of segments by their SHA-256 digests."""
+
+
+@frozen
+class EncodedConfiguration:
+    """A manifest and all the segments that it needs."""
+
+    manifest: Manifest
+    segments: dict[bytes, bytes]
+
+
+@frozen(eq=False)
+class SegmentedConfiguration(Configuration):
+    """A configuration whose workspaces and keys are decoded on use."""
+
+    verified: frozenset[bytes] = field(default=frozenset(), kw_only=True, repr=False)
+    """Digests of the segments whose content was checked."""
+
+
+def encode_configuration(
+    configuration: Configuration, author: str
+) -> EncodedConfiguration:
+    """Return the manifest and segments of `configuration`.
+
+    Equal entries give equal segments. The time of publication is left empty.
+    """
+    writer = _Writer()
+    fleet = SegmentContent(fleet=fleet_record(configuration.fleet))
+    references = [writer.add("fleet", fleet)]
+    counts = {}
+    for kind in KINDS:
+        buckets = _split(kind, _records_of(kind, configuration))
+        counts[kind] = len(buckets)
+        references += [
+            writer.add(f"{kind}/{number}", bucket)
+            for number, bucket in enumerate(buckets)
+        ]
+    if len(references) > MAX_PLAIN_REFERENCES:
+        references = writer.add_indexes(references)
+    manifest = Manifest(
+        fleet=configuration.fleet.name,
+        generation=configuration.generation,
+        segments=references,
+        workspace_buckets=counts["workspaces"],
+        key_buckets=counts["keys"],
+        author=author,
+    )
+    return EncodedConfiguration(manifest, writer.segments)
+
+
+def missing_segments(manifest: Manifest, segments: Segments) -> list[bytes]:
+    """Return the digests of the segments that `manifest` needs and are not there.
+
+    Index segments are reported first; what they refer to is known only when they
+    are there, so a caller fetches until nothing is missing.
+
+    Raises
+    ------
+    ConfigurationError
+        Where the manifest or an index segment cannot be used.
+    """
+    missing: dict[bytes, None] = {}
+    for reference in _expand(manifest, segments):
+        if reference.sha256 not in segments:
+            missing[reference.sha256] = None
+    return list(missing)
+
+
+def referenced_segments(manifest: Manifest, segments: Segments) -> set[bytes]:
+    """Return the digests of all segments that `manifest` needs."""
+    return {reference.sha256 for reference in _expand(manifest, segments)}
+
+
+def decode_configuration(
+    manifest: Manifest, segments: Segments, previous: Configuration | None = None
+) -> Configuration:
+    """Return the configuration of a manifest and its segments.
+
+    Parameters
+    ----------
+    manifest : Manifest
+        The manifest.
+    segments : mapping of bytes to bytes
+        Segments by digest. The configuration keeps those of workspaces and keys.
+    previous : Configuration, default=None
+        An earlier result; segments that it has in common are not checked again.
+
+    Raises
+    ------
+    ConfigurationError
+        Where a segment is missing, has a wrong hash or cannot be used.
+    """
+    reader = _Reader(manifest, segments, getattr(previous, "verified", frozenset()))
+    fleet = reader.fleet()
+    services = reader.services()
+    routes = reader.routes(services)
+    workspaces = WorkspaceBuckets(reader.buckets("workspaces", _verify_workspaces))
+    keys = KeyBuckets(reader.buckets("keys", _verify_keys), workspaces)
+    return SegmentedConfiguration(
+        generation=manifest.generation,
+        fleet=fleet,
+        services=services,
+        routes=routes,
+        workspaces=workspaces,
+        by_digest=keys,
+        verified=frozenset(reader.checked),
+    )
+
+
+def bucket_of(entry: bytes, count: int) -> int:
+    """Return the number of the bucket, of `count`, that holds an entry."""
+    return int.from_bytes(hashlib.sha256(entry).digest()[:4], "big") & (count - 1)
+
+
+class WorkspaceBuckets(Mapping[str, Workspace]):
+    """Workspaces by name, decoded on use.
+
+    Parameters
+    ----------
+    contents : sequence of bytes
+        Content of the buckets; their number is a power of two.
+    """
+
+    def __init__(self, contents: Sequence[bytes]) -> None:
+        self.contents = contents
+        self.bucket = lru_cache(DECODED_BUCKETS)(self._decode)
+        self.length: int | None = None
+
+    def __getitem__(self, name: str) -> Workspace:
+        key = name.encode("utf-8", "surrogatepass")
+        return self.bucket(bucket_of(key, len(self.contents)))[name]
+
+    def __iter__(self) -> Iterator[str]:
+        for number in range(len(self.contents)):
+            yield from self._decode(number)
+
+    def __len__(self) -> int:
+        if self.length is None:
+            self.length = sum(1 for _ in self)
+        return self.length
+
+    def values(self) -> "_WorkspaceValues":
+        """Return the workspaces; each bucket is decoded once in an iteration."""
+        return _WorkspaceValues(self)
+
+    def _decode(self, number: int) -> dict[str, Workspace]:
+        records = _parse(self.contents[number]).workspaces
+        return {record.name: workspace_of(record) for record in records}
+
+
+class _WorkspaceValues(Iterable[Workspace]):
+    def __init__(self, buckets: WorkspaceBuckets) -> None:
+        self.buckets = buckets
+
+    def __iter__(self) -> Iterator[Workspace]:
+        for number in range(len(self.buckets.contents)):
+            yield from self.buckets._decode(number).values()
+
+    def __len__(self) -> int:
+        return len(self.buckets)
+
+
+class KeyBuckets(Mapping[bytes, Workspace]):
+    """Workspaces by key digest, decoded on use.
+
+    Parameters
+    ----------
+    contents : sequence of bytes
+        Content of the buckets; their number is a power of two.
+    workspaces : mapping of str to Workspace
+        Workspaces by name.
+    """
+
+    def __init__(
+        self, contents: Sequence[bytes], workspaces: Mapping[str, Workspace]
+    ) -> None:
+        self.contents = contents
+        self.workspaces = workspaces
+        self.bucket = lru_cache(DECODED_BUCKETS)(self._decode)
+
+    def __getitem__(self, digest: bytes) -> Workspace:
+        name = self.bucket(bucket_of(digest, len(self.contents)))[digest]
+        workspace = self.workspaces[name]
+        # The workspace decides, so that a key that was withdrawn from it is never
+        # accepted because of an older bucket of keys.
+        if digest not in workspace.key_digests:
+            raise KeyError(digest)
+        return workspace
+
+    def __iter__(self) -> Iterator[bytes]:
+        for number in range(len(self.contents)):
+            yield from self._decode(number)
+
+    def __len__(self) -> int:
+        return sum(1 for _ in self)
+
+    def _decode(self, number: int) -> dict[bytes, str]:
+        return {
+            record.digest: record.workspace
+            for record in _parse(self.contents[number]).keys
+        }
+
+
+class _Writer:
+    def __init__(self) -> None:
+        self.segments: dict[bytes, bytes] = {}
+
+    def add(self, name: str, content: SegmentContent) -> SegmentReference:
+        data = content.SerializeToString(deterministic=True)
+        sha256 = hashlib.sha256(data).digest()
+        self.segments[sha256] = data
+        return SegmentReference(name=name, sha256=sha256, size_bytes=len(data))
+
+    def add_indexes(self, references: list[SegmentReference]) -> list[SegmentReference]:
+        groups = [
+            references[start : start + MAX_PLAIN_REFERENCES]
+            for start in range(0, len(references), MAX_PLAIN_REFERENCES)
+        ]
+        return [
+            self.add(f"index/{number}", SegmentContent(references=group))
+            for number, group in enumerate(groups)
+        ]
+
+
+def _records_of(kind: str, configuration: Configuration) -> Iterator[tuple[bytes, Any]]:
+    """Yield the records of one kind with the names that choose their buckets."""
+    if kind == "services":
+        for service in configuration.services.values():
+            yield service.name.encode(), service_record(service)
+    elif kind == "routes":
+        for route in configuration.routes:
+            yield route.prefix.encode(), route_record(route)
+    elif kind == "workspaces":
+        for workspace in configuration.workspaces.values():
+            yield workspace.name.encode(), workspace_record(workspace)
+    else:
+        for workspace in configuration.workspaces.values():
+            for digest in workspace.key_digests:
+                yield digest, KeyRecord(digest=digest, workspace=workspace.name)
+
+
+def _split(kind: str, records: Iterable[tuple[bytes, Any]]) -> list[SegmentContent]:
+    """Return the buckets of one kind, as many as keep each below the limit."""
+    ordered = sorted(records, key=lambda pair: pair[0])
+    count = 1
+    while count * ENTRIES_PER_BUCKET[kind] < len(ordered):
+        count *= 2
+    while True:
+        contents = [SegmentContent() for _ in range(count)]
+        for name, record in ordered:
+            getattr(contents[bucket_of(name, count)], kind).append(record)
+        if all(content.ByteSize() <= MAX_SEGMENT_BYTES for content in contents):
+            return contents
+        _refuse_large_records(kind, ordered)
+        if count >= MAX_BUCKETS:
+            raise ConfigurationError(f"the {kind} do not fit into segments")
+        count *= 2
+
+
+def _refuse_large_records(kind: str, records: list[tuple[bytes, Any]]) -> None:
+    for name, record in records:
+        if record.ByteSize() > MAX_SEGMENT_BYTES // 2:
+            raise ConfigurationError(
+                f"{name.decode()!r} in {kind} takes {record.ByteSize()} bytes, more "
+                f"than {MAX_SEGMENT_BYTES // 2}; divide it into several {kind}"
+            )
+
+
+def _expand(manifest: Manifest, segments: Segments) -> Iterator[SegmentReference]:
+    """Yield all references, also those in the index segments that are there."""
+    for reference in manifest.segments:
+        _check_reference(reference)
+        yield reference
+        if not reference.name.startswith("index/"):
+            continue
+        content = segments.get(reference.sha256)
+        if content is None:
+            continue
+        for inner in _parse(_checked(reference, content)).references:
+            _check_reference(inner)
+            if inner.name.startswith("index/"):
+                raise ConfigurationError("an index segment refers to another")
+            yield inner
+
+
+def _check_reference(reference: SegmentReference) -> None:
+    if not is_digest(reference.sha256):
+        raise ConfigurationError(f"segment {reference.name!r} has no valid digest")
+    if reference.size_bytes > MAX_SEGMENT_BYTES:
+        raise ConfigurationError(f"segment {reference.name!r} is too large")
+
+
+def _checked(reference: SegmentReference, content: bytes) -> bytes:
+    if hashlib.sha256(content).digest() != reference.sha256:
+        raise ConfigurationError(f"segment {reference.name!r} has a wrong hash")
+    return content
+
+
+def _parse(content: bytes) -> SegmentContent:
+    try:
+        return SegmentContent.FromString(content)
+    except (DecodeError, ValueError) as error:
+        raise ConfigurationError(f"a segment cannot be decoded: {error}") from None
+
+
+class _Reader:
+    def __init__(
+        self, manifest: Manifest, segments: Segments, verified: frozenset[bytes]
+    ) -> None:
+        self.segments = segments
+        self.verified = verified
+        self.checked: set[bytes] = set()
+        self.references: dict[str, SegmentReference] = {}
+        for reference in _expand(manifest, segments):
+            if self.references.setdefault(reference.name, reference) != reference:
+                raise ConfigurationError(f"segment {reference.name!r} is there twice")
+        self.counts = _bucket_counts(self.references)
+        stated = (manifest.workspace_buckets, manifest.key_buckets)
+        if stated != (self.counts["workspaces"], self.counts["keys"]):
+            raise ConfigurationError("the manifest has a wrong number of buckets")
+
+    def content(self, name: str) -> bytes:
+        reference = self.references[name]
+        content = self.segments.get(reference.sha256)
+        if content is None:
+            raise ConfigurationError(f"segment {name!r} is missing")
+        if reference.sha256 not in self.verified:
+            _checked(reference, content)
+        return content
+
+    def fleet(self) -> Any:
+        if "fleet" not in self.references:
+            raise ConfigurationError("the manifest has no fleet segment")
+        return fleet_of(_parse(self.content("fleet")).fleet)
+
+    def services(self) -> dict[str, Service]:
+        found = self._entries("services", lambda content: content.services, service_of)
+        return _unique("services", {each.name: each for each in found}, found)
+
+    def routes(self, services: dict[str, Service]) -> tuple[Route, ...]:
+        found = self._entries("routes", lambda content: content.routes, route_of)
+        for route in found:
+            if route.service not in services:
+                raise ConfigurationError(f"route {route.prefix!r} has no service")
+        by_prefix = {route.prefix: route for route in found}
+        return tuple(_unique("routes", by_prefix, found).values())
+
+    def buckets(self, kind: str, verify: Callable[..., None]) -> list[bytes]:
+        count = self.counts[kind]
+        contents = []
+        for number in range(count):
+            name = f"{kind}/{number}"
+            content = self.content(name)
+            # The place is part of what was verified: the same content under
+            # another number would hide its entries.
+            mark = self.references[name].sha256 + f"{name} of {count}".encode()
+            if mark not in self.verified:
+                verify(_parse(content), number, count)
+            self.checked |= {mark, self.references[name].sha256}
+            contents.append(content)
+        return contents
+
+    def _entries(
+        self,
+        kind: str,
+        records: Callable[[SegmentContent], Iterable[Any]],
+        convert: Callable[[Any], _Entry],
+    ) -> list[_Entry]:
+        return [
+            convert(record)
+            for number in range(self.counts[kind])
+            for record in records(_parse(self.content(f"{kind}/{number}")))
+        ]
+
+
+def _bucket_counts(references: Mapping[str, SegmentReference]) -> dict[str, int]:
+    counts = Counter(name.partition("/")[0] for name in references)
+    for kind in KINDS:
+        count = counts[kind]
+        names = {f"{kind}/{number}" for number in range(count)}
+        if count < 1 or count & (count - 1) or count > MAX_BUCKETS:
+            raise ConfigurationError(f"{kind} have {count} buckets, no power of two")
+        if not names <= references.keys():
+            raise ConfigurationError(f"a bucket of {kind} is missing")
+    return counts
+
+
+def _unique(
+    kind: str, by_name: dict[str, _Entry], found: list[_Entry]
+) -> dict[str, _Entry]:
+    if len(by_name) < len(found):
+        raise ConfigurationError(f"the {kind} have an entry twice")
+    return dict(sorted(by_name.items()))
+
+
+def _verify_workspaces(content: SegmentContent, number: int, count: int) -> None:
+    names = [workspace_of(record).name for record in content.workspaces]
+    _verify_places([name.encode() for name in names], number, count)
+
+
+def _verify_keys(content: SegmentContent, number: int, count: int) -> None:
+    digests = [record.digest for record in content.keys]
+    if not all(map(is_digest, digests)):
+        raise ConfigurationError("a key digest has a wrong length")
+    _verify_places(digests, number, count)
+
+
+def _verify_places(entries: list[bytes], number: int, count: int) -> None:
+    if len(set(entries)) < len(entries):
+        raise ConfigurationError("a bucket has an entry twice")
+    if any(bucket_of(entry, count) != number for entry in entries):
+        raise ConfigurationError("an entry is in the wrong bucket")
