Check every part of an entry that is well formed

Checks across entries skipped a whole service when one of its settings was wrong, so its other faults showed only on the next run. They now work on a repaired copy and skip only the refused part.

--- a/src/lacewinglift/_validation.py
+++ b/src/lacewinglift/_validation.py
@@ -31,11 +31,16 @@
 
 
 def collect_findings(validate: Callable[[Any], Any], value: Any) -> list[Finding]:
-    """Return everything that `validate` finds wrong with `value`.
+    """Return everything that `validate` finds wrong with `value`."""
+    return repair(validate, value)[0]
 
-    The validator stops at the first fault, so each faulty part is removed from a
-    copy, or a missing one filled in from the schema's examples, and the copy is
-    validated again.
+
+def repair(validate: Callable[[Any], Any], value: Any) -> tuple[list[Finding], Any]:
+    """Return everything that is wrong with `value`, and a copy without faults.
+
+    The validator stops at the first fault, so each faulty part is removed from
+    the copy, or a missing one filled in from the schema's examples, and the copy
+    is validated again.
     """
     collector = _Collector(copy.deepcopy(value))
     while True:
@@ -43,9 +48,9 @@
             validate(collector.remaining)
         except JsonSchemaValueException as error:
             if not collector.note(error):
-                return collector.findings
+                return collector.findings, None
         else:
-            return collector.findings
+            return collector.findings, collector.remaining
 
 
 @define
--- a/src/lacewinglift/checks.py
+++ b/src/lacewinglift/checks.py
@@ -8,8 +8,9 @@
 from typing import Any
 
 from attrs import define, field, fields
+from fastjsonschema import JsonSchemaValueException
 
-from lacewinglift._validation import Finding, collect_findings, nearest
+from lacewinglift._validation import Finding, nearest, repair
 from lacewinglift.configuration import (
     Configuration,
     Fleet,
@@ -36,31 +37,42 @@
     Parameters
     ----------
     value : dict
-        The merged files; sections that are not objects are empty.
-    faulty : set of tuple
-        Paths of entries that the schema refuses. Checks skip them, but they
-        count as names that references may use.
+        The merged files. Parts that the schema refuses are left out or replaced by
+        examples, so that all types are right.
+    refused : set of tuple
+        Paths of what the schema refuses, and of everything above.
     """
 
     value: dict[str, Any]
-    faulty: set[Path] = field(factory=set)
+    refused: set[Path] = field(factory=set)
 
     def names(self, section: str) -> dict[str, Any]:
-        """Return all names of a section."""
+        """Return all entries of a section; for references to names."""
         return self.value[section]
 
-    def entries(self, section: str) -> Iterator[tuple[str, dict[str, Any]]]:
-        """Yield the entries that the schema accepts."""
+    def entries(
+        self, section: str, *below: str
+    ) -> Iterator[tuple[str, dict[str, Any]]]:
+        """Yield the entries of which the part `below` has no fault."""
         for name, entry in self.value[section].items():
-            if (section, name) not in self.faulty:
+            if (section, name, *below) not in self.refused:
                 yield name, entry
 
+    def targets(self) -> Iterator[tuple[Path, str, dict[str, Any], dict[str, Any]]]:
+        """Yield path, name, own and inherited values of targets without faults."""
+        for name, service in self.value["services"].items():
+            defaults = service.get("target_defaults", {})
+            for target, values in service["targets"].items():
+                path = ("services", name, "targets", target)
+                if path not in self.refused:
+                    yield path, target, values, {**defaults, **values}
+
     @property
     def data_centres(self) -> list[str] | None:
         """Data centres of the fleet, None where they cannot be read."""
-        if ("fleet",) in self.faulty:
+        if ("fleet", "data_centres") in self.refused:
             return None
-        return self.value["fleet"]["data_centres"]
+        return self.value["fleet"].get("data_centres")
 
 
 Check = Callable[[Draft], Iterable[Finding]]
@@ -102,8 +114,7 @@
 
 def findings_of(merged: Any) -> list[Finding]:
     """Return what is wrong with merged files, by path."""
-    findings = list(_schema_findings(merged))
-    draft = _draft(merged, findings)
+    findings, draft = _draft(merged)
     for function in CHECKS:
         findings += function(draft)
     return findings
@@ -157,56 +168,58 @@
             yield Fault(overlay.file, 1, message)
 
 
-def _schema_findings(merged: Any) -> Iterator[Finding]:
-    """Yield what the schema refuses.
+def _draft(merged: Any) -> tuple[list[Finding], Draft]:
+    """Return what the schema refuses, and what the checks work on.
 
     Entries of a faulty configuration are validated one by one, because each fault
     costs a further run of the validator.
     """
     if not isinstance(merged, dict):
-        yield (), 'the file is an object: {"fleet": {}, ...}'
-        return
+        finding = ((), 'the file must be an object such as {"fleet": {}, ...}')
+        return [finding], Draft({"fleet": {}} | {each: {} for each in SECTIONS})
     if not _is_refused(merged):
-        return
+        return [], Draft(merged)
+    findings, value = _repair_outline(merged)
+    for section in SECTIONS:
+        entries = merged.get(section)
+        if isinstance(entries, dict):
+            for name, entry in entries.items():
+                found, value[section][name] = _repair_entry(section, name, entry)
+                findings += found
+    refused = {path[:end] for path, _ in findings for end in range(len(path) + 1)}
+    for section in SECTIONS:
+        known = value[section].items()
+        value[section] = {name: entry for name, entry in known if entry is not None}
+    return findings, Draft(value, refused)
+
+
+def _repair_outline(merged: dict[str, Any]) -> tuple[list[Finding], dict[str, Any]]:
+    """Return findings and repaired value of everything but the entries."""
     outline = dict(merged)
     for section in SECTIONS:
         if isinstance(merged.get(section), dict):
             outline[section] = {}
-    yield from collect_findings(validate, outline)
-    frame: dict[str, Any] = {"fleet": {"name": "f", "data_centres": ["d"]}}
-    frame |= {section: {} for section in SECTIONS}
-    for section in SECTIONS:
-        entries = merged.get(section)
-        if not isinstance(entries, dict):
-            continue
-        for name, entry in entries.items():
-            piece = {**frame, section: {name: entry}}
-            if _is_refused(piece):
-                yield from collect_findings(validate, piece)
+    return repair(validate, outline)
+
+
+def _repair_entry(section: str, name: str, entry: Any) -> tuple[list[Finding], Any]:
+    piece: dict[str, Any] = {"fleet": {"name": "f", "data_centres": ["d"]}}
+    piece |= {each: {} for each in SECTIONS}
+    piece[section] = {name: entry}
+    if not _is_refused(piece):
+        return [], entry
+    findings, repaired = repair(validate, piece)
+    return findings, repaired[section].get(name)
 
 
 def _is_refused(value: Any) -> bool:
     try:
         validate(value)
-    except ValueError:
+    except JsonSchemaValueException:
         return True
     return False
 
 
-def _draft(merged: Any, findings: list[Finding]) -> Draft:
-    source = merged if isinstance(merged, dict) else {}
-    value = {
-        section: source[section] if isinstance(source.get(section), dict) else {}
-        for section in ("fleet", *SECTIONS)
-    }
-    faulty: set[Path] = {path[:2] for path, _ in findings if len(path) > 1}
-    if not isinstance(source.get("fleet"), dict) or any(
-        path[:1] == ("fleet",) for path, _ in findings
-    ):
-        faulty.add(("fleet",))
-    return Draft(value, faulty)
-
-
 def _with_tuples(entry: dict[str, Any]) -> dict[str, Any]:
     return {
         name: tuple(value) if isinstance(value, list) else value
@@ -256,16 +269,15 @@
 
 @check
 def _check_target_addresses(draft: Draft) -> Iterator[Finding]:
-    for name, service in draft.entries("services"):
-        seen: dict[str, str] = {}
-        for target, values in service["targets"].items():
-            path = ("services", name, "targets", target, "address")
-            address = values["address"]
-            if int(address.rsplit(":", 1)[1]) > 65535:
-                yield path, "the port of an address is at most 65535"
-            first = seen.setdefault(address, target)
-            if first != target:
-                yield path, f"{address!r} is already the address of {first!r}"
+    seen: dict[tuple[Any, str], str] = {}
+    for path, target, values, _ in draft.targets():
+        address = values["address"]
+        if int(address.rsplit(":", 1)[1]) > 65535:
+            yield (*path, "address"), "the port of an address is at most 65535"
+        first = seen.setdefault((path[1], address), target)
+        if first != target:
+            message = f"{address!r} is already the address of {first!r}"
+            yield (*path, "address"), message
 
 
 @check
@@ -273,36 +285,32 @@
     known = draft.data_centres
     if known is None:
         return
-    for name, service in draft.entries("services"):
-        for target, values in service["targets"].items():
-            if values["data_centre"] in known:
-                continue
-            path = ("services", name, "targets", target, "data_centre")
-            hint = nearest(values["data_centre"], known)
-            wrong = values["data_centre"]
-            yield path, f"{wrong!r} is not in 'data_centres' of the fleet{hint}"
+    for path, _, values, _ in draft.targets():
+        wrong = values["data_centre"]
+        if wrong not in known:
+            yield (
+                (*path, "data_centre"),
+                f"{wrong!r} is not in 'data_centres' of the fleet"
+                f"{nearest(wrong, known)}",
+            )
 
 
 @check
 def _check_slots(draft: Draft) -> Iterator[Finding]:
     # There are no defaults: a wrong guess would overload real targets.
-    for name, service in draft.entries("services"):
-        defaults = service.get("target_defaults", {})
-        for target, values in service["targets"].items():
-            path = ("services", name, "targets", target)
-            capacity = {**defaults, **values}
-            missing = [
-                each for each in ("slots", "connections") if each not in capacity
-            ]
-            for each in missing:
-                yield path, f"{target!r} has no {each!r}; set it or 'target_defaults'"
-            if not missing and capacity["connections"] < capacity["slots"]:
-                yield (
-                    path,
-                    f"{target!r} has {capacity['slots']} slots but only "
-                    f"{capacity['connections']} connections; a slot needs a "
-                    "connection, raise 'connections'",
-                )
+    for path, target, _, capacity in draft.targets():
+        if (*path[:2], "target_defaults") in draft.refused:
+            continue
+        missing = [each for each in ("slots", "connections") if each not in capacity]
+        for each in missing:
+            yield path, f"{target!r} has no {each!r}; set it or 'target_defaults'"
+        if not missing and capacity["connections"] < capacity["slots"]:
+            yield (
+                path,
+                f"{target!r} has {capacity['slots']} slots but only "
+                f"{capacity['connections']} connections; a slot needs a "
+                "connection, raise 'connections'",
+            )
 
 
 @check
@@ -378,7 +386,7 @@
 @check
 def _check_key_digests(draft: Draft) -> Iterator[Finding]:
     owners: dict[str, list[str]] = defaultdict(list)
-    for name, workspace in draft.entries("workspaces"):
+    for name, workspace in draft.entries("workspaces", "key_digests"):
         for index, digest in enumerate(workspace.get("key_digests", ())):
             path = ("workspaces", name, "key_digests", index)
             if digest == EMPTY_KEY_DIGEST:
