--- /dev/null
+++ b/src/lacewinglift/store.py
@@ -0,0 +1,521 @@
+"""Client of the key-value service (a subset of the etcd v3 protocol)."""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import TypeVar
+
+from attrs import define, field, frozen
+from grpclib.client import Channel, Stream
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from lacewinglift.errors import StoreRefusedError, StoreUnavailableError
+from lacewinglift.generated.etcd_grpc import KVStub, WatchStub
+from lacewinglift.generated.etcd_pb2 import (
+    Compare,
+    Event,
+    KeyValue,
+    PutRequest,
+    RangeRequest,
+    RangeResponse,
+    RequestOp,
+    TxnRequest,
+    TxnResponse,
+    WatchCreateRequest,
+    WatchProgressRequest,
+    WatchRequest,
+    WatchResponse,
+)
+from lacewinglift.logs import log_info, log_warning
+from lacewinglift.timers import Timers
+
+CALL_TIMEOUT_S = 1.0
+PROGRESS_INTERVAL_S = 1.0
+WATCH_SILENCE_S = 3.0
+REOPEN_DELAY_S = 0.1
+# An outage may last hours; at this rate the watchers of a fleet do not use up the
+# call limit of a service that is just coming back.
+REOPEN_MAX_DELAY_S = 2.0
+
+# With these the service states that it did not carry out the call. All others may
+# also be produced by a lost connection or a deadline, after a write took effect.
+_REFUSING_STATUSES = frozenset(
+    {
+        Status.ALREADY_EXISTS,
+        Status.FAILED_PRECONDITION,
+        Status.INVALID_ARGUMENT,
+        Status.NOT_FOUND,
+        Status.OUT_OF_RANGE,
+        Status.PERMISSION_DENIED,
+        Status.RESOURCE_EXHAUSTED,
+        Status.UNAUTHENTICATED,
+        Status.UNIMPLEMENTED,
+    }
+)
+
+_Reply = TypeVar("_Reply")
+
+
+@frozen
+class Entry:
+    """One value in the store and the revision that wrote it."""
+
+    key: str
+    value: bytes
+    revision: int
+    deleted: bool = False
+    """Whether the key was removed; only a watch yields such entries."""
+
+
+@define
+class StoreCalls:
+    """Counts of calls by kind, for metrics."""
+
+    reads: int = 0
+    writes: int = 0
+    watches: int = 0
+    unavailable: int = 0
+    refused: int = 0
+
+
+class Store:
+    """Client of the key-value service; used from one asyncio loop.
+
+    Parameters
+    ----------
+    address : str
+        Host and port of the service, `host:port`.
+    timers : Timers
+        Clock of `contact_s`.
+    timeout_s : float, default=1.0
+        Deadline of each call, including the time to connect.
+    """
+
+    def __init__(
+        self, address: str, timers: Timers, timeout_s: float = CALL_TIMEOUT_S
+    ) -> None:
+        self.address = address
+        self.timers = timers
+        self.timeout_s = timeout_s
+        self.calls = StoreCalls()
+        self.contact_s: float | None = None
+        """When the last answered call or progress request was sent."""
+        self._channel: Channel | None = None
+        self._watches: set[Watch] = set()
+
+    async def get(self, key: str) -> Entry | None:
+        """Return the current entry of `key`, None when there is none."""
+        reply = await self._range(RangeRequest(key=key.encode()))
+        return _entry(reply.kvs[0]) if reply.kvs else None
+
+    async def list_prefix(self, prefix: str) -> list[Entry]:
+        """Return all entries whose key starts with `prefix`, ordered by key."""
+        start = prefix.encode()
+        request = RangeRequest(key=start, range_end=_prefix_end(start))
+        reply = await self._range(request)
+        return [_entry(kv) for kv in reply.kvs]
+
+    async def compare_and_swap(
+        self, key: str, value: bytes, expected_revision: int
+    ) -> int | None:
+        """Write `value` if the entry of `key` is still of `expected_revision`.
+
+        Parameters
+        ----------
+        key : str
+            Key to write.
+        value : bytes
+            New value, at most 1 MB.
+        expected_revision : int
+            Revision of the entry that is to be replaced, 0 for "absent".
+
+        Returns
+        -------
+        int or None
+            Revision of the new entry, None when the comparison failed.
+
+        Raises
+        ------
+        StoreUnavailableError
+            No answer came; the write may have taken effect.
+        StoreRefusedError
+            The service answered that it did not write.
+        """
+        request = _swap_request(key.encode(), value, expected_revision)
+
+        async def call(channel: Channel) -> TxnResponse:
+            return await KVStub(channel).Txn(request, timeout=self.timeout_s)
+
+        self.calls.writes += 1
+        reply = await self._call(call, f"write of {key}")
+        return reply.header.revision if reply.succeeded else None
+
+    def watch(self, key: str, from_revision: int = 0) -> "Watch":
+        """Return an iterator over the entries of `key`, current one first.
+
+        Entries of revisions below `from_revision` are left out. The iterator
+        outlives outages of the service. Call its `aclose` when it is not needed
+        any more.
+        """
+        watch = Watch(self, key, from_revision)
+        self._watches.add(watch)
+        return watch
+
+    def close(self) -> None:
+        """Close the connections; iterators of watches end."""
+        for watch in list(self._watches):
+            watch.stop()
+        self._drop(self._channel)
+
+    def open_channel(self) -> Channel:
+        """Return a new channel to the service; it connects at the first call."""
+        host, _, port = self.address.rpartition(":")
+        return Channel(host.strip("[]"), int(port))
+
+    def note_contact(self, sent_at_s: float) -> None:
+        """Take note of an answer to something that was sent at `sent_at_s`."""
+        if self.contact_s is None or sent_at_s > self.contact_s:
+            self.contact_s = sent_at_s
+
+    async def read(self, request: RangeRequest, channel: Channel) -> RangeResponse:
+        """Carry out one Range call on `channel`."""
+        self.calls.reads += 1
+        return await KVStub(channel).Range(request, timeout=self.timeout_s)
+
+    def count_failure(self, error: BaseException) -> None:
+        """Count a failed call."""
+        if _is_refusal(error):
+            self.calls.refused += 1
+        else:
+            self.calls.unavailable += 1
+
+    def forget_watch(self, watch: "Watch") -> None:
+        """Drop an ended watch."""
+        self._watches.discard(watch)
+
+    async def _range(self, request: RangeRequest) -> RangeResponse:
+        async def call(channel: Channel) -> RangeResponse:
+            return await self.read(request, channel)
+
+        return await self._call(call, f"read of {request.key.decode()}")
+
+    async def _call(
+        self, call: Callable[[Channel], Awaitable[_Reply]], purpose: str
+    ) -> _Reply:
+        if self._channel is None:
+            self._channel = self.open_channel()
+        channel = self._channel
+        sent_at_s = self.timers.now()
+        try:
+            async with asyncio.timeout(self.timeout_s):
+                reply = await call(channel)
+        except _CALL_FAILURES as error:
+            self._drop_if_unusable(channel, error)
+            raise self._failure(error, purpose) from error
+        self.note_contact(sent_at_s)
+        return reply
+
+    def _failure(
+        self, error: BaseException, purpose: str
+    ) -> StoreRefusedError | StoreUnavailableError:
+        self.count_failure(error)
+        if _is_refusal(error):
+            return StoreRefusedError(
+                f"the store at {self.address} refused the {purpose}: {error}"
+            )
+        return StoreUnavailableError(
+            f"no answer from the store at {self.address} to the {purpose} within"
+            f" {self.timeout_s:g} s ({_describe(error)}); check that it is running"
+            " and reachable"
+        )
+
+    def _drop_if_unusable(self, channel: Channel, error: BaseException) -> None:
+        # A connection on which one call timed out may stay silent for good, while
+        # new ones work.
+        if not _is_refusal(error):
+            self._drop(channel)
+
+    def _drop(self, channel: Channel | None) -> None:
+        if channel is None:
+            return
+        if self._channel is channel:
+            self._channel = None
+        channel.close()
+
+
+class Watch:
+    """Iterator over the entries of one key.
+
+    It has a connection of its own, so that a slow call does not interrupt it.
+
+    Attributes
+    ----------
+    confirmed_s : float or None
+        The store stated that no change was outstanding, in answer to a request
+        sent at this time. It is set only after the entries before it were taken
+        from the iterator.
+    reopened : int
+        How often the watch was opened again after a failure.
+    """
+
+    def __init__(self, store: Store, key: str, from_revision: int) -> None:
+        self.store = store
+        self.key = key
+        self.from_revision = from_revision
+        self.confirmed_s: float | None = None
+        self.reopened = 0
+        self._next_revision = 0
+        """First revision not seen; 0 while the current value is to be read."""
+        self._yielded_revision = 0
+        self._failures = 0
+        self._channel: Channel | None = None
+        self._stopped = False
+        self._entries = self._run()
+
+    def __aiter__(self) -> "Watch":
+        return self
+
+    async def __anext__(self) -> Entry:
+        return await anext(self._entries)
+
+    def stop(self) -> None:
+        """Close the connection; the iteration ends soon after."""
+        self._stopped = True
+        if self._channel is not None:
+            self._channel.close()
+
+    async def aclose(self) -> None:
+        """End a watch that no task is waiting for."""
+        self.stop()
+        await self._entries.aclose()
+        self.store.forget_watch(self)
+
+    async def _run(self) -> AsyncIterator[Entry]:
+        try:
+            while not self._stopped:
+                self._channel = self.store.open_channel()
+                try:
+                    async for entry in self._follow(self._channel):
+                        yield entry
+                except _CALL_FAILURES as error:
+                    self._note_failure(error)
+                finally:
+                    self._channel.close()
+                if not self._stopped:
+                    await asyncio.sleep(self._reopen_delay_s())
+        finally:
+            self.store.forget_watch(self)
+
+    def _reopen_delay_s(self) -> float:
+        delay_s = REOPEN_DELAY_S * 2 ** min(self._failures, 8)
+        return min(delay_s, REOPEN_MAX_DELAY_S) * random.uniform(0.5, 1.0)
+
+    def _note_failure(self, error: BaseException) -> None:
+        if self._stopped:
+            return
+        self._failures += 1
+        self.reopened += 1
+        self.store.count_failure(error)
+        if self._failures == 1:
+            log_warning("watch_interrupted", key=self.key, error=_describe(error))
+
+    async def _follow(self, channel: Channel) -> AsyncIterator[Entry]:
+        if self._next_revision == 0:
+            for entry in await self._read_current(channel):
+                yield entry
+        self.store.calls.watches += 1
+        async with WatchStub(channel).Watch.open() as stream:
+            async with asyncio.timeout(self.store.timeout_s):
+                await stream.send_message(self._create_request())
+            connection = _WatchConnection(self.store.timers, stream)
+            try:
+                while True:
+                    response = await connection.next_response()
+                    if self._must_read_again(response):
+                        self._next_revision = 0
+                        return
+                    for entry in self._take(response):
+                        yield entry
+                    if connection.confirmed_s is not None:
+                        self._confirm(connection.confirmed_s)
+            finally:
+                connection.cancel()
+
+    async def _read_current(self, channel: Channel) -> list[Entry]:
+        sent_at_s = self.store.timers.now()
+        request = RangeRequest(key=self.key.encode())
+        async with asyncio.timeout(self.store.timeout_s):
+            reply = await self.store.read(request, channel)
+        self.store.note_contact(sent_at_s)
+        self._next_revision = reply.header.revision + 1
+        if not reply.kvs:
+            self.confirmed_s = sent_at_s
+            return []
+        entry = _entry(reply.kvs[0])
+        if entry.revision < self.from_revision:
+            return []
+        if entry.revision == self._yielded_revision:
+            return []
+        self._yielded_revision = entry.revision
+        return [entry]
+
+    def _create_request(self) -> WatchRequest:
+        return WatchRequest(
+            create_request=WatchCreateRequest(
+                key=self.key.encode(), start_revision=self._next_revision
+            )
+        )
+
+    def _must_read_again(self, response: WatchResponse) -> bool:
+        """Return whether the value must be read because changes may be missing."""
+        if response.canceled:
+            log_info(
+                "watch_cancelled",
+                key=self.key,
+                reason=response.cancel_reason,
+                compacted=response.compact_revision,
+            )
+            return True
+        # The service was restored from an older state: the revisions that this
+        # watch waits for are not the ones that it has seen.
+        return response.header.revision < self._next_revision - 1
+
+    def _take(self, response: WatchResponse) -> list[Entry]:
+        if self._failures:
+            log_info("watch_restored", key=self.key, failures=self._failures)
+            self._failures = 0
+        entries = []
+        for event in response.events:
+            revision = event.kv.mod_revision
+            if revision < self._next_revision:
+                continue
+            self._next_revision = revision + 1
+            if revision >= self.from_revision:
+                self._yielded_revision = revision
+                entries.append(_event_entry(event))
+        return entries
+
+    def _confirm(self, sent_at_s: float) -> None:
+        self.confirmed_s = sent_at_s
+        self.store.note_contact(sent_at_s)
+
+
+@define(eq=False)
+class _WatchConnection:
+    """One opened watch: asks for progress and notices silence."""
+
+    timers: Timers
+    stream: Stream[WatchRequest, WatchResponse]
+    confirmed_s: float | None = None
+    asked_s: deque[float] = field(factory=deque)
+    """When the unanswered progress requests were sent."""
+    receiving: "asyncio.Task[WatchResponse | None] | None" = None
+    next_ask_s: float = field(init=False)
+    heard_s: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.next_ask_s = self.timers.now() + PROGRESS_INTERVAL_S
+        self.heard_s = self.timers.now()
+
+    def cancel(self) -> None:
+        """End the pending read."""
+        if self.receiving is not None:
+            self.receiving.cancel()
+
+    async def next_response(self) -> WatchResponse:
+        """Return the next response; raise when the watch must be opened again."""
+        # Time that the consumer spent between two calls is not silence of the
+        # store; leave time for one more progress request.
+        self.heard_s = max(
+            self.heard_s, self.timers.now() - WATCH_SILENCE_S + PROGRESS_INTERVAL_S
+        )
+        while True:
+            if self.receiving is None:
+                self.receiving = asyncio.ensure_future(self.stream.recv_message())
+            due_s = min(self.next_ask_s, self.heard_s + WATCH_SILENCE_S)
+            timeout = max(due_s - self.timers.now(), 0.0)
+            done, _ = await asyncio.wait({self.receiving}, timeout=timeout)
+            if done:
+                return self._received()
+            await self._ask_or_give_up()
+
+    def _received(self) -> WatchResponse:
+        receiving, self.receiving = self.receiving, None
+        response = receiving.result()
+        if response is None:
+            raise StreamTerminatedError("the store ended the watch")
+        self.heard_s = self.timers.now()
+        if _is_progress(response) and self.asked_s:
+            # Answers carry no reference to their request. Taking the oldest one
+            # never makes the answer look younger than it is.
+            self.confirmed_s = self.asked_s.popleft()
+        return response
+
+    async def _ask_or_give_up(self) -> None:
+        now = self.timers.now()
+        if now - self.heard_s >= WATCH_SILENCE_S:
+            raise StreamTerminatedError(f"silent for {WATCH_SILENCE_S:g} s")
+        if now < self.next_ask_s:
+            return
+        if len(self.asked_s) > WATCH_SILENCE_S / PROGRESS_INTERVAL_S:
+            raise StreamTerminatedError("progress requests are not answered")
+        self.next_ask_s = now + PROGRESS_INTERVAL_S
+        self.asked_s.append(now)
+        request = WatchRequest(progress_request=WatchProgressRequest())
+        async with asyncio.timeout(WATCH_SILENCE_S):
+            await self.stream.send_message(request)
+
+
+_CALL_FAILURES = (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    TimeoutError,
+    OSError,
+)
+
+
+def _is_refusal(error: BaseException) -> bool:
+    return isinstance(error, GRPCError) and error.status in _REFUSING_STATUSES
+
+
+def _describe(error: BaseException) -> str:
+    return f"{type(error).__name__}: {error}" if str(error) else type(error).__name__
+
+
+def _is_progress(response: WatchResponse) -> bool:
+    return not (response.events or response.created or response.canceled)
+
+
+def _entry(kv: KeyValue) -> Entry:
+    return Entry(kv.key.decode(), kv.value, kv.mod_revision)
+
+
+def _event_entry(event: Event) -> Entry:
+    if event.type == Event.DELETE:
+        return Entry(event.kv.key.decode(), b"", event.kv.mod_revision, deleted=True)
+    return _entry(event.kv)
+
+
+def _prefix_end(prefix: bytes) -> bytes:
+    """Return the end of the range of all keys that start with `prefix`."""
+    stripped = prefix.rstrip(b"\xff")
+    if not stripped:
+        return b"\x00"
+    return stripped[:-1] + bytes([stripped[-1] + 1])
+
+
+def _swap_request(key: bytes, value: bytes, expected_revision: int) -> TxnRequest:
+    return TxnRequest(
+        compare=[
+            Compare(
+                result=Compare.EQUAL,
+                target=Compare.MOD,
+                key=key,
+                mod_revision=expected_revision,
+            )
+        ],
+        success=[RequestOp(request_put=PutRequest(key=key, value=value))],
+    )
--- /dev/null
+++ b/testing/test_store.py
@@ -0,0 +1,324 @@
+import asyncio
+import contextlib
+import time
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, Is, LessThan
+
+from lacewinglift.errors import StoreRefusedError, StoreUnavailableError
+from lacewinglift.store import Entry, Store
+from lacewinglift.timers import ThreadTimers
+from testing.standins.control import ControlServer, call_control
+from testing.standins.store import MAX_VALUE_BYTES, StoreStandIn
+
+
+@pytest.fixture
+def timers():
+    timers = ThreadTimers()
+    yield timers
+    timers.stop()
+
+
+@pytest.fixture
+def stand_in():
+    stand_in = StoreStandIn()
+    yield stand_in
+    stand_in.close()
+
+
+@pytest.fixture
+def use_store(stand_in, timers):
+    """Run a coroutine function with a store client."""
+
+    def use(scenario, timeout_s=0.4):
+        async def run():
+            store = Store(stand_in.address, timers, timeout_s)
+            try:
+                await asyncio.wait_for(scenario(store), 30)
+            finally:
+                store.close()
+
+        asyncio.run(run())
+
+    return use
+
+
+@contextlib.asynccontextmanager
+async def watching(store, key, from_revision=0):
+    """Collect the entries of a watch in a queue."""
+    entries = asyncio.Queue()
+    watch = store.watch(key, from_revision)
+
+    async def follow():
+        async for entry in watch:
+            entries.put_nowait(entry)
+
+    task = asyncio.ensure_future(follow())
+    try:
+        yield watch, entries
+    finally:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+
+async def next_value(entries, timeout_s=8):
+    entry = await asyncio.wait_for(entries.get(), timeout_s)
+    return entry.value
+
+
+def test_get_of_absent_key_returns_none(use_store):
+    """Guards against an error for a key that nobody has written yet."""
+
+    async def scenario(store):
+        assert_that(await store.get("absent"), Is(None))
+
+    use_store(scenario)
+
+
+def test_compare_and_swap_writes_only_on_matching_revision(use_store):
+    """Guards against a lost update of two writers that read the same revision."""
+
+    async def scenario(store):
+        first = await store.compare_and_swap("k", b"one", 0)
+        assert_that(await store.compare_and_swap("k", b"other", 0), Is(None))
+        second = await store.compare_and_swap("k", b"two", first)
+        assert_that(await store.compare_and_swap("k", b"late", first), Is(None))
+        assert_that(await store.get("k"), Equals(Entry("k", b"two", second)))
+
+    use_store(scenario)
+
+
+def test_list_prefix_returns_only_keys_below_the_prefix(use_store, stand_in):
+    """Guards against a range end that takes in neighbouring keys."""
+    for key in ("a/1", "a/2", "a", "a0", "b/1"):
+        stand_in.put(key, key.encode())
+
+    async def scenario(store):
+        entries = await store.list_prefix("a/")
+        assert_that([entry.key for entry in entries], Equals(["a/1", "a/2"]))
+
+    use_store(scenario)
+
+
+def test_value_above_limit_is_refused(use_store):
+    """Guards against a refusal that is reported as an unknown outcome."""
+
+    async def scenario(store):
+        with pytest.raises(StoreRefusedError):
+            await store.compare_and_swap("k", bytes(MAX_VALUE_BYTES + 1), 0)
+        assert_that(await store.get("k"), Is(None))
+        revision = await store.compare_and_swap("k", bytes(MAX_VALUE_BYTES), 0)
+        assert_that(revision, GreaterThan(0))
+
+    use_store(scenario, timeout_s=2.0)
+
+
+def test_write_with_lost_reply_is_reported_as_unknown(use_store, stand_in):
+    """Guards against a lost reply that is taken for a write that did not happen."""
+
+    async def scenario(store):
+        stand_in.lose_replies(1)
+        with pytest.raises(StoreUnavailableError):
+            await store.compare_and_swap("k", b"one", 0)
+        entry = await store.get("k")
+        assert_that(entry.value, Equals(b"one"))
+
+    use_store(scenario)
+
+
+@pytest.mark.parametrize("fault", ["outage", "freeze"])
+def test_calls_end_at_the_deadline_and_work_after_the_fault(use_store, stand_in, fault):
+    """Guards against a call that waits for good, and a client that stays broken."""
+
+    async def scenario(store):
+        await store.compare_and_swap("k", b"one", 0)
+        getattr(stand_in, fault)()
+        started = time.monotonic()
+        with pytest.raises(StoreUnavailableError):
+            await store.get("k")
+        assert_that(time.monotonic() - started, LessThan(1.0))
+        stand_in.restore()
+        assert_that((await store.get("k")).value, Equals(b"one"))
+
+    use_store(scenario)
+
+
+def test_new_connection_is_used_after_a_connection_went_silent(use_store, stand_in):
+    """Guards against a client that stays on a connection that is silent for good."""
+
+    async def scenario(store):
+        stand_in.put("k", b"one")
+        await store.get("k")
+        stand_in.silence()
+        with pytest.raises(StoreUnavailableError):
+            await store.get("k")
+        assert_that((await store.get("k")).value, Equals(b"one"))
+
+    use_store(scenario)
+
+
+def test_delay_above_the_deadline_is_unavailable(use_store, stand_in):
+    """Guards against a deadline that does not cover a slow store."""
+
+    async def scenario(store):
+        stand_in.slow(2000)
+        with pytest.raises(StoreUnavailableError):
+            await store.get("k")
+
+    use_store(scenario)
+
+
+def test_watch_yields_current_value_and_then_changes(use_store, stand_in):
+    """Guards against a watch that skips the value it starts from."""
+    stand_in.put("k", b"one")
+
+    async def scenario(store):
+        async with watching(store, "k") as (_, entries):
+            assert_that(await next_value(entries), Equals(b"one"))
+            stand_in.put("other", b"x")
+            stand_in.put("k", b"two")
+            assert_that(await next_value(entries), Equals(b"two"))
+            stand_in.delete("k")
+            assert_that((await entries.get()).deleted, Is(True))
+
+    use_store(scenario)
+
+
+def test_watch_from_revision_leaves_out_older_values(use_store, stand_in):
+    """Guards against an old value that is yielded as if it were new."""
+    revision = stand_in.put("k", b"one")
+
+    async def scenario(store):
+        async with watching(store, "k", revision + 1) as (_, entries):
+            await asyncio.sleep(0.3)
+            stand_in.put("k", b"two")
+            assert_that(await next_value(entries), Equals(b"two"))
+
+    use_store(scenario)
+
+
+@pytest.mark.parametrize("fault", ["outage", "freeze", "silence"])
+def test_watch_misses_no_change_across_a_reopen(use_store, stand_in, fault):
+    """Guards against changes that are lost while a watch is interrupted."""
+    stand_in.put("k", b"0")
+
+    async def scenario(store):
+        async with watching(store, "k") as (watch, entries):
+            assert_that(await next_value(entries), Equals(b"0"))
+            getattr(stand_in, fault)()
+            for number in range(1, 4):
+                stand_in.put("k", str(number).encode())
+            if fault != "silence":
+                await asyncio.sleep(1.0)
+                stand_in.restore()
+            seen = [await next_value(entries) for _ in range(3)]
+            assert_that(seen, Equals([b"1", b"2", b"3"]))
+            assert_that(watch.reopened, GreaterThan(0))
+
+    use_store(scenario)
+
+
+def test_watch_reads_again_when_history_was_compacted(use_store, stand_in):
+    """Guards against a watch that ends for good after an outage with compaction."""
+    stand_in.put("k", b"0")
+
+    async def scenario(store):
+        async with watching(store, "k") as (_, entries):
+            await next_value(entries)
+            stand_in.outage()
+            stand_in.put("k", b"1")
+            stand_in.put("k", b"2")
+            stand_in.compact()
+            stand_in.restore()
+            assert_that(await next_value(entries), Equals(b"2"))
+            stand_in.put("k", b"3")
+            assert_that(await next_value(entries), Equals(b"3"))
+
+    use_store(scenario)
+
+
+def test_watch_confirms_that_its_value_is_current(use_store, stand_in, timers):
+    """Guards against standing that is lost while the store answers the watch."""
+    stand_in.put("k", b"0")
+
+    async def scenario(store):
+        async with watching(store, "k") as (watch, entries):
+            await next_value(entries)
+            await asyncio.sleep(2.6)
+            assert_that(timers.now() - watch.confirmed_s, LessThan(2.0))
+            stand_in.silence()
+            confirmed = watch.confirmed_s
+            await asyncio.sleep(2.0)
+            assert_that(watch.confirmed_s, Equals(confirmed))
+            assert_that(store.contact_s, Equals(confirmed))
+
+    use_store(scenario)
+
+
+def test_close_ends_watches(use_store, stand_in):
+    """Guards against a shutdown that waits for a watch."""
+    stand_in.put("k", b"0")
+
+    async def scenario(store):
+        seen = []
+
+        async def follow():
+            async for entry in store.watch("k"):
+                seen.append(entry.value)
+
+        task = asyncio.ensure_future(follow())
+        await asyncio.sleep(0.3)
+        store.close()
+        await asyncio.wait_for(task, 2)
+        assert_that(seen, Equals([b"0"]))
+
+    use_store(scenario)
+
+
+def test_calls_are_counted_by_kind(use_store, stand_in):
+    """Guards against store load that the metrics do not show."""
+
+    async def scenario(store):
+        await store.get("k")
+        await store.list_prefix("k")
+        await store.compare_and_swap("k", b"one", 0)
+        async with watching(store, "k") as (_, entries):
+            await next_value(entries)
+            await asyncio.sleep(0.2)
+            assert_that(stand_in.calls()["waiting_watches"], Equals(1))
+        assert_that(store.calls.reads, Equals(3))
+        assert_that(store.calls.writes, Equals(1))
+        assert_that(store.calls.watches, Equals(1))
+        stand_in.outage()
+        with pytest.raises(StoreUnavailableError):
+            await store.get("k")
+        assert_that(store.calls.unavailable, Equals(1))
+
+    use_store(scenario)
+
+
+def test_stand_in_refuses_writes_above_its_limit(use_store):
+    """Guards against a stand-in that hides an overload of the platform's store."""
+
+    async def scenario(store):
+        writes = [store.compare_and_swap(f"k/{n}", b"x", 0) for n in range(900)]
+        results = await asyncio.gather(*writes, return_exceptions=True)
+        refused = [r for r in results if isinstance(r, StoreRefusedError)]
+        assert_that(len(refused), GreaterThan(0))
+
+    use_store(scenario, timeout_s=10.0)
+
+
+def test_stand_in_obeys_its_control_port(stand_in):
+    """Guards against fault commands that other processes cannot give."""
+    control = ControlServer(stand_in.commands())
+    try:
+        call_control(control.address, "slow", delay_ms=250)
+        assert_that(stand_in.service.faults.delay_s, Equals(0.25))
+        assert_that(call_control(control.address, "calls")["writes"], Equals(0))
+        with pytest.raises(ValueError, match="unknown command"):
+            call_control(control.address, "explode")
+    finally:
+        control.close()
