--- a/testing/standins/store.py
+++ b/testing/standins/store.py
@@ -1,7 +1,7 @@
 """Stand-in for the platform's key-value service: a subset of the etcd v3 server.
 
-Run it as a process with `python -m testing.standins.store`; it prints one JSON
-line with its addresses.
+Run it, with the list of instances, as a process with
+`python -m testing.standins.store`; it prints one JSON line with its addresses.
 """
 
 import argparse
@@ -46,6 +46,7 @@
     WatchResponse,
 )
 from testing.standins.control import ControlServer
+from testing.standins.instances_list import LIST_LAG_S, InstancesList
 from testing.standins.links import LoopThread, Relay
 
 MAX_VALUE_BYTES = 1_000_000
@@ -621,13 +622,17 @@
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--control-port", type=int, default=0)
     parser.add_argument("--no-limits", action="store_true")
+    parser.add_argument("--list-lag-s", type=float, default=LIST_LAG_S)
     options = parser.parse_args()
     store = StoreStandIn(options.port, not options.no_limits)
-    control = ControlServer(store.commands(), options.control_port)
+    instances = InstancesList(store, options.list_lag_s)
+    commands = {**store.commands(), **instances.commands()}
+    control = ControlServer(commands, options.control_port)
     ready = {"address": store.address, "control": control.address}
     print(json.dumps(ready), flush=True)
     wait_for_signal()
     control.close()
+    instances.close()
     store.close()
 
 
--- a/testing/test_store.py
+++ b/testing/test_store.py
@@ -299,16 +299,28 @@
     use_store(scenario)
 
 
-def test_stand_in_refuses_writes_above_its_limit(use_store):
+@pytest.mark.parametrize("kind,limit", [("write", 400), ("read", 2000)])
+def test_stand_in_refuses_calls_above_its_limit(use_store, stand_in, kind, limit):
     """Guards against a stand-in that hides an overload of the platform's store."""
+    second = [0.0]
+    stand_in.service.counter.now = lambda: second[0]
 
     async def scenario(store):
-        writes = [store.compare_and_swap(f"k/{n}", b"x", 0) for n in range(900)]
-        results = await asyncio.gather(*writes, return_exceptions=True)
-        refused = [r for r in results if isinstance(r, StoreRefusedError)]
-        assert_that(len(refused), GreaterThan(0))
+        async def call(number):
+            if kind == "read":
+                await store.get("k")
+            else:
+                await store.compare_and_swap(f"k/{number}", b"x", 0)
+
+        for number in range(limit):
+            await call(number)
+        with pytest.raises(StoreRefusedError):
+            await call(limit)
+        assert_that(stand_in.values().get(f"k/{limit}"), Is(None))
+        second[0] = 1.0
+        await call(limit)
 
-    use_store(scenario, timeout_s=10.0)
+    use_store(scenario, timeout_s=5.0)
 
 
 def test_stand_in_obeys_its_control_port(stand_in):
