--- /dev/null
+++ b/src/lacewinglift/balancing.py
@@ -0,0 +1,143 @@
+"""Choice of a target: subsets, limits of work in flight, and policies."""
+
+import hashlib
+import math
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Protocol
+
+from lacewinglift.configuration import Target
+
+# Requests in flight that one instance may have at a target although its part of the
+# slots is smaller. One would refuse requests in ordinary bursts.
+IN_FLIGHT_MIN = 2
+# Rendezvous hashing spreads instances unevenly over targets; this part of the
+# connection budget is planned for.
+CONNECTION_BUDGET_USED = 0.7
+SUBSET_MIN = 3
+# Bounds on how much a latency estimate moves the choice, so that a target that
+# looks slow still receives requests that show whether it is.
+LATENCY_RATIO_MAX = 4.0
+
+
+class Candidate(Protocol):
+    """What a policy sees of a target."""
+
+    in_flight: int
+
+    @property
+    def name(self) -> str:
+        """Return the name of the target."""
+        ...
+
+    @property
+    def latency_ratio(self) -> float:
+        """Return the latency relative to the median of the service."""
+        ...
+
+
+Policy = Callable[[Sequence[Candidate], Random, int], Candidate]
+
+POLICIES: dict[str, Policy] = {}
+
+
+def policy(name: str) -> Callable[[Policy], Policy]:
+    """Register a policy that picks one of several candidates."""
+
+    def register(function: Policy) -> Policy:
+        POLICIES[name] = function
+        return function
+
+    return register
+
+
+def load(candidate: Candidate) -> float:
+    """Return the expected wait at a target, in units of the median latency."""
+    ratio = min(max(candidate.latency_ratio, 1 / LATENCY_RATIO_MAX), LATENCY_RATIO_MAX)
+    return (candidate.in_flight + 1) * ratio
+
+
+@policy("two_choices")
+def choose_of_two(
+    candidates: Sequence[Candidate], random: Random, turn: int
+) -> Candidate:
+    """Return the less loaded of two random candidates."""
+    count = len(candidates)
+    if count == 1:
+        return candidates[0]
+    first = int(random.random() * count)
+    second = int(random.random() * (count - 1))
+    if second >= first:
+        second += 1
+    one, other = candidates[first], candidates[second]
+    return one if load(one) <= load(other) else other
+
+
+@policy("round_robin")
+def choose_in_turn(
+    candidates: Sequence[Candidate], random: Random, turn: int
+) -> Candidate:
+    """Return the candidates one after another; the baseline of measurements."""
+    return candidates[turn % len(candidates)]
+
+
+def rendezvous_weight(instance: str, target: str) -> int:
+    """Return the weight of a target for an instance; equal in all processes."""
+    text = f"{instance}\0{target}".encode("utf-8", "surrogateescape")
+    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest())
+
+
+def subset_size(targets: Sequence[Target], instances: int) -> int:
+    """Return how many targets one instance uses.
+
+    Every instance may hold `IN_FLIGHT_MIN` connections to each target it uses, so
+    the number of instances a target may have follows from its connections.
+    """
+    if not targets:
+        return 0
+    connections = min(target.connections for target in targets)
+    sharers = max(1.0, CONNECTION_BUDGET_USED * connections / IN_FLIGHT_MIN)
+    if sharers >= instances:
+        return len(targets)
+    size = math.floor(len(targets) * sharers / instances)
+    return min(len(targets), max(SUBSET_MIN, size))
+
+
+def choose_subset(
+    targets: Sequence[Target], instance: str, instances: int
+) -> list[Target]:
+    """Return the targets that `instance` uses.
+
+    Each data centre contributes its part, so that near targets are in the subset
+    and no target is used by more instances than another one.
+    """
+    size = subset_size(targets, instances)
+    if size >= len(targets):
+        return list(targets)
+    ranked = sorted(
+        targets, key=lambda t: rendezvous_weight(instance, t.name), reverse=True
+    )
+    positions: dict[str, int] = {}
+    totals: dict[str, int] = {}
+    for target in ranked:
+        totals[target.data_centre] = totals.get(target.data_centre, 0) + 1
+    order = []
+    for rank, target in enumerate(ranked):
+        position = positions.get(target.data_centre, 0)
+        positions[target.data_centre] = position + 1
+        order.append((position / totals[target.data_centre], rank, target))
+    order.sort(key=lambda entry: entry[:2])
+    return [target for _, _, target in order[:size]]
+
+
+def instances_per_target(targets: int, subset: int, instances: int) -> int:
+    """Return how many instances share a target."""
+    return max(1, math.ceil(instances * subset / max(1, targets)))
+
+
+def in_flight_limits(target: Target, sharers: int) -> tuple[int, int]:
+    """Return the preferred and the greatest number of requests in flight."""
+    connections = max(1, target.connections // sharers)
+    preferred = max(1, target.slots // sharers)
+    greatest = max(IN_FLIGHT_MIN, target.slots // sharers)
+    return min(preferred, connections), min(greatest, connections)
--- /dev/null
+++ b/src/lacewinglift/detection.py
@@ -0,0 +1,414 @@
+"""Gray failure detection: evidence from requests, peers' suspicions, hold-off.
+
+Evidence is counted in nats: the natural logarithm of how much more likely the
+observations are if the target is faulty than if it is like the service's others.
+docs/targets.md explains the tests and their constants.
+"""
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from random import Random
+
+from attrs import define, field
+
+# Evidence that ejects without help from peers. The chance of a false ejection is
+# below exp(-18) per request; a fleet of 40 serves 16 million requests an hour.
+EJECT_NATS = 18.0
+# Own evidence that is needed however many peers suspect the target. One failed
+# request gives less, so peers and a single background error do not eject.
+OWN_NATS_MIN = 5.0
+# Own evidence from which a suspicion is reported to peers.
+SHARE_NATS = 5.0
+# Most that one peer's suspicion contributes; several peers have to agree.
+PEER_NATS_MAX = 6.0
+# Contribution of a failed probe of a suspected target.
+PROBE_NATS = 4.0
+# A peer's suspicion counts this long after it was first reported. A cut that only
+# some instances see would otherwise lower the bar for the others permanently.
+PEER_NEWS_S = 15.0
+# Silence of a peer after which its suspicions are dropped: four heartbeats.
+PEER_EXPIRY_S = 4.0
+
+ERROR_RATE_MIN = 0.005
+ERROR_RATE_START = 0.01
+ERROR_RATE_MAX = 0.5
+ERROR_RATE_GAIN = 1 / 500
+# Error rates of a faulty target that are tested: one in five, and nearly all.
+FAULTY_RATES = (0.2, 0.9)
+FAULTY_RATE_FACTOR = 4.0
+# Weight of the long-run error rate against the others' answers during a run.
+ERROR_PRIOR_ANSWERS = 5.0
+# Added to the others' errors, so that few answers do not prove a low rate.
+ERROR_PRIOR_ERRORS = 0.5
+# A run of evidence that did not lead to an ejection ends after this time.
+RUN_MAX_S = 300.0
+
+LEVEL_GAIN = 1 / 32
+OWN_LEVEL_GAIN = 1 / 512
+VARIANCE_GAIN = 1 / 256
+VARIANCE_START = 1.0
+# Allowance for the error of the measured spread and for heavier tails.
+SIGMA_FACTOR = 1.15
+SIGMA_MIN = 0.25
+# A target that always was this factor slower than the others is not suspected.
+OWN_LEVEL_MARGIN = math.log(3.0)
+# Answers of others that are needed before latency is judged.
+REFERENCE_SAMPLES = 20
+# Exponent of the test of one latency; smaller weighs the tail more.
+LATENCY_EXPONENT = 0.25
+# Most that one answered request contributes, as real tails are heavier than the
+# fitted ones.
+LATENCY_NATS_MAX = 8.0
+RUN_LENGTH_MAX = 24
+# Pauses of the interpreter and of the network may take this long.
+HANG_MIN_AGE_S = 0.1
+# Requests of other targets that must have been answered since the evidence began:
+# they tell a faulty target from a faulty service.
+OTHERS_ANSWERED_MIN = 3
+# A cold target may be this factor slower at the start of its slow start.
+COLD_LATENCY_MARGIN = math.log(4.0)
+COLD_NATS_FACTOR = 1.5
+
+HOLD_OFF_FIRST_S = 5.0
+HOLD_OFF_MAX_S = 300.0
+HOLD_OFF_JITTER = 0.25
+# Failed probes are cheap and prove nothing new, so they repeat sooner.
+PROBE_RETRY_MAX_S = 30.0
+# Good behaviour after a return, in multiples of the last hold-off, that clears the
+# count of ejections.
+FORGIVE_FACTOR = 6.0
+PROBES_TO_RETURN_MAX = 3
+
+
+def required_healthy(floor: float, targets: int) -> int:
+    """Return how many of `targets` ejection has to leave in use."""
+    return math.ceil(floor * targets - 1e-9)
+
+
+def tail_nats(z: float) -> float:
+    """Return -log of the probability that a normal variable exceeds `z`."""
+    if z > 35.0:
+        return z * z / 2.0
+    return -math.log(0.5 * math.erfc(z / math.sqrt(2.0)))
+
+
+def latency_nats(z: float) -> float:
+    """Return the evidence of one answer whose latency is `z` deviations high.
+
+    The exponential of the result has mean 1 for a healthy target, so sums of it
+    are a test that is valid at every moment.
+    """
+    nats = math.log(LATENCY_EXPONENT) + (1.0 - LATENCY_EXPONENT) * tail_nats(z)
+    return min(nats, LATENCY_NATS_MAX)
+
+
+def median(values: list[float]) -> float:
+    """Return the median of a sorted, non-empty list."""
+    middle = len(values) // 2
+    if len(values) % 2:
+        return values[middle]
+    return (values[middle - 1] + values[middle]) / 2.0
+
+
+@define(eq=False)
+class ServiceErrors:
+    """Counts of answers and errors over all targets of a service."""
+
+    answers: int = 0
+    errors: int = 0
+    rate: float = ERROR_RATE_START
+
+    def record(self, failed: bool) -> None:
+        """Count one outcome."""
+        self.answers += 1
+        self.errors += failed
+        self.rate += (failed - self.rate) * ERROR_RATE_GAIN
+
+
+@define(eq=False)
+class ErrorEvidence:
+    """Sequential test of a target's errors against those of the others.
+
+    A run begins with an error and ends when the evidence falls to zero. The rate
+    of the others is taken over the same run, so errors of the whole service are
+    no evidence against one target.
+    """
+
+    answers: int = 0
+    errors: int = 0
+    nats: float = 0.0
+    began_s: float = 0.0
+    service_answers: int = 0
+    service_errors: int = 0
+
+    def record(self, failed: bool, service: ServiceErrors, now_s: float) -> None:
+        """Add one outcome, which `service` has counted already."""
+        if self.answers and now_s - self.began_s > RUN_MAX_S:
+            self.reset()
+        if not self.answers:
+            if not failed:
+                return
+            self.began_s = now_s
+            self.service_answers = service.answers - 1
+            self.service_errors = service.errors - 1
+        self.answers += 1
+        self.errors += failed
+        self.nats = self.evidence(service)
+        if self.nats <= 0.0:
+            self.reset()
+
+    def others_answered(self, service: ServiceErrors) -> int:
+        """Return the answers of other targets since the run began."""
+        return service.answers - self.service_answers - self.answers
+
+    def evidence(self, service: ServiceErrors) -> float:
+        """Return the evidence of the present run."""
+        others = self.others_answered(service)
+        other_errors = service.errors - self.service_errors - self.errors
+        long_run = min(max(service.rate, ERROR_RATE_MIN), ERROR_RATE_MAX)
+        base = (long_run * ERROR_PRIOR_ANSWERS + other_errors) / (
+            ERROR_PRIOR_ANSWERS + others
+        )
+        if others:
+            base += ERROR_PRIOR_ERRORS / (ERROR_PRIOR_ANSWERS + others)
+        base = min(max(base, ERROR_RATE_MIN), 0.94)
+        good = self.answers - self.errors
+        total = 0.0
+        for rate in FAULTY_RATES:
+            faulty = max(rate, min(0.95, base * FAULTY_RATE_FACTOR))
+            total += math.exp(
+                self.errors * math.log(faulty / base)
+                + good * math.log((1.0 - faulty) / (1.0 - base))
+            )
+        return math.log(total / len(FAULTY_RATES)) if total > 0.0 else -1.0
+
+    def reset(self) -> None:
+        """Forget the present run."""
+        self.answers = 0
+        self.errors = 0
+        self.nats = 0.0
+
+
+@define(eq=False)
+class Sample:
+    """Latency of one answered request."""
+
+    target: str
+    started_s: float
+    log_latency: float
+
+
+@define(eq=False)
+class ServiceLatency:
+    """Spread of latencies in a service, and its latest answers."""
+
+    variance: float = VARIANCE_START
+    samples: int = 0
+    recent: deque[Sample] = field(factory=lambda: deque(maxlen=96))
+
+    @property
+    def sigma(self) -> float:
+        """Return the standard deviation of log latency that tests assume."""
+        return max(SIGMA_MIN, SIGMA_FACTOR * math.sqrt(self.variance))
+
+    def record(self, sample: Sample, residual: float) -> None:
+        """Add an answer that lies `residual` above its target's level."""
+        self.samples += 1
+        gain = max(VARIANCE_GAIN, 1.0 / (self.samples + 4))
+        limit = 9.0 * self.variance
+        self.variance += (min(residual * residual, limit) - self.variance) * gain
+        self.recent.append(sample)
+
+
+@define(eq=False)
+class LatencyEvidence:
+    """Sequential test of a target's latency against the median of the others."""
+
+    level: float = 0.0
+    """Mean log latency, which also serves the choice of a target."""
+    own_level: float = 0.0
+    """Long-run mean log latency outside runs of evidence."""
+    samples: int = 0
+    reference: float | None = None
+    """Log latency that is ordinary for this target; None until known."""
+    nats: float = 0.0
+    began_s: float = 0.0
+    run: list[float] = field(factory=list)
+
+    def record(
+        self, sample: Sample, service: ServiceLatency, margin: float, judged: bool
+    ) -> None:
+        """Add one answer; `margin` is the allowance for a cold target."""
+        value = sample.log_latency
+        if self.samples:
+            service.record(sample, value - self.level)
+        else:
+            self.level = self.own_level = value
+            service.recent.append(sample)
+        self.samples += 1
+        self.level += (value - self.level) * max(LEVEL_GAIN, 1.0 / self.samples)
+        if judged and self.reference is not None:
+            self._judge(sample, service, margin)
+        if not self.run:
+            gain = max(OWN_LEVEL_GAIN, 1.0 / self.samples)
+            self.own_level += (value - self.own_level) * gain
+
+    def _judge(self, sample: Sample, service: ServiceLatency, margin: float) -> None:
+        if self.run and sample.started_s - self.began_s > RUN_MAX_S:
+            self.reset()
+        excess = sample.log_latency - self.reference - margin
+        nats = self.nats + latency_nats(excess / service.sigma)
+        if nats <= 0.0:
+            self.reset()
+            return
+        if not self.run:
+            self.began_s = sample.started_s
+        self.nats = nats
+        self.run.append(sample.log_latency - margin)
+        del self.run[:-RUN_LENGTH_MAX]
+
+    def hang_nats(self, age_s: float, service: ServiceLatency, margin: float) -> float:
+        """Return the evidence of a request that is unanswered after `age_s`."""
+        if self.reference is None or age_s < HANG_MIN_AGE_S:
+            return 0.0
+        excess = math.log(age_s) - self.reference - margin
+        return max(0.0, tail_nats(excess / service.sigma) - 1.0)
+
+    def restate(self, reference: float, service: ServiceLatency) -> float:
+        """Return the evidence of the present run against another reference."""
+        nats = 0.0
+        for value in self.run:
+            step = latency_nats((value - reference) / service.sigma)
+            nats = max(0.0, nats + step)
+        return min(nats, self.nats)
+
+    def reset(self) -> None:
+        """Forget the present run."""
+        self.nats = 0.0
+        self.run.clear()
+
+
+def refresh_references(tests: Iterable[LatencyEvidence]) -> None:
+    """Set the reference of each target to the median level of the others."""
+    tests = list(tests)
+    known = sorted((t for t in tests if t.samples), key=lambda t: t.level)
+    levels = [t.level for t in known]
+    positions = {id(t): index for index, t in enumerate(known)}
+    total = sum(t.samples for t in known)
+    for test in tests:
+        if total - test.samples < REFERENCE_SAMPLES:
+            continue
+        index = positions.get(id(test))
+        others = levels if index is None else levels[:index] + levels[index + 1 :]
+        middle = median(others)
+        if test.samples >= REFERENCE_SAMPLES:
+            middle = max(middle, min(test.own_level, middle + OWN_LEVEL_MARGIN))
+        test.reference = middle
+
+
+@define(eq=False)
+class PeerReport:
+    """What one peer last said about one target."""
+
+    score: int
+    first_s: float
+    last_s: float
+
+    def nats(self, now_s: float) -> float:
+        """Return the evidence that the report is worth now."""
+        if now_s - self.last_s > PEER_EXPIRY_S or now_s - self.first_s > PEER_NEWS_S:
+            return 0.0
+        return min(PEER_NATS_MAX, self.score * EJECT_NATS / 100.0)
+
+
+@define(eq=False)
+class PeerReports:
+    """Suspicions of all peers about the targets of one service."""
+
+    reports: dict[str, dict[str, PeerReport]] = field(factory=dict)
+    """Reports by target and peer."""
+
+    def note(self, peer: str, scores: dict[str, int], now_s: float) -> None:
+        """Replace what `peer` said before."""
+        for target in [t for t, by_peer in self.reports.items() if peer in by_peer]:
+            if target not in scores:
+                del self.reports[target][peer]
+                if not self.reports[target]:
+                    del self.reports[target]
+        for target, score in scores.items():
+            by_peer = self.reports.setdefault(target, {})
+            report = by_peer.get(peer)
+            if report is None or now_s - report.last_s > PEER_EXPIRY_S:
+                by_peer[peer] = PeerReport(score, now_s, now_s)
+            else:
+                report.score, report.last_s = score, now_s
+
+    def agreed_nats(self, target: str, now_s: float) -> float:
+        """Return the evidence of all peers but the one that suspects most.
+
+        What a single peer sees may be a fault of its own path to the target.
+        """
+        by_peer = self.reports.get(target)
+        if not by_peer or len(by_peer) < 2:
+            return 0.0
+        values = [report.nats(now_s) for report in by_peer.values()]
+        return sum(values) - max(values)
+
+    def prior_nats(self, target: str, targets: int, now_s: float) -> float:
+        """Return how much less own evidence is needed against `target`.
+
+        Suspicion that peers have of the service's other targets too is a fault of
+        the service and is subtracted.
+        """
+        agreed = self.agreed_nats(target, now_s)
+        if agreed <= 0.0:
+            return 0.0
+        common = sum(
+            self.agreed_nats(other, now_s) for other in self.reports if other != target
+        ) / max(1, targets - 1)
+        return min(EJECT_NATS - OWN_NATS_MIN, max(0.0, agreed - 2.0 * common))
+
+
+@define(eq=False)
+class HoldOff:
+    """Time that an ejected target stays out of use; grows with each ejection."""
+
+    ejections: int = 0
+    duration_s: float = 0.0
+    until_s: float = 0.0
+    returned_s: float | None = None
+    probes_passed: int = 0
+
+    def start(self, now_s: float, random: Random) -> None:
+        """Begin the hold-off of a new ejection."""
+        if self.returned_s is not None:
+            good_s = now_s - self.returned_s
+            if good_s > FORGIVE_FACTOR * self.duration_s:
+                self.ejections = 0
+        self.ejections += 1
+        # The exponent is bounded before the power is taken, which would overflow.
+        steps = min(self.ejections - 1, 16)
+        base = min(HOLD_OFF_MAX_S, HOLD_OFF_FIRST_S * 2.0**steps)
+        self.duration_s = base * random.uniform(
+            1.0 - HOLD_OFF_JITTER, 1.0 + HOLD_OFF_JITTER
+        )
+        self.until_s = now_s + self.duration_s
+        self.probes_passed = 0
+        self.returned_s = None
+
+    def probe_failed(self, now_s: float, random: Random) -> None:
+        """Extend the hold-off after a failed probe."""
+        self.probes_passed = 0
+        wait_s = min(PROBE_RETRY_MAX_S, self.duration_s)
+        self.until_s = now_s + wait_s * random.uniform(
+            1.0 - HOLD_OFF_JITTER, 1.0 + HOLD_OFF_JITTER
+        )
+
+    def probe_passed(self, now_s: float) -> bool:
+        """Count a passed probe; return whether the target may return."""
+        self.probes_passed += 1
+        if self.probes_passed < min(self.ejections, PROBES_TO_RETURN_MAX):
+            return False
+        self.returned_s = now_s
+        return True
--- /dev/null
+++ b/src/lacewinglift/targets.py
@@ -0,0 +1,778 @@
+"""State of each target as this instance sees it, and the choice among them."""
+
+import enum
+import math
+import threading
+import uuid
+from collections.abc import Collection, Iterable
+from random import Random
+
+from attrs import define, field, frozen
+
+from lacewinglift.balancing import (
+    POLICIES,
+    choose_subset,
+    in_flight_limits,
+    instances_per_target,
+)
+from lacewinglift.configuration import Configuration, Service, Target
+from lacewinglift.detection import (
+    COLD_LATENCY_MARGIN,
+    COLD_NATS_FACTOR,
+    EJECT_NATS,
+    OTHERS_ANSWERED_MIN,
+    OWN_NATS_MIN,
+    PROBE_NATS,
+    SHARE_NATS,
+    ErrorEvidence,
+    HoldOff,
+    LatencyEvidence,
+    PeerReports,
+    Sample,
+    ServiceErrors,
+    ServiceLatency,
+    median,
+    refresh_references,
+    required_healthy,
+)
+from lacewinglift.generated.fleet_pb2 import Suspicion
+from lacewinglift.logs import log_info, log_warning
+from lacewinglift.timers import Timers
+
+# Interval at which unanswered requests are looked at.
+TICK_S = 0.05
+# A tick that is later than this means that the process stood still. Ages and
+# latencies that span such a pause say nothing about targets.
+PAUSE_S = 0.25
+SHED_FIRST_S = 0.02
+SHED_MAX_S = 1.0
+# Part of its full load that a cold target gets at first.
+COLD_WEIGHT_MIN = 0.1
+PROBE_TIMEOUT_S = 1.0
+# A probe whose result was never reported may be repeated after this time.
+PROBE_LOST_S = 5.0
+# Interval of probes of one target that is suspected or about to return.
+PROBE_INTERVAL_S = 1.0
+# Near targets are preferred while at least this part of them is usable.
+NEAR_USABLE_MIN = 0.5
+LATENCY_MIN_S = 1e-4
+
+
+class OutcomeKind(enum.Enum):
+    """How one attempt at a target ended."""
+
+    SUCCESS = "success"
+    ERROR = "error"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect_failed"
+    CUT = "cut"
+    SHED = "shed"
+    CANCELLED = "cancelled"
+
+
+FAILURES = frozenset(
+    {
+        OutcomeKind.ERROR,
+        OutcomeKind.TIMEOUT,
+        OutcomeKind.CONNECT_FAILED,
+        OutcomeKind.CUT,
+    }
+)
+
+
+class TargetCondition(enum.Enum):
+    """State of a target at this instance."""
+
+    COLD = "cold"
+    ACTIVE = "active"
+    SUSPECTED = "suspected"
+    EJECTED = "ejected"
+    PROBING = "probing"
+    LEAVING = "leaving"
+    SHEDDING = "shedding"
+
+
+@frozen
+class Outcome:
+    """Result of one attempt."""
+
+    kind: OutcomeKind
+    latency_s: float
+    """Time until the head of the answer, or until the attempt failed."""
+
+
+@frozen
+class ProbeRequest:
+    """A probe that is to be made now."""
+
+    service: str
+    target: str
+    address: str
+    path: str
+    timeout_s: float
+
+
+@define(eq=False)
+class Attempt:
+    """One request on its way to a target."""
+
+    target: Target
+    started_s: float
+    state: "TargetState"
+    service: "ServiceState"
+    answered: bool = False
+    finished: bool = False
+
+    def mark_answered(self, latency_s: float) -> None:
+        """Record that the head of the answer arrived; a long body may follow."""
+        self.service.mark_answered(self, latency_s)
+
+    def finish(self, outcome: Outcome) -> None:
+        """Record the end of the attempt; later calls have no effect."""
+        self.service.finish(self, outcome)
+
+
+@define(eq=False)
+class TargetState:
+    """What this instance knows about one target."""
+
+    target: Target
+    near: bool
+    preferred_in_flight: int
+    greatest_in_flight: int
+    cold_since_s: float | None = None
+    in_flight: int = 0
+    unanswered: dict[int, Attempt] = field(factory=dict)
+    errors: ErrorEvidence = field(factory=ErrorEvidence)
+    latency: LatencyEvidence = field(factory=LatencyEvidence)
+    latency_ratio: float = 1.0
+    hang_nats: float = 0.0
+    prior_nats: float = 0.0
+    ejected: bool = False
+    ejected_nats: float = 0.0
+    judged_from_s: float = -math.inf
+    """Attempts that began earlier are no evidence."""
+    hold_off: HoldOff = field(factory=HoldOff)
+    shedding_until_s: float = -math.inf
+    shed_in_a_row: int = 0
+    probe_sent_s: float | None = None
+    probe_next_s: float = -math.inf
+    probe_failed_s: float = -math.inf
+    answers: int = 0
+    failures: int = 0
+
+    @property
+    def name(self) -> str:
+        """Return the name of the target."""
+        return self.target.name
+
+    @property
+    def own_nats(self) -> float:
+        """Return this instance's own evidence against the target."""
+        return max(self.errors.nats, self.latency.nats + self.hang_nats)
+
+    def is_healthy(self, now_s: float) -> bool:
+        """Return whether the target counts towards the floor."""
+        return not (
+            self.ejected or self.target.leaving or now_s < self.shedding_until_s
+        )
+
+    def condition(self, now_s: float) -> TargetCondition:
+        """Return the state that operators see."""
+        if self.target.leaving:
+            return TargetCondition.LEAVING
+        if self.ejected:
+            if now_s >= self.hold_off.until_s:
+                return TargetCondition.PROBING
+            return TargetCondition.EJECTED
+        if now_s < self.shedding_until_s:
+            return TargetCondition.SHEDDING
+        if self.own_nats >= SHARE_NATS or self.prior_nats > 0.0:
+            return TargetCondition.SUSPECTED
+        if self.cold_since_s is not None:
+            return TargetCondition.COLD
+        return TargetCondition.ACTIVE
+
+    def clear_evidence(self, now_s: float) -> None:
+        """Forget the evidence, and judge only attempts that begin from now."""
+        self.errors.reset()
+        self.latency.reset()
+        self.hang_nats = 0.0
+        self.judged_from_s = now_s
+
+
+class ServiceState:
+    """The targets of one service; guarded by one lock."""
+
+    def __init__(self, service: Service, table: "TargetTable") -> None:
+        self.lock = threading.Lock()
+        self.service = service
+        self.table = table
+        self.states: dict[str, TargetState] = {}
+        self.errors = ServiceErrors()
+        self.latency = ServiceLatency()
+        self.peers = PeerReports()
+        self.turn = 0
+        self.attempts = 0
+        self.required = 0
+
+    # ---- configuration ----
+
+    def apply(self, service: Service, instances: int, first: bool) -> None:
+        """Take over a configuration; known targets keep their state."""
+        now = self.table.timers.now()
+        subset = choose_subset(service.targets, self.table.instance, instances)
+        sharers = instances_per_target(len(service.targets), len(subset), instances)
+        with self.lock:
+            self.service = service
+            before = self.states
+            self.states = {}
+            for target in subset:
+                self.states[target.name] = self._adopt(
+                    before.get(target.name), target, sharers, None if first else now
+                )
+            self.required = required_healthy(service.floor, len(subset))
+
+    def _adopt(
+        self,
+        known: TargetState | None,
+        target: Target,
+        sharers: int,
+        cold_since_s: float | None,
+    ) -> TargetState:
+        preferred, greatest = in_flight_limits(target, sharers)
+        near = target.data_centre == self.table.data_centre
+        if known is None or known.target.address != target.address:
+            return TargetState(target, near, preferred, greatest, cold_since_s)
+        known.target = target
+        known.near = near
+        known.preferred_in_flight = preferred
+        known.greatest_in_flight = greatest
+        return known
+
+    # ---- choice ----
+
+    def usable(self, now_s: float) -> list[TargetState]:
+        """Return the targets that may get requests.
+
+        These are the healthy ones. Where they are fewer than the floor, the least
+        bad of the others are added. A leaving target is never used.
+        """
+        healthy = [s for s in self.states.values() if s.is_healthy(now_s)]
+        missing = self.required - len(healthy)
+        if missing <= 0:
+            return healthy
+        rest = [
+            s
+            for s in self.states.values()
+            if not s.target.leaving and not s.is_healthy(now_s)
+        ]
+        # A target that sheds refuses quickly; an ejected one may hang.
+        rest.sort(key=lambda s: (s.ejected, s.ejected_nats))
+        return healthy + rest[:missing]
+
+    def acquire(self, exclude: Collection[str]) -> Attempt | None:
+        """Choose a target and count a request in flight to it."""
+        now = self.table.timers.now()
+        with self.lock:
+            candidates = self._candidates(exclude, now)
+            if not candidates:
+                return None
+            self.turn += 1
+            state = self.table.choose(candidates, self.table.random, self.turn)
+            self.attempts += 1
+            attempt = Attempt(state.target, now, state, self)
+            state.in_flight += 1
+            state.unanswered[id(attempt)] = attempt
+            return attempt
+
+    def _candidates(self, exclude: Collection[str], now_s: float) -> list[TargetState]:
+        usable = self.usable(now_s)
+        if exclude:
+            usable = [s for s in usable if s.target.name not in exclude]
+        free = [s for s in usable if s.in_flight < s.preferred_in_flight]
+        if not free:
+            return [s for s in usable if s.in_flight < s.greatest_in_flight]
+        near = [s for s in free if s.near]
+        if near and self._near_suffices(usable):
+            free = near
+        return self._without_cold(free, now_s)
+
+    def _near_suffices(self, usable: list[TargetState]) -> bool:
+        total = sum(s.near for s in self.states.values())
+        return sum(s.near for s in usable) >= NEAR_USABLE_MIN * total
+
+    def _without_cold(self, free: list[TargetState], now_s: float) -> list[TargetState]:
+        if all(s.cold_since_s is None for s in free):
+            return free
+        random = self.table.random
+        warm = [
+            s
+            for s in free
+            if s.cold_since_s is None or random.random() < self._warmth(s, now_s)
+        ]
+        return warm or free
+
+    def _warmth(self, state: TargetState, now_s: float) -> float:
+        """Return the part of its full load that a target may get."""
+        if state.cold_since_s is None:
+            return 1.0
+        elapsed = now_s - state.cold_since_s
+        if elapsed >= self.service.slow_start_s:
+            state.cold_since_s = None
+            return 1.0
+        return max(COLD_WEIGHT_MIN, elapsed / self.service.slow_start_s)
+
+    # ---- outcomes ----
+
+    def mark_answered(self, attempt: Attempt, latency_s: float) -> None:
+        """Record that the head of an answer arrived."""
+        now = self.table.timers.now()
+        with self.lock:
+            if not attempt.answered and not attempt.finished:
+                self._note_answer(attempt, latency_s, now)
+
+    def finish(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Record the end of an attempt."""
+        now = self.table.timers.now()
+        with self.lock:
+            if attempt.finished:
+                return
+            attempt.finished = True
+            state = attempt.state
+            state.in_flight -= 1
+            state.unanswered.pop(id(attempt), None)
+            if outcome.kind is OutcomeKind.CANCELLED:
+                return
+            if outcome.kind is OutcomeKind.SHED:
+                self._note_shed(state, now)
+                return
+            self._note_outcome(attempt, outcome, now)
+
+    def _note_shed(self, state: TargetState, now_s: float) -> None:
+        steps = min(state.shed_in_a_row, 10)
+        wait_s = min(SHED_MAX_S, SHED_FIRST_S * 2.0**steps)
+        state.shed_in_a_row += 1
+        state.shedding_until_s = now_s + wait_s * self.table.random.uniform(0.5, 1.5)
+
+    def _note_outcome(self, attempt: Attempt, outcome: Outcome, now_s: float) -> None:
+        state = attempt.state
+        failed = outcome.kind in FAILURES
+        state.answers += 1
+        state.failures += failed
+        if not failed:
+            state.shed_in_a_row = 0
+        if not self._is_evidence(attempt):
+            return
+        self.errors.record(failed)
+        state.errors.record(failed, self.errors, now_s)
+        # A quick error says nothing about latency, an unanswered request does.
+        if not failed or outcome.kind is OutcomeKind.TIMEOUT:
+            self._note_answer(attempt, outcome.latency_s, now_s)
+        self._judge(state, now_s)
+
+    def _note_answer(self, attempt: Attempt, latency_s: float, now_s: float) -> None:
+        if attempt.answered:
+            return
+        attempt.answered = True
+        state = attempt.state
+        state.unanswered.pop(id(attempt), None)
+        if not self._is_evidence(attempt) or self.table.spans_pause(attempt, now_s):
+            return
+        sample = Sample(
+            state.name, attempt.started_s, math.log(max(latency_s, LATENCY_MIN_S))
+        )
+        state.latency.record(sample, self.latency, self._margin(state, now_s), True)
+        if state.hang_nats:
+            state.hang_nats = self._hang_nats(state, now_s)
+
+    def _is_evidence(self, attempt: Attempt) -> bool:
+        state = attempt.state
+        return not state.ejected and attempt.started_s >= state.judged_from_s
+
+    def _margin(self, state: TargetState, now_s: float) -> float:
+        if state.cold_since_s is None:
+            return 0.0
+        return COLD_LATENCY_MARGIN * (1.0 - self._warmth(state, now_s))
+
+    # ---- judgement ----
+
+    def tick(self, now_s: float) -> None:
+        """Look at unanswered requests and at what peers said."""
+        with self.lock:
+            refresh_references(s.latency for s in self.states.values() if not s.ejected)
+            self._refresh_ratios()
+            for state in self.states.values():
+                state.prior_nats = self._prior(state, now_s)
+                state.hang_nats = self._hang_nats(state, now_s)
+                self._warmth(state, now_s)
+                self._judge(state, now_s)
+
+    def _refresh_ratios(self) -> None:
+        levels = sorted(
+            s.latency.level for s in self.states.values() if s.latency.samples
+        )
+        if not levels:
+            return
+        middle = median(levels)
+        for state in self.states.values():
+            if state.latency.samples:
+                state.latency_ratio = math.exp(state.latency.level - middle)
+
+    def _prior(self, state: TargetState, now_s: float) -> float:
+        prior = self.peers.prior_nats(state.name, len(self.states), now_s)
+        if prior > 0.0 and now_s - state.probe_failed_s < PROBE_LOST_S:
+            prior = min(EJECT_NATS - OWN_NATS_MIN, prior + PROBE_NATS)
+        return prior
+
+    def _hang_nats(self, state: TargetState, now_s: float) -> float:
+        if not state.unanswered or state.ejected:
+            return 0.0
+        margin = self._margin(state, now_s)
+        ages = sorted(
+            (self._age(attempt, now_s) for attempt in state.unanswered.values()),
+            reverse=True,
+        )
+        if state.latency.reference is None:
+            limit_s = 0.5 * self.service.request_timeout_s
+            return EJECT_NATS if ages[0] > limit_s else 0.0
+        # Requests that wait at the same time are not independent, so only two count.
+        return sum(
+            state.latency.hang_nats(age, self.latency, margin) for age in ages[:2]
+        )
+
+    def _age(self, attempt: Attempt, now_s: float) -> float:
+        return now_s - max(
+            attempt.started_s, attempt.state.judged_from_s, self.table.resumed_s
+        )
+
+    def _judge(self, state: TargetState, now_s: float) -> None:
+        if state.ejected or state.own_nats < OWN_NATS_MIN:
+            return
+        threshold = max(OWN_NATS_MIN, EJECT_NATS - state.prior_nats)
+        if state.cold_since_s is not None:
+            threshold *= COLD_NATS_FACTOR
+        if state.own_nats < threshold or state.target.leaving:
+            return
+        if not self._is_confirmed(state, threshold, now_s):
+            return
+        if self._may_eject(state, now_s):
+            self._eject(state, now_s)
+
+    def _is_confirmed(self, state: TargetState, threshold: float, now_s: float) -> bool:
+        if state.errors.nats >= threshold:
+            return state.errors.others_answered(self.errors) >= OTHERS_ANSWERED_MIN
+        return self._is_latency_confirmed(state, threshold, now_s)
+
+    def _is_latency_confirmed(
+        self, state: TargetState, threshold: float, now_s: float
+    ) -> bool:
+        """Compare with what other targets did since the evidence began."""
+        began_s = now_s
+        if state.latency.run:
+            began_s = state.latency.began_s
+        if state.hang_nats and state.unanswered:
+            began_s = min(began_s, *(a.started_s for a in state.unanswered.values()))
+        others = [
+            sample.log_latency
+            for sample in self.latency.recent
+            if sample.target != state.name and sample.started_s >= began_s
+        ]
+        if len(others) < OTHERS_ANSWERED_MIN:
+            return False
+        others += self._waiting_elsewhere(state, began_s, now_s)
+        others.sort()
+        reference = state.latency.reference
+        current = median(others)
+        if reference is None or current <= reference:
+            return True
+        # The service as a whole became slower: restate the evidence against that.
+        state.latency.nats = state.latency.restate(current, self.latency)
+        shift = self._margin(state, now_s) + current - reference
+        waiting = sorted(
+            (self._age(a, now_s) for a in state.unanswered.values()), reverse=True
+        )
+        hang = sum(
+            state.latency.hang_nats(age, self.latency, shift) for age in waiting[:2]
+        )
+        state.hang_nats = hang
+        return state.latency.nats + hang >= threshold
+
+    def _waiting_elsewhere(
+        self, state: TargetState, began_s: float, now_s: float
+    ) -> list[float]:
+        return [
+            math.log(max(self._age(attempt, now_s), LATENCY_MIN_S))
+            for other in self.states.values()
+            if other is not state and not other.ejected
+            for attempt in other.unanswered.values()
+            if attempt.started_s >= began_s
+        ]
+
+    def _may_eject(self, state: TargetState, now_s: float) -> bool:
+        if self.states.get(state.name) is not state:
+            return False
+        healthy = sum(s.is_healthy(now_s) for s in self.states.values())
+        return healthy - state.is_healthy(now_s) >= self.required
+
+    def _eject(self, state: TargetState, now_s: float) -> None:
+        state.ejected = True
+        state.ejected_nats = state.own_nats
+        state.hold_off.start(now_s, self.table.random)
+        log_warning(
+            "target_ejected",
+            service=self.service.name,
+            target=state.name,
+            error_nats=state.errors.nats,
+            latency_nats=state.latency.nats,
+            hang_nats=state.hang_nats,
+            prior_nats=state.prior_nats,
+            hold_off_s=state.hold_off.duration_s,
+        )
+        state.clear_evidence(now_s)
+        state.probe_next_s = state.hold_off.until_s
+        state.probe_sent_s = None
+
+    def _readmit(self, state: TargetState, now_s: float) -> None:
+        state.ejected = False
+        state.ejected_nats = 0.0
+        state.cold_since_s = now_s
+        state.latency.level = state.latency.own_level
+        state.clear_evidence(now_s)
+        log_info("target_returned", service=self.service.name, target=state.name)
+
+    # ---- suspicions and probes ----
+
+    def suspicions(self, now_s: float) -> list[Suspicion]:
+        """Return what peers should know."""
+        found = []
+        with self.lock:
+            for state in self.states.values():
+                score = 100 if state.ejected else self._score(state)
+                if score:
+                    found.append(
+                        Suspicion(
+                            service=self.service.name, target=state.name, score=score
+                        )
+                    )
+        return found
+
+    def _score(self, state: TargetState) -> int:
+        if state.own_nats < SHARE_NATS:
+            return 0
+        return min(99, round(100 * state.own_nats / EJECT_NATS))
+
+    def note_peer(self, peer: str, scores: dict[str, int]) -> None:
+        """Replace what `peer` said about this service's targets."""
+        now = self.table.timers.now()
+        with self.lock:
+            self.peers.note(peer, scores, now)
+
+    def probes_due(self, now_s: float) -> list[ProbeRequest]:
+        """Return the probes to make now, and count them as sent."""
+        due = []
+        with self.lock:
+            for state in self.states.values():
+                if self._probe_is_due(state, now_s):
+                    state.probe_sent_s = now_s
+                    due.append(self._probe_request(state))
+        return due
+
+    def _probe_is_due(self, state: TargetState, now_s: float) -> bool:
+        if state.target.leaving or now_s < state.probe_next_s:
+            return False
+        sent = state.probe_sent_s
+        if sent is not None and now_s - sent < PROBE_LOST_S:
+            return False
+        if state.ejected:
+            return now_s >= state.hold_off.until_s
+        return state.prior_nats > 0.0
+
+    def _probe_request(self, state: TargetState) -> ProbeRequest:
+        return ProbeRequest(
+            self.service.name,
+            state.name,
+            state.target.address,
+            self.service.health_path,
+            min(PROBE_TIMEOUT_S, self.service.request_timeout_s),
+        )
+
+    def note_probe(self, request: ProbeRequest, ok: bool) -> None:
+        """Take over the result of a probe."""
+        now = self.table.timers.now()
+        with self.lock:
+            state = self.states.get(request.target)
+            if state is None or state.target.address != request.address:
+                return
+            state.probe_sent_s = None
+            state.probe_next_s = now + PROBE_INTERVAL_S * self.table.random.uniform(
+                0.75, 1.25
+            )
+            if not state.ejected:
+                # A health report only informs: a failure counts while peers suspect
+                # the target too, and success proves nothing.
+                state.probe_failed_s = -math.inf if ok else now
+            elif now < state.hold_off.until_s:
+                return
+            elif not ok:
+                state.hold_off.probe_failed(now, self.table.random)
+            elif state.hold_off.probe_passed(now):
+                self._readmit(state, now)
+
+    def dump(self, now_s: float) -> dict[str, object]:
+        """Return the state as JSON values."""
+        with self.lock:
+            return {
+                "required_healthy": self.required,
+                "healthy": sum(s.is_healthy(now_s) for s in self.states.values()),
+                "usable": [s.name for s in self.usable(now_s)],
+                "error_rate": round(self.errors.rate, 5),
+                "latency_sigma": round(self.latency.sigma, 3),
+                "targets": {
+                    s.name: self._dump_target(s, now_s) for s in self.states.values()
+                },
+            }
+
+    def _dump_target(self, state: TargetState, now_s: float) -> dict[str, object]:
+        ages = [self._age(attempt, now_s) for attempt in state.unanswered.values()]
+        latency = state.latency
+        return {
+            "address": state.target.address,
+            "data_centre": state.target.data_centre,
+            "state": state.condition(now_s).value,
+            "in_flight": state.in_flight,
+            "in_flight_limit": state.greatest_in_flight,
+            "oldest_unanswered_s": round(max(ages, default=0.0), 3),
+            "answers": state.answers,
+            "failures": state.failures,
+            "latency_ms": round(1000 * math.exp(latency.level), 2)
+            if latency.samples
+            else None,
+            "ordinary_latency_ms": None
+            if latency.reference is None
+            else round(1000 * math.exp(latency.reference), 2),
+            "error_nats": round(state.errors.nats, 2),
+            "latency_nats": round(latency.nats, 2),
+            "hang_nats": round(state.hang_nats, 2),
+            "peer_nats": round(state.prior_nats, 2),
+            "eject_nats": round(EJECT_NATS - state.prior_nats, 2),
+            "ejections": state.hold_off.ejections,
+            "hold_off_left_s": round(max(0.0, state.hold_off.until_s - now_s), 2)
+            if state.ejected
+            else 0.0,
+        }
+
+
+class TargetTable:
+    """State of all targets of all services at one instance.
+
+    Parameters
+    ----------
+    timers : Timers
+        Clock, and source of the ticks that judge unanswered requests.
+    data_centre : str
+        Data centre of this instance; its targets are preferred.
+    instance : str, default=""
+        Name of this instance, from which subsets follow. Without one a random name
+        is used.
+    policy : str, default="two_choices"
+        Name of the registered policy that chooses among candidates.
+    seed : int, default=None
+        Seed of random choices; for tests.
+    """
+
+    def __init__(
+        self,
+        timers: Timers,
+        data_centre: str,
+        instance: str = "",
+        policy: str = "two_choices",
+        seed: int | None = None,
+    ) -> None:
+        self.timers = timers
+        self.data_centre = data_centre
+        self.instance = instance or uuid.uuid4().hex
+        self.choose = POLICIES[policy]
+        self.random = Random(seed)
+        self.services: dict[str, ServiceState] = {}
+        self.started = False
+        self.ticked_s = timers.now()
+        self.resumed_s = -math.inf
+        timers.subscribe(TICK_S, self.tick)
+
+    def apply(self, configuration: Configuration) -> None:
+        """Take over a configuration; known targets keep their state."""
+        instances = max(1, configuration.fleet.instances)
+        services = {}
+        for name, service in configuration.services.items():
+            known = self.services.get(name)
+            state = known or ServiceState(service, self)
+            state.apply(service, instances, first=not self.started or known is None)
+            services[name] = state
+        self.services = services
+        self.started = True
+
+    def acquire(
+        self, service_name: str, exclude: Collection[str] = ()
+    ) -> Attempt | None:
+        """Choose a target that is not in `exclude`.
+
+        Returns
+        -------
+        Attempt or None
+            None where no target may be used or all have enough work in flight.
+        """
+        service = self.services.get(service_name)
+        return None if service is None else service.acquire(exclude)
+
+    def tick(self) -> None:
+        """Judge unanswered requests; called by the timer service."""
+        now = self.timers.now()
+        self._notice_pause(now)
+        for service in self.services.values():
+            service.tick(now)
+
+    def _notice_pause(self, now_s: float) -> None:
+        if now_s - self.ticked_s > PAUSE_S:
+            self.resumed_s = now_s
+        self.ticked_s = now_s
+
+    def spans_pause(self, attempt: Attempt, now_s: float) -> bool:
+        """Return whether the process stood still during `attempt`."""
+        return attempt.started_s < self.resumed_s or now_s - self.ticked_s > PAUSE_S
+
+    def suspicions(self) -> list[Suspicion]:
+        """Return the targets that this instance suspects or has ejected."""
+        now = self.timers.now()
+        return [
+            s for service in self.services.values() for s in service.suspicions(now)
+        ]
+
+    def note_peer_suspicions(
+        self, instance: str, suspicions: Iterable[Suspicion]
+    ) -> None:
+        """Take over what a peer suspects; replaces what it said before."""
+        by_service: dict[str, dict[str, int]] = {}
+        for suspicion in suspicions:
+            scores = by_service.setdefault(suspicion.service, {})
+            scores[suspicion.target] = min(100, suspicion.score)
+        for name, service in self.services.items():
+            service.note_peer(instance, by_service.get(name, {}))
+
+    def probes_due(self) -> list[ProbeRequest]:
+        """Return the probes to make now; each result goes to `note_probe`."""
+        now = self.timers.now()
+        return [
+            p for service in self.services.values() for p in service.probes_due(now)
+        ]
+
+    def note_probe(self, request: ProbeRequest, ok: bool, latency_s: float) -> None:
+        """Take over the result of a probe."""
+        service = self.services.get(request.service)
+        if service is not None:
+            service.note_probe(request, ok)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of all targets as JSON values."""
+        now = self.timers.now()
+        return {name: service.dump(now) for name, service in self.services.items()}
--- /dev/null
+++ b/testing/test_targets.py
@@ -0,0 +1,134 @@
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, Is, LessThan, Not
+
+from lacewinglift.configuration import Configuration, Fleet, Service, Target
+from lacewinglift.generated.fleet_pb2 import Suspicion
+from lacewinglift.targets import Outcome, OutcomeKind, TargetTable
+from lacewinglift.timers import ManualTimers
+
+CENTRES = ("milano", "torino", "verona")
+OK = OutcomeKind.SUCCESS
+
+
+def make_service(count=6, leaving=(), **options):
+    targets = tuple(
+        Target(f"t{i}", f"127.0.0.1:{9000 + i}", CENTRES[i % 3], 6, 330, i in leaving)
+        for i in range(count)
+    )
+    return Service("cassa", targets, **options)
+
+
+def make_configuration(service, generation=1):
+    fleet = Fleet("pilarossi", CENTRES, instances=40)
+    return Configuration(generation, fleet, {service.name: service}, (), {})
+
+
+@pytest.fixture
+def timers():
+    return ManualTimers()
+
+
+@pytest.fixture
+def table(timers):
+    table = TargetTable(timers, "nowhere", "entry-1", seed=1)
+    table.apply(make_configuration(make_service()))
+    return table
+
+
+def send(table, timers, count, behaviour=None, interval_s=0.03, latency_s=0.02):
+    """Send requests one after another; return the targets they went to."""
+    used = []
+    for _ in range(count):
+        attempt = table.acquire("cassa", ())
+        used.append(attempt.target.name)
+        kind, latency = (behaviour or {}).get(attempt.target.name, (OK, latency_s))
+        timers.advance(latency)
+        attempt.finish(Outcome(kind, latency))
+        timers.advance(max(0.0, interval_s - latency))
+    return used
+
+
+def state_of(table, target):
+    return table.dump()["cassa"]["targets"][target]["state"]
+
+
+def test_target_that_only_fails_is_ejected(table, timers):
+    """Guards against callers that keep getting the errors of one target."""
+    send(table, timers, 300)
+    send(table, timers, 100, {"t2": (OutcomeKind.ERROR, 0.01)})
+    assert_that(state_of(table, "t2"), Equals("ejected"))
+    assert_that(send(table, timers, 50), Not(Contains("t2")))
+
+
+def test_errors_of_the_whole_service_eject_nobody(table, timers):
+    """Guards against ejections when the fault is behind all targets."""
+    send(table, timers, 300)
+    send(table, timers, 300, {f"t{i}": (OutcomeKind.ERROR, 0.01) for i in range(6)})
+    assert_that(table.suspicions(), Equals([]))
+
+
+def test_hung_target_is_ejected_before_its_request_ends(table, timers):
+    """Guards against a hang that is noticed only at the request timeout."""
+    send(table, timers, 300)
+    hung = table.acquire("cassa", {f"t{i}" for i in range(6)} - {"t4"})
+    send(table, timers, 40)
+    assert_that(hung.finished, Is(False))
+    assert_that(state_of(table, "t4"), Equals("ejected"))
+
+
+def test_stall_of_the_whole_service_ejects_nobody(table, timers):
+    """Guards against ejections when all targets wait for the same dependency."""
+    send(table, timers, 300)
+    waiting = [table.acquire("cassa", ()) for _ in range(6)]
+    timers.advance(3.0)
+    assert_that([s for s in table.suspicions() if s.score == 100], Equals([]))
+    for attempt in waiting:
+        attempt.finish(Outcome(OK, 3.0))
+    assert_that([s for s in table.suspicions() if s.score == 100], Equals([]))
+
+
+def test_leaving_target_gets_no_new_work(table, timers):
+    """Guards against work for a target that is about to stop."""
+    table.apply(make_configuration(make_service(leaving={0, 3}), 2))
+    used = set(send(table, timers, 100))
+    assert_that(used & {"t0", "t3"}, Equals(set()))
+
+
+def test_shedding_target_rests_and_is_no_suspect(table, timers):
+    """Guards against treating a refusal for overload as a fault."""
+    attempt = table.acquire("cassa", ())
+    attempt.finish(Outcome(OutcomeKind.SHED, 0.001))
+    assert_that(state_of(table, attempt.target.name), Equals("shedding"))
+    timers.advance(0.1)
+    assert_that(state_of(table, attempt.target.name), Equals("active"))
+    assert_that(table.suspicions(), Equals([]))
+
+
+def test_peers_alone_eject_nobody(table, timers):
+    """Guards against an ejection without evidence of this instance's requests."""
+    for peer in range(39):
+        suspicion = Suspicion(service="cassa", target="t1", score=100)
+        table.note_peer_suspicions(f"peer-{peer}", [suspicion])
+    send(table, timers, 200)
+    assert_that(state_of(table, "t1"), Not(Equals("ejected")))
+
+
+def test_ejected_target_returns_after_a_probe_and_starts_slowly(table, timers):
+    """Guards against full load on a target that just came back."""
+    send(table, timers, 300)
+    send(table, timers, 100, {"t2": (OutcomeKind.ERROR, 0.01)})
+    timers.advance(10.0)
+    [probe] = table.probes_due()
+    table.note_probe(probe, True, 0.02)
+    assert_that(state_of(table, "t2"), Equals("cold"))
+    used = send(table, timers, 60)
+    assert_that(used.count("t2"), LessThan(6))
+
+
+def test_attempt_of_a_removed_target_may_finish(table, timers):
+    """Guards against an error for a request that outlives its target's removal."""
+    attempt = table.acquire("cassa", {f"t{i}" for i in range(5)})
+    table.apply(make_configuration(make_service(count=5), 2))
+    attempt.finish(Outcome(OutcomeKind.CUT, 0.1))
+    assert_that(table.acquire("unknown", ()), Is(None))
