--- /dev/null
+++ b/src/lacewinglift/admission.py
@@ -0,0 +1,379 @@
+"""Decides whether a workspace's request is within its fleet-wide quota."""
+
+import math
+import threading
+from collections.abc import Callable
+from fractions import Fraction
+
+from attrs import define, field, frozen
+
+from lacewinglift.buckets import TokenBucket
+from lacewinglift.configuration import Workspace
+from lacewinglift.generated.fleet_pb2 import (
+    BorrowReply,
+    BorrowRequest,
+    Demand,
+    Member,
+)
+from lacewinglift.ledger import WHOLE_PPM, LedgerHolder, ShareChange
+from lacewinglift.timers import Timers
+
+LOAN_LIFETIME_S = 0.25
+# The lender counts from later than the borrower, who counts from asking; the rest
+# covers clocks that run at different rates.
+LOAN_HOLD_S = LOAN_LIFETIME_S + 0.05
+BORROW_BOUND_S = 0.03
+EMPTY_LENDER_S = 0.05
+BORROW_BATCH_TOKENS = 32  # a lost reply loses no more than this
+DEMAND_AVERAGE_S = 4.0
+IDLE_DEMAND_PER_S = 0.01
+SWEEP_INTERVAL_S = 5.0
+
+OVER_LIMIT = "over_limit"
+
+Borrow = Callable[[Member, str, int], int]
+"""Asks one member for tokens of a workspace and returns how many it lent; it may
+block for `BORROW_BOUND_S` and returns 0 on any failure."""
+
+
+@frozen
+class Decision:
+    """Whether a request may go on, and why not."""
+
+    admitted: bool
+    code: str | None = None
+    """Refusal code."""
+    retry_after_s: float = 0.0
+
+
+_ADMITTED = Decision(True)
+
+
+@define
+class DemandMeter:
+    """Decaying average of events per second."""
+
+    average_s: float
+    at_s: float
+    per_s: float = 0.0
+
+    def note(self, now_s: float, count: float = 1.0) -> None:
+        """Count events."""
+        self.per_s = self.rate(now_s) + count / self.average_s
+        self.at_s = max(self.at_s, now_s)
+
+    def rate(self, now_s: float) -> float:
+        """Return the average at `now_s`."""
+        elapsed_s = max(now_s - self.at_s, 0.0)
+        return self.per_s * math.exp(-elapsed_s / self.average_s)
+
+
+@define(eq=False)
+class _Borrowed:
+    expires_s: float
+    tokens: int
+
+
+@define(eq=False)
+class _Usage:
+    """What one workspace uses at this instance."""
+
+    bucket: TokenBucket
+    limits: tuple[int, float, int]
+    """Share in parts per million, rate and burst that the bucket has."""
+    demand: DemandMeter
+    changed: threading.Condition = field(factory=threading.Condition)
+    borrowed: list[_Borrowed] = field(factory=list)
+    empty_until_s: dict[str, float] = field(factory=dict)
+    borrowing: bool = False
+    dropped: bool = False
+
+    def take(self, now_s: float) -> bool:
+        """Take a token, first of those that expire; the caller holds `changed`."""
+        self.borrowed = [loan for loan in self.borrowed if loan.expires_s > now_s]
+        for loan in self.borrowed:
+            if loan.tokens:
+                loan.tokens -= 1
+                return True
+        return self.bucket.take(1)
+
+    def is_idle(self, now_s: float) -> bool:
+        """Return whether a later bucket would be the same as this one."""
+        return (
+            not self.borrowing
+            and all(loan.expires_s <= now_s for loan in self.borrowed)
+            and self.demand.rate(now_s) < IDLE_DEMAND_PER_S
+            and self.bucket.is_full()
+        )
+
+
+def share_of(limit: float, ppm: int) -> Fraction:
+    """Return the exact part of a workspace's limit that a share gives."""
+    return Fraction(limit) * ppm / WHOLE_PPM
+
+
+class Admission:
+    """Admits requests from this instance's shares and from loans.
+
+    Parameters
+    ----------
+    holder : LedgerHolder
+        The division of quotas.
+
+    timers : Timers
+        Clock, and the sweep of unused buckets.
+
+    standing_refusal : callable
+        Returns None while the instance may serve, else a refusal code.
+
+    find_workspace : callable
+        Returns the workspace of a name in the configuration in force, or None.
+
+    borrow : callable
+        Asks a member for tokens; see `Borrow`.
+    """
+
+    def __init__(
+        self,
+        holder: LedgerHolder,
+        timers: Timers,
+        standing_refusal: Callable[[], str | None],
+        find_workspace: Callable[[str], Workspace | None],
+        borrow: Borrow,
+    ) -> None:
+        self.holder = holder
+        self.timers = timers
+        self.standing_refusal = standing_refusal
+        self.find_workspace = find_workspace
+        self.borrow = borrow
+        self.lock = threading.Lock()
+        self._usages: dict[str, _Usage] = {}
+        holder.subscribe(self._apply_changes)
+        timers.subscribe(SWEEP_INTERVAL_S, self.sweep)
+
+    def admit(self, workspace: Workspace) -> Decision:
+        """Decide on one request; blocks at most while it borrows a token."""
+        refusal = self.standing_refusal()
+        if refusal is not None:
+            return Decision(False, refusal, 1.0)
+        usage = self._usage(workspace)
+        with usage.changed:
+            usage.demand.note(self.timers.now())
+        admitted = self._take(workspace) or self._borrow_one(workspace, usage)
+        # Standing may have ended while this thread borrowed or was paused.
+        refusal = self.standing_refusal()
+        if refusal is not None:
+            return Decision(False, refusal, 1.0)
+        if admitted:
+            return _ADMITTED
+        return Decision(False, OVER_LIMIT, self._retry_after_s(workspace, usage))
+
+    def lend(self, request: BorrowRequest) -> BorrowReply:
+        """Answer a peer that has too few tokens."""
+        workspace = self.find_workspace(request.workspace)
+        if workspace is None or self.standing_refusal() is not None:
+            return BorrowReply()
+        with self._locked_usage(workspace) as usage:
+            spare = self._spare_tokens(usage)
+            tokens = usage.bucket.lend(min(request.tokens, spare), LOAN_HOLD_S)
+            retry_after_s = usage.bucket.retry_after_s()
+        if self.standing_refusal() is not None:
+            return BorrowReply()
+        reply = BorrowReply(tokens=tokens)
+        if not tokens and math.isfinite(retry_after_s):
+            reply.retry_after_ms = min(math.ceil(retry_after_s * 1000), 2**31)
+        return reply
+
+    def demands(self) -> list[Demand]:
+        """Return what each workspace asks for here, refused requests included."""
+        now = self.timers.now()
+        return [
+            Demand(workspace=name, milli_tokens_per_s=milli)
+            for name, usage in self._entries()
+            if (milli := min(int(usage.demand.rate(now) * 1000), 2**32 - 1))
+        ]
+
+    def sweep(self) -> None:
+        """Drop the buckets that are full and unused."""
+        now = self.timers.now()
+        for name, usage in self._entries():
+            with self.lock, usage.changed:
+                self._refresh_limits(name, usage)
+                if usage.is_idle(now):
+                    usage.dropped = True
+                    del self._usages[name]
+
+    def dump(self) -> dict[str, dict[str, object]]:
+        """Return the state of each bucket in memory, for operators."""
+        now = self.timers.now()
+        return {
+            name: {
+                "granted_ppm": usage.limits[0],
+                "level": round(usage.bucket.level(), 3),
+                "demand_per_s": round(usage.demand.rate(now), 3),
+                "borrowed": sum(
+                    loan.tokens for loan in usage.borrowed if loan.expires_s > now
+                ),
+            }
+            for name, usage in self._entries()
+        }
+
+    def _entries(self) -> list[tuple[str, _Usage]]:
+        with self.lock:
+            return list(self._usages.items())
+
+    def _refresh_limits(self, name: str, usage: _Usage) -> None:
+        """Apply a changed configuration to a bucket that no request has used."""
+        workspace = self.find_workspace(name)
+        if workspace is None:
+            workspace = Workspace(name, 0.0, 0)
+        limits = (usage.limits[0], workspace.rate_per_s, workspace.burst)
+        if usage.limits != limits:
+            _resize(usage, limits)
+
+    def _usage(self, workspace: Workspace) -> _Usage:
+        with self.lock:
+            usage = self._usages.get(workspace.name)
+            if usage is None:
+                # Only a bucket that was full is dropped, and a raised share makes
+                # one at once, so that one made here was full all the time.
+                ppm = self.holder.granted_ppm(workspace.name)
+                usage = self._add_usage(workspace, ppm, full=True)
+            return usage
+
+    def _add_usage(self, workspace: Workspace, ppm: int, full: bool) -> _Usage:
+        limits = (ppm, workspace.rate_per_s, workspace.burst)
+        bucket = TokenBucket(
+            self.timers,
+            share_of(workspace.rate_per_s, ppm),
+            share_of(workspace.burst, ppm),
+            full,
+        )
+        usage = _Usage(bucket, limits, DemandMeter(DEMAND_AVERAGE_S, self.timers.now()))
+        self._usages[workspace.name] = usage
+        return usage
+
+    def _locked_usage(self, workspace: Workspace) -> "_UsageLock":
+        return _UsageLock(self, workspace)
+
+    def _take(self, workspace: Workspace) -> bool:
+        with self._locked_usage(workspace) as usage:
+            return usage.take(self.timers.now())
+
+    def _apply_changes(self, changes: list[ShareChange]) -> float:
+        """Bring the buckets to the shares of a new ledger."""
+        settled_s = self.timers.now()
+        for change in changes:
+            with self.lock:
+                usage = self._changed_usage(change)
+                if usage is None:
+                    continue
+                with usage.changed:
+                    _, rate_per_s, burst = usage.limits
+                    _resize(usage, (change.after_ppm, rate_per_s, burst))
+                    settled_s = max(settled_s, usage.bucket.settled_at_s())
+        return settled_s
+
+    def _changed_usage(self, change: ShareChange) -> _Usage | None:
+        usage = self._usages.get(change.workspace)
+        if usage is not None or change.after_ppm < change.before_ppm:
+            return usage
+        # Tokens of the added part must flow in first. Without a configuration the
+        # bucket has no limits until a request brings them.
+        workspace = self.find_workspace(change.workspace)
+        if workspace is None:
+            workspace = Workspace(change.workspace, 0.0, 0)
+        return self._add_usage(workspace, change.before_ppm, full=True)
+
+    def _borrow_one(self, workspace: Workspace, usage: _Usage) -> bool:
+        """Get a token from another holder, as the only one or after waiting."""
+        deadline_s = self.timers.now() + BORROW_BOUND_S
+        with usage.changed:
+            if usage.borrowing:
+                usage.changed.wait_for(lambda: not usage.borrowing, BORROW_BOUND_S)
+                return usage.take(self.timers.now())
+            usage.borrowing = True
+        try:
+            return self._ask_lenders(workspace, usage, deadline_s)
+        finally:
+            with usage.changed:
+                usage.borrowing = False
+                usage.changed.notify_all()
+
+    def _ask_lenders(
+        self, workspace: Workspace, usage: _Usage, deadline_s: float
+    ) -> bool:
+        for member in self._lenders_in_order(workspace.name, usage):
+            asked_s = self.timers.now()
+            if asked_s >= deadline_s:
+                return False
+            tokens = self.borrow(member, workspace.name, self._batch(usage))
+            with usage.changed:
+                now = self.timers.now()
+                if not tokens:
+                    usage.empty_until_s[member.instance] = now + EMPTY_LENDER_S
+                    continue
+                loan = _Borrowed(asked_s + LOAN_LIFETIME_S, tokens)
+                usage.borrowed.append(loan)
+                if usage.take(now):
+                    return True
+        return False
+
+    def _lenders_in_order(self, name: str, usage: _Usage) -> list[Member]:
+        now = self.timers.now()
+        with usage.changed:
+            usage.empty_until_s = {
+                instance: until_s
+                for instance, until_s in usage.empty_until_s.items()
+                if until_s > now
+            }
+            lenders = self.holder.lenders(name)
+            return [m for m in lenders if m.instance not in usage.empty_until_s]
+
+    def _batch(self, usage: _Usage) -> int:
+        """Return how many tokens will be used within half a loan's lifetime."""
+        expected = usage.demand.rate(self.timers.now()) * LOAN_LIFETIME_S / 2
+        return max(1, min(int(expected), BORROW_BATCH_TOKENS))
+
+    def _spare_tokens(self, usage: _Usage) -> int:
+        """Return what may be lent: one token, or what local demand leaves."""
+        own_need = usage.demand.rate(self.timers.now()) * LOAN_LIFETIME_S
+        return max(1, int(usage.bucket.level() - own_need))
+
+    def _retry_after_s(self, workspace: Workspace, usage: _Usage) -> float:
+        own_s = usage.bucket.retry_after_s()
+        if math.isfinite(own_s):
+            return own_s
+        # Without a whole token here, the next one of the whole fleet is the best.
+        return 1.0 / workspace.rate_per_s if workspace.rate_per_s > 0 else 1.0
+
+
+def _resize(usage: _Usage, limits: tuple[int, float, int]) -> None:
+    ppm, rate_per_s, burst = limits
+    usage.limits = limits
+    usage.bucket.resize(share_of(rate_per_s, ppm), share_of(burst, ppm))
+
+
+class _UsageLock:
+    """Holds the lock of a workspace's usage, with the limits in force."""
+
+    def __init__(self, admission: Admission, workspace: Workspace) -> None:
+        self.admission = admission
+        self.workspace = workspace
+
+    def __enter__(self) -> _Usage:
+        workspace = self.workspace
+        while True:
+            usage = self.admission._usage(workspace)
+            usage.changed.acquire()
+            if not usage.dropped:
+                break
+            usage.changed.release()
+        self.usage = usage
+        limits = (usage.limits[0], workspace.rate_per_s, workspace.burst)
+        if usage.limits != limits:
+            _resize(usage, limits)
+        return usage
+
+    def __exit__(self, *exception: object) -> None:
+        self.usage.changed.release()
--- a/src/lacewinglift/errors.py
+++ b/src/lacewinglift/errors.py
@@ -49,3 +49,9 @@
     """A call to another instance failed."""
 
     code = "peer"
+
+
+class LedgerError(LacewingliftError):
+    """A quota ledger breaks a rule; it was not applied."""
+
+    code = "ledger"
--- a/src/lacewinglift/views.py
+++ b/src/lacewinglift/views.py
@@ -5,6 +5,14 @@
 from lacewinglift.generated import fleet_pb2
 
 
+@frozen
+class Identity:
+    """One life of an instance."""
+
+    instance: str
+    incarnation: int
+
+
 @frozen
 class PromiseView:
     """A promise of a member not to echo one incarnation of another instance."""
@@ -30,6 +38,9 @@
     """Version of the ledger that the member has applied."""
     heard_at_s: float = 0.0
     """Local monotonic time of the last heartbeat."""
+    echoed_at_s: float = 0.0
+    """Local time of sending of the newest own heartbeat that this incarnation has
+    echoed: the member was alive after it, however late its heartbeat came."""
     store_contact_age_s: float = 0.0
     """Age of the member's last contact with the store, at `heard_at_s`."""
     standing: bool = False
