--- a/src/lacewinglift/_fencing.py
+++ b/src/lacewinglift/_fencing.py
@@ -5,8 +5,8 @@
 from attrs import define, field
 
 from lacewinglift.generated.fleet_pb2 import Ledger, Roster
-from lacewinglift.ledger import member_identity
-from lacewinglift.views import Identity, MemberView
+from lacewinglift.ledger import member_id
+from lacewinglift.views import MemberId, MemberView
 
 SUSPECT_AFTER_S = 4.0
 # An echo supports standing for 4 s, as does an answer of the store; the rest covers
@@ -32,7 +32,7 @@
     """The wait for one fence."""
 
     started_s: float
-    promises: dict[Identity, float]
+    promises: dict[MemberId, float]
     """Until when each counted promise is known to hold."""
     known_s: float | None = None
     """When a majority was first seen to promise and to have applied the fence."""
@@ -42,9 +42,9 @@
 class Fencing:
     """What one allocator has observed of holders; a new allocator starts anew."""
 
-    applied: dict[Identity, int] = field(factory=dict)
+    applied: dict[MemberId, int] = field(factory=dict)
     """Newest version that each incarnation is known to have applied."""
-    watches: dict[Identity, _Watch] = field(factory=dict)
+    watches: dict[MemberId, _Watch] = field(factory=dict)
     written_s: dict[int, float] = field(factory=dict)
 
     def note_written(self, version: int, now_s: float) -> None:
@@ -57,24 +57,24 @@
         self, ledger: Ledger, views: Sequence[MemberView], now_s: float
     ) -> None:
         """Take in the newest views and move the waits on."""
-        members = {member_identity(member) for member in ledger.members}
+        members = {member_id(member) for member in ledger.members}
         self._note_applied(members, views)
         fenced = [member for member in ledger.members if member.fenced_in_version]
-        kept = {member_identity(member) for member in fenced}
+        kept = {member_id(member) for member in fenced}
         for identity in self.watches.keys() - kept:
             del self.watches[identity]
         for member in fenced:
             self._observe_fence(
-                member_identity(member), member.fenced_in_version, ledger, views, now_s
+                member_id(member), member.fenced_in_version, ledger, views, now_s
             )
 
     def fenceable(
         self, ledger: Ledger, views: Sequence[MemberView], now_s: float
-    ) -> list[Identity]:
+    ) -> list[MemberId]:
         """Return the unfenced members against whom enough promises are in force."""
         result = []
         for member in ledger.members:
-            identity = member_identity(member)
+            identity = member_id(member)
             if member.fenced_in_version:
                 continue
             promisers = _promises_against(identity, views, now_s, PROMISE_LEFT_S)
@@ -85,7 +85,7 @@
 
     def releasable(
         self, ledger: Ledger, views: Sequence[MemberView], now_s: float
-    ) -> list[Identity]:
+    ) -> list[MemberId]:
         """Return the fenced members that can no longer be using their shares."""
         return [
             identity
@@ -94,22 +94,20 @@
             and self._is_confirmed(watch, self.rosters_of(ledger, identity), views)
         ]
 
-    def rosters_of(self, ledger: Ledger, identity: Identity) -> list[Roster]:
+    def rosters_of(self, ledger: Ledger, identity: MemberId) -> list[Roster]:
         """Return the rosters that a holder may still be using."""
         return _rosters_from(ledger, self.applied.get(identity, 0))
 
     def rosters_in_use(self, ledger: Ledger) -> list[Roster]:
         """Return the rosters that some member may still be using."""
-        versions = [
-            self.applied.get(member_identity(member), 0) for member in ledger.members
-        ]
+        versions = [self.applied.get(member_id(member), 0) for member in ledger.members]
         return _rosters_from(ledger, min(versions, default=ledger.version))
 
     def _note_applied(
-        self, members: set[Identity], views: Sequence[MemberView]
+        self, members: set[MemberId], views: Sequence[MemberView]
     ) -> None:
         for view in views:
-            identity = Identity(view.instance, view.incarnation)
+            identity = MemberId(view.instance, view.incarnation)
             if view.ledger_version > self.applied.get(identity, 0):
                 self.applied[identity] = view.ledger_version
         for identity in self.applied.keys() - members:
@@ -117,7 +115,7 @@
 
     def _observe_fence(
         self,
-        identity: Identity,
+        identity: MemberId,
         version: int,
         ledger: Ledger,
         views: Sequence[MemberView],
@@ -154,7 +152,7 @@
         confirmed = [
             view.instance
             for view in views
-            if Identity(view.instance, view.incarnation) in watch.promises
+            if MemberId(view.instance, view.incarnation) in watch.promises
             and view.echoed_at_s >= watch.known_s
         ]
         return _in_all(confirmed, rosters)
@@ -169,15 +167,15 @@
 
 
 def _promises_against(
-    identity: Identity, views: Sequence[MemberView], now_s: float, left_s: float
-) -> dict[Identity, float]:
+    identity: MemberId, views: Sequence[MemberView], now_s: float, left_s: float
+) -> dict[MemberId, float]:
     """Return who promises not to echo `identity`, and until when.
 
     A newer incarnation of the same instance does not count, since the holder counts
     itself for its own quorum.
     """
     return {
-        Identity(view.instance, view.incarnation): promise.until_s
+        MemberId(view.instance, view.incarnation): promise.until_s
         for view in views
         for promise in view.promises
         if view.instance != identity.instance
@@ -189,15 +187,15 @@
 
 
 def _still_in_force(
-    promises: dict[Identity, float],
-    identity: Identity,
+    promises: dict[MemberId, float],
+    identity: MemberId,
     views: Sequence[MemberView],
     now_s: float,
-) -> dict[Identity, float]:
+) -> dict[MemberId, float]:
     """Return the counted promises that have been in force all the time."""
-    renewed: dict[Identity, float] = {}
+    renewed: dict[MemberId, float] = {}
     for view in views:
-        promiser = Identity(view.instance, view.incarnation)
+        promiser = MemberId(view.instance, view.incarnation)
         if promises.get(promiser, 0.0) <= now_s:
             continue
         until_s = promises[promiser]
@@ -215,6 +213,6 @@
     return [
         view.instance
         for view in views
-        if Identity(view.instance, view.incarnation) in watch.promises
+        if MemberId(view.instance, view.incarnation) in watch.promises
         and view.ledger_version >= version
     ]
--- a/src/lacewinglift/admission.py
+++ b/src/lacewinglift/admission.py
@@ -8,7 +8,7 @@
 from attrs import define, field, frozen
 
 from lacewinglift.buckets import TokenBucket
-from lacewinglift.configuration import Workspace
+from lacewinglift.configuration import Configuration, Workspace
 from lacewinglift.generated.fleet_pb2 import (
     BorrowReply,
     BorrowRequest,
@@ -126,9 +126,6 @@
     standing_refusal : callable
         Returns None while the instance may serve, else a refusal code.
 
-    find_workspace : callable
-        Returns the workspace of a name in the configuration in force, or None.
-
     borrow : callable
         Asks a member for tokens; see `Borrow`.
     """
@@ -138,19 +135,25 @@
         holder: LedgerHolder,
         timers: Timers,
         standing_refusal: Callable[[], str | None],
-        find_workspace: Callable[[str], Workspace | None],
         borrow: Borrow,
     ) -> None:
         self.holder = holder
         self.timers = timers
         self.standing_refusal = standing_refusal
-        self.find_workspace = find_workspace
         self.borrow = borrow
         self.lock = threading.Lock()
+        self.workspaces: dict[str, Workspace] = {}
         self._usages: dict[str, _Usage] = {}
         holder.subscribe(self._apply_changes)
         timers.subscribe(SWEEP_INTERVAL_S, self.sweep)
 
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Take the limits of a configuration; used buckets are resized at once."""
+        self.workspaces = configuration.workspaces
+        for name, usage in self._entries():
+            with usage.changed:
+                self._refresh_limits(name, usage)
+
     def admit(self, workspace: Workspace) -> Decision:
         """Decide on one request; blocks at most while it borrows a token."""
         refusal = self.standing_refusal()
@@ -170,7 +173,7 @@
 
     def lend(self, request: BorrowRequest) -> BorrowReply:
         """Answer a peer that has too few tokens."""
-        workspace = self.find_workspace(request.workspace)
+        workspace = self.workspaces.get(request.workspace)
         if workspace is None or self.standing_refusal() is not None:
             return BorrowReply()
         with self._locked_usage(workspace) as usage:
@@ -224,7 +227,7 @@
 
     def _refresh_limits(self, name: str, usage: _Usage) -> None:
         """Apply a changed configuration to a bucket that no request has used."""
-        workspace = self.find_workspace(name)
+        workspace = self.workspaces.get(name)
         if workspace is None:
             workspace = Workspace(name, 0.0, 0)
         limits = (usage.limits[0], workspace.rate_per_s, workspace.burst)
@@ -280,7 +283,7 @@
             return usage
         # Tokens of the added part must flow in first. Without a configuration the
         # bucket has no limits until a request brings them.
-        workspace = self.find_workspace(change.workspace)
+        workspace = self.workspaces.get(change.workspace)
         if workspace is None:
             workspace = Workspace(change.workspace, 0.0, 0)
         return self._add_usage(workspace, change.before_ppm, full=True)
--- a/src/lacewinglift/allocator.py
+++ b/src/lacewinglift/allocator.py
@@ -23,14 +23,14 @@
     Share,
     WorkspaceShares,
 )
-from lacewinglift.ledger import WHOLE_PPM, member_identity
+from lacewinglift.ledger import WHOLE_PPM, member_id
 from lacewinglift.logs import log_info
-from lacewinglift.rendezvous import home_instances, rank
-from lacewinglift.views import Identity, MemberView
+from lacewinglift.rendezvous import home_instances, rank_candidates
+from lacewinglift.views import MemberId, MemberView
 
 WRITE_INTERVAL_S = 1.0
 
-Holdings = dict[Identity, Holding]
+Holdings = dict[MemberId, Holding]
 
 
 @define
@@ -38,7 +38,7 @@
     """The next ledger while it is being made."""
 
     version: int
-    members: dict[Identity, Member]
+    members: dict[MemberId, Member]
     workspaces: dict[str, Holdings]
     rosters: list[Roster]
 
@@ -48,7 +48,7 @@
         for member in ledger.members:
             copy = Member()
             copy.CopyFrom(member)
-            members[member_identity(member)] = copy
+            members[member_id(member)] = copy
         identities = list(members)
         workspaces = {
             entry.workspace: {
@@ -59,7 +59,7 @@
         }
         return cls(ledger.version + 1, members, workspaces, list(rosters))
 
-    def active(self) -> dict[str, Identity]:
+    def active(self) -> dict[str, MemberId]:
         """Return the incarnation of each instance that is not fenced."""
         return {
             identity.instance: identity
@@ -67,16 +67,16 @@
             if not member.fenced_in_version
         }
 
-    def holds_anything(self, identity: Identity) -> bool:
+    def holds_anything(self, identity: MemberId) -> bool:
         return any(identity in holdings for holdings in self.workspaces.values())
 
-    def fence(self, identity: Identity) -> None:
+    def fence(self, identity: MemberId) -> None:
         self.members[identity].fenced_in_version = self.version
         for holdings in self.workspaces.values():
             if identity in holdings:
                 holdings[identity].granted_ppm = 0
 
-    def remove(self, identity: Identity) -> None:
+    def remove(self, identity: MemberId) -> None:
         del self.members[identity]
         for holdings in self.workspaces.values():
             holdings.pop(identity, None)
@@ -100,7 +100,7 @@
 
 
 def _workspace_shares(
-    name: str, holdings: Holdings, index: dict[Identity, int]
+    name: str, holdings: Holdings, index: dict[MemberId, int]
 ) -> WorkspaceShares:
     shares = [
         Share(
@@ -119,16 +119,16 @@
     """What the next version depends on."""
 
     ledger: Ledger
-    live: dict[Identity, MemberView]
+    live: dict[MemberId, MemberView]
     """Members that are heard and live, by the incarnation heard."""
     views: Sequence[MemberView]
     configuration: Configuration
     now_s: float
 
-    def settled(self) -> set[Identity]:
+    def settled(self) -> set[MemberId]:
         """Return the incarnations that have applied the present ledger."""
         return {
-            Identity(view.instance, view.incarnation)
+            MemberId(view.instance, view.incarnation)
             for view in self.views
             if view.ledger_version >= self.ledger.version
         }
@@ -196,7 +196,7 @@
         ):
             return None
         live = {
-            Identity(view.instance, view.incarnation): view
+            MemberId(view.instance, view.incarnation): view
             for view in views
             if view.state == fleet_pb2.LIVE
             and now_s - view.heard_at_s <= SUSPECT_AFTER_S
@@ -269,11 +269,11 @@
         return {
             name
             for name in configuration.workspaces
-            if rank(cells, name)[0] == self.cell
+            if rank_candidates(name, cells)[0] == self.cell
         }
 
     def _forget_old_homes(
-        self, live: dict[Identity, MemberView], configuration: Configuration
+        self, live: dict[MemberId, MemberView], configuration: Configuration
     ) -> None:
         key = (
             frozenset((view.instance, view.data_centre) for view in live.values()),
@@ -286,7 +286,7 @@
     def _homes_for(
         self,
         name: str,
-        live: dict[Identity, MemberView],
+        live: dict[MemberId, MemberView],
         configuration: Configuration,
     ) -> tuple[str, ...]:
         homes = self._homes.get(name)
@@ -302,10 +302,10 @@
 class _Parties:
     """The members of a draft by what may be done to their shares."""
 
-    active: dict[str, Identity]
-    live: dict[Identity, MemberView]
-    leaving: set[Identity]
-    settled: set[Identity]
+    active: dict[str, MemberId]
+    live: dict[MemberId, MemberView]
+    leaving: set[MemberId]
+    settled: set[MemberId]
 
     @classmethod
     def of(cls, draft: _Draft, situation: _Situation) -> "_Parties":
@@ -348,7 +348,7 @@
 
 
 def _demands_by_workspace(
-    live: dict[Identity, MemberView],
+    live: dict[MemberId, MemberView],
 ) -> dict[str, dict[str, float]]:
     demands: dict[str, dict[str, float]] = {}
     for view in live.values():
@@ -375,9 +375,9 @@
     return bool(gone)
 
 
-def _leaving(situation: _Situation) -> set[Identity]:
+def _leaving(situation: _Situation) -> set[MemberId]:
     return {
-        Identity(view.instance, view.incarnation)
+        MemberId(view.instance, view.incarnation)
         for view in situation.views
         if view.state == fleet_pb2.LEAVING
     }
@@ -423,7 +423,7 @@
     Members that are silent or fenced keep what they have. Those that are leaving
     lose their share, as do all if there is no quota any more.
     """
-    targets: dict[Identity, int] = {}
+    targets: dict[MemberId, int] = {}
     lowered = parties.leaving
     if quota is None:
         lowered = lowered | parties.live.keys()
--- a/src/lacewinglift/ledger.py
+++ b/src/lacewinglift/ledger.py
@@ -7,9 +7,10 @@
 
 from lacewinglift.errors import LedgerError
 from lacewinglift.generated.fleet_pb2 import Ledger, Member, WorkspaceShares
+from lacewinglift.identity import Identity
 from lacewinglift.logs import log_info, log_warning
 from lacewinglift.timers import Timers
-from lacewinglift.views import Identity
+from lacewinglift.views import MemberId
 
 WHOLE_PPM = 1_000_000
 
@@ -28,9 +29,9 @@
 stopped having an effect here."""
 
 
-def member_identity(member: Member) -> Identity:
+def member_id(member: Member) -> MemberId:
     """Return the identity of a ledger's member."""
-    return Identity(member.instance, member.incarnation)
+    return MemberId(member.instance, member.incarnation)
 
 
 def check_ledger(ledger: Ledger) -> None:
@@ -46,12 +47,12 @@
 
 
 def _check_members(members: Iterable[Member]) -> None:
-    seen: set[Identity] = set()
+    seen: set[MemberId] = set()
     active: set[str] = set()
     for member in members:
-        if member_identity(member) in seen:
+        if member_id(member) in seen:
             _fail(f"member {member.instance} is named twice")
-        seen.add(member_identity(member))
+        seen.add(member_id(member))
         if member.fenced_in_version:
             continue
         if member.instance in active:
@@ -88,7 +89,7 @@
 class _Snapshot:
     """One ledger as one identity sees it; replaced as a whole."""
 
-    identity: Identity
+    identity: MemberId
     ledger: Ledger = field(factory=Ledger)
     own: dict[str, int] = field(factory=dict)
     holders: dict[str, list[Member]] = field(factory=dict)
@@ -97,7 +98,7 @@
     fenced: bool = False
 
 
-def _take_snapshot(identity: Identity, ledger: Ledger, listed: bool) -> _Snapshot:
+def _take_snapshot(identity: MemberId, ledger: Ledger, listed: bool) -> _Snapshot:
     own: dict[str, int] = {}
     holders: dict[str, list[Member]] = {}
     for entry in ledger.workspaces:
@@ -105,11 +106,11 @@
             member = ledger.members[share.member]
             if not share.granted_ppm or member.fenced_in_version:
                 continue
-            if member_identity(member) == identity:
+            if member_id(member) == identity:
                 own[entry.workspace] = share.granted_ppm
             else:
                 holders.setdefault(entry.workspace, []).append(member)
-    named = [m for m in ledger.members if member_identity(m) == identity]
+    named = [m for m in ledger.members if member_id(m) == identity]
     active = any(not member.fenced_in_version for member in named)
     # An incarnation that was named earlier and is missing now was removed, and its
     # share may have been given to others.
@@ -123,17 +124,18 @@
     Parameters
     ----------
     identity : Identity
-        The instance and its incarnation.
+        This instance; its owner renews the incarnation when it was fenced.
 
     timers : Timers
         Clock, for the time at which an earlier division ends.
     """
 
     def __init__(self, identity: Identity, timers: Timers) -> None:
+        self.identity = identity
         self.timers = timers
         self.lock = threading.Lock()
         self.listeners: list[Listener] = []
-        self._snapshot = _Snapshot(identity)
+        self._snapshot = _Snapshot(self._own_id())
         self._reported = 0
         self._settling: list[tuple[float, int]] = []
 
@@ -153,23 +155,14 @@
             if ledger.version <= self._snapshot.ledger.version:
                 return False
             check_ledger(ledger)
-            before = self._snapshot
-            self._change(_take_snapshot(before.identity, ledger, before.listed))
+            own, before = self._own_id(), self._snapshot
+            listed = before.listed and own == before.identity
+            self._change(_take_snapshot(own, ledger, listed))
             log_info("ledger_applied", version=ledger.version)
             if self._snapshot.fenced and not before.fenced:
-                log_warning("fenced", incarnation=before.identity.incarnation)
+                log_warning("fenced", incarnation=own.incarnation)
             return True
 
-    def set_identity(self, identity: Identity) -> None:
-        """Take a new incarnation; it has no share until a ledger gives it one."""
-        with self.lock:
-            ledger = self._snapshot.ledger
-            self._change(_take_snapshot(identity, ledger, listed=False))
-
-    def identity(self) -> Identity:
-        """Return the present incarnation."""
-        return self._snapshot.identity
-
     def ledger(self) -> Ledger:
         """Return the newest ledger known here, of version 0 if there is none."""
         return self._snapshot.ledger
@@ -187,17 +180,27 @@
             return self._reported
 
     def is_fenced(self) -> bool:
-        """Return whether this incarnation has lost its place in the ledger."""
-        return self._snapshot.fenced
+        """Return whether this incarnation has lost its place in the ledger.
+
+        The owner then renews the incarnation.
+        """
+        snapshot = self._snapshot
+        return snapshot.fenced and snapshot.identity == self._own_id()
 
     def granted_ppm(self, workspace: str) -> int:
-        """Return this instance's share in parts per million."""
+        """Return this instance's share in parts per million.
+
+        A renewed incarnation has none until the next ledger.
+        """
         return self._snapshot.own.get(workspace, 0)
 
     def lenders(self, workspace: str) -> list[Member]:
         """Return the other members that hold a share."""
         return self._snapshot.holders.get(workspace, [])
 
+    def _own_id(self) -> MemberId:
+        return MemberId(self.identity.instance, self.identity.incarnation)
+
     def _change(self, after: _Snapshot) -> None:
         before, self._snapshot = self._snapshot, after
         changes = [
--- a/src/lacewinglift/rendezvous.py
+++ b/src/lacewinglift/rendezvous.py
@@ -1,19 +1,23 @@
-"""Rendezvous hashing: every instance ranks the same names in the same order."""
+"""Rendezvous hashing: stable assignment without agreement."""
 
 import hashlib
 from collections.abc import Iterable, Mapping
 from itertools import zip_longest
 
 
-def rank(names: Iterable[str], key: str) -> list[str]:
-    """Return `names` ordered by their weight for `key`, the highest first."""
+def rendezvous_score(key: str, candidate: str) -> int:
+    """Return the score of `candidate` for `key`; the highest score wins."""
+    text = f"{key}\0{candidate}".encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest())
 
-    def weight(name: str) -> bytes:
-        # The length keeps ("ab", "c") apart from ("a", "bc").
-        text = f"{len(key)}:{key}{name}"
-        return hashlib.blake2b(text.encode(), digest_size=8).digest()
 
-    return sorted(names, key=lambda name: (weight(name), name), reverse=True)
+def rank_candidates(key: str, candidates: Iterable[str]) -> list[str]:
+    """Return `candidates` ordered by falling score for `key`."""
+    return sorted(
+        candidates,
+        key=lambda candidate: (rendezvous_score(key, candidate), candidate),
+        reverse=True,
+    )
 
 
 def home_instances(
@@ -42,8 +46,8 @@
     for name, centre in data_centres.items():
         by_centre.setdefault(centre, []).append(name)
     ranked = [
-        rank(by_centre[centre], workspace)[:per_data_centre]
-        for centre in rank(by_centre, workspace)
+        rank_candidates(workspace, by_centre[centre])[:per_data_centre]
+        for centre in rank_candidates(workspace, by_centre)
     ]
     layers = zip_longest(*ranked)
     return [name for layer in layers for name in layer if name is not None]
--- a/src/lacewinglift/views.py
+++ b/src/lacewinglift/views.py
@@ -6,8 +6,8 @@
 
 
 @frozen
-class Identity:
-    """One life of an instance."""
+class MemberId:
+    """One incarnation of an instance."""
 
     instance: str
     incarnation: int
