--- a/src/lacewinglift/control.py
+++ b/src/lacewinglift/control.py
@@ -3,7 +3,7 @@
 import asyncio
 import threading
 
-from lacewinglift.admission import Admission
+from lacewinglift.admission import LOAN_HOLD_S, Admission
 from lacewinglift.allocation_duty import AllocationDuty
 from lacewinglift.allocator import Allocator
 from lacewinglift.configuration import Configuration
@@ -70,15 +70,14 @@
         self.calls = PeerCalls()
         self.links = Links()
         self.distribution = Distribution(identity.fleet, self.calls)
-        self.holder = LedgerHolder(identity)
+        self.holder = LedgerHolder(identity, timers)
         self.admission = Admission(
-            identity=identity,
-            timers=timers,
             holder=self.holder,
+            timers=timers,
             standing_refusal=self.standing.refusal,
             borrow=self.borrow_from,
         )
-        self.allocator = Allocator(identity)
+        self.allocator = Allocator(identity.cell)
         self.store_address = store_address
         self.dump_state = lambda: "{}"
         self.fetching: set[str] = set()
@@ -148,7 +147,7 @@
     ) -> fleet_pb2.FetchLedgerReply:
         """Return the ledger if it is newer than the caller's."""
         ledger = self.holder.ledger()
-        if ledger is None or ledger.version <= request.newer_than_version:
+        if ledger.version <= request.newer_than_version:
             return fleet_pb2.FetchLedgerReply()
         return fleet_pb2.FetchLedgerReply(ledger=ledger)
 
@@ -186,7 +185,7 @@
         address = record.peer_address if record is not None else ""
         if address and heartbeat.generation > self.distribution.generation():
             self._fetch_once("configuration", address, heartbeat.generation)
-        if address and heartbeat.ledger_version > self.holder.version():
+        if address and heartbeat.ledger_version > self.holder.ledger().version:
             self._fetch_once("ledger", address, heartbeat.ledger_version)
         self.standing.update()
 
@@ -261,33 +260,31 @@
 
     def apply_ledger(self, ledger: fleet_pb2.Ledger) -> None:
         """Apply a ledger from the store or a peer if it is newer."""
-        if ledger.version <= self.holder.version():
+        if not self.holder.apply(ledger):
             return
-        self.holder.apply(ledger)
-        if self._is_fenced(ledger):
+        if self.holder.is_fenced():
             self.identity.renew(self.timers.wall_ms())
             self.members.reset_echoes()
             log_warning("incarnation_fenced", renewed=self.identity.incarnation)
-        self.members.ledger_version = ledger.version
+        self._report_ledger_version()
         self.members.learn_members(list(ledger.members))
         self.standing.apply_ledger(ledger)
         self.links.wake_all()
 
-    def _is_fenced(self, ledger: fleet_pb2.Ledger) -> bool:
-        return any(
-            member.instance == self.identity.instance
-            and member.incarnation == self.identity.incarnation
-            and member.fenced_in_version
-            for member in ledger.members
-        )
+    def _report_ledger_version(self) -> None:
+        # It lags while loans made under an earlier division may be in use.
+        self.members.ledger_version = self.holder.version()
+        if self.holder.version() < self.holder.ledger().version:
+            self.loop.call_later(LOAN_HOLD_S, self._report_settled_version)
+
+    def _report_settled_version(self) -> None:
+        self._report_ledger_version()
+        self.standing.update()
+        self.links.wake_all()
 
     def _holds_shares(self) -> bool:
-        ledger = self.holder.ledger()
-        if ledger is None:
-            return False
-        return any(
-            member.instance == self.identity.instance for member in ledger.members
-        )
+        members = self.holder.ledger().members
+        return any(member.instance == self.identity.instance for member in members)
 
     def _configuration_changed(self, configuration: Configuration) -> None:
         self.members.generation = configuration.generation
@@ -317,7 +314,9 @@
             self.fetching.discard(what)
 
     async def _fetch_ledger(self, address: str) -> None:
-        request = fleet_pb2.FetchLedgerRequest(newer_than_version=self.holder.version())
+        request = fleet_pb2.FetchLedgerRequest(
+            newer_than_version=self.holder.ledger().version
+        )
         try:
             reply = await self.calls.call(
                 address, "FetchLedger", request, CALL_TIMEOUT_S
--- a/testing/test_standing.py
+++ b/testing/test_standing.py
@@ -173,7 +173,7 @@
 
 def test_paused_observer_makes_no_promises_on_return(cell):
     """Guards against a process that blames the others for its own pause."""
-    a, b, c = cell
+    a, _b, _c = cell
     a.timers.pause(20.0)
     a.members.tick()
     assert_that(a.members.promised_until_s, Equals({}))
