--- /dev/null
+++ b/src/lacewinglift/addresses.py
@@ -0,0 +1,102 @@
+"""Address answer: which instances a caller may use."""
+
+import json
+import random
+from collections.abc import Callable, Iterable
+
+from lacewinglift.configuration import Configuration
+from lacewinglift.generated import fleet_pb2
+from lacewinglift.refusals import refuse
+from lacewinglift.rendezvous import rank
+from lacewinglift.views import MemberView
+
+ADDRESSES_PATH = "/.lacewinglift/addresses"
+
+
+def home_instances(
+    workspace: str, members: Iterable[MemberView], per_data_centre: int
+) -> set[str]:
+    """Return the names of the instances that are homes of a workspace."""
+    by_data_centre: dict[str, list[str]] = {}
+    for member in members:
+        by_data_centre.setdefault(member.data_centre, []).append(member.instance)
+    return {
+        name
+        for names in by_data_centre.values()
+        for name in rank(workspace, names)[:per_data_centre]
+    }
+
+
+class AddressBook:
+    """Gives address answers.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of this instance; near for callers that name none.
+    live : callable
+        Returns what is known of the members that are not suspected.
+    shuffle : callable, default=random.shuffle
+        Mixes addresses that are equally near, so that callers who take the first
+        one spread their requests.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        live: Callable[[], list[MemberView]],
+        shuffle: Callable[[list[MemberView]], None] = random.shuffle,
+    ) -> None:
+        self.data_centre = data_centre
+        self.live = live
+        self.shuffle = shuffle
+
+    def answer(
+        self,
+        configuration: Configuration,
+        workspace: str | None,
+        data_centre: str | None,
+    ) -> bytes:
+        """Return the JSON body of an address answer.
+
+        Parameters
+        ----------
+        configuration : Configuration
+            The configuration in force.
+        workspace : str or None
+            Whose home instances are given; None gives all instances.
+        data_centre : str or None
+            Where the caller is; None stands for this instance's data centre.
+
+        Raises
+        ------
+        RefusalError
+            If no usable instance is known yet, or the data centre is unknown.
+        """
+        fleet = configuration.fleet
+        if data_centre and fleet.data_centres and data_centre not in fleet.data_centres:
+            known = ", ".join(fleet.data_centres)
+            raise refuse("bad_request", f"data_centre is not one of {known}")
+        members = [
+            member
+            for member in self.live()
+            if member.state == fleet_pb2.LIVE and member.caller_address
+        ]
+        if not members:
+            raise refuse("starting", "no live instance is known yet", retry_after_s=1)
+        if workspace is not None:
+            homes = home_instances(workspace, members, fleet.homes_per_data_centre)
+            members = [member for member in members if member.instance in homes]
+        near = data_centre or self.data_centre
+        self.shuffle(members)
+        members.sort(key=lambda member: member.data_centre != near)
+        fields = {
+            "workspace": workspace,
+            "generation": configuration.generation,
+            "lifetime_s": fleet.address_lifetime_s,
+            "addresses": [
+                {"address": member.caller_address, "data_centre": member.data_centre}
+                for member in members
+            ],
+        }
+        return json.dumps(fields).encode()
--- /dev/null
+++ b/src/lacewinglift/bodies.py
@@ -0,0 +1,205 @@
+"""Request bodies, read from the caller in bounded memory."""
+
+import re
+import socket
+from collections.abc import Callable, Iterator
+from typing import Protocol
+
+from lacewinglift.headers import (
+    MAX_HEAD_BYTES,
+    MAX_HEADERS,
+    BadRequestError,
+    RequestHead,
+)
+
+PIECE_BYTES = 64 * 1024
+# A body up to this size is kept until the answer begins, so that it can be sent
+# to another target. 100 requests in progress keep at most 6.4 MB.
+REPLAY_BYTES = 64 * 1024
+MAX_CHUNK_BYTES = 16 * 1024 * 1024
+MAX_CHUNK_LINE_BYTES = 256
+
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(;[\t\x20-\x7e\x80-\xff]*)?\r\n")
+_TRAILER = re.compile(rb"[!#$%&'*+.^`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*\r\n")
+
+
+class CallerGoneError(Exception):
+    """The caller closed the connection before the end of its request."""
+
+
+class Reader(Protocol):
+    """The part of a buffered reader that bodies use."""
+
+    def read(self, size: int) -> bytes:
+        """Return `size` bytes, fewer at the end of the stream."""
+        ...
+
+    def read1(self, size: int) -> bytes:
+        """Return at least one byte with at most one read of the socket."""
+        ...
+
+    def readline(self, size: int) -> bytes:
+        """Return one line of at most `size` bytes."""
+        ...
+
+
+def iterate_length(reader: Reader, length: int) -> Iterator[bytes]:
+    """Yield the pieces of a body of known length."""
+    while length:
+        piece = reader.read1(min(length, PIECE_BYTES))
+        if not piece:
+            raise CallerGoneError
+        length -= len(piece)
+        yield piece
+
+
+def iterate_chunked(reader: Reader) -> Iterator[bytes]:
+    """Yield the pieces of a chunked body; trailers are checked and dropped."""
+    while True:
+        size = _read_chunk_size(reader)
+        if size == 0:
+            _drop_trailers(reader)
+            return
+        yield from iterate_length(reader, size)
+        end = reader.read(2)
+        if len(end) < 2 and b"\r\n".startswith(end):
+            raise CallerGoneError
+        if end != b"\r\n":
+            raise BadRequestError("a chunk is longer than its stated size")
+
+
+def _read_chunk_size(reader: Reader) -> int:
+    line = reader.readline(MAX_CHUNK_LINE_BYTES)
+    match = _CHUNK_SIZE.fullmatch(line)
+    if match is None:
+        if len(line) < MAX_CHUNK_LINE_BYTES and not line.endswith(b"\n"):
+            raise CallerGoneError
+        raise BadRequestError("a chunk size is not a hexadecimal number")
+    size = int(match[1], 16)
+    if size > MAX_CHUNK_BYTES:
+        raise BadRequestError(f"a chunk is over {MAX_CHUNK_BYTES} bytes")
+    return size
+
+
+def _drop_trailers(reader: Reader) -> None:
+    remaining = MAX_HEAD_BYTES
+    for _ in range(MAX_HEADERS + 1):
+        line = reader.readline(remaining)
+        if line == b"\r\n":
+            return
+        if len(line) < remaining and not line.endswith(b"\n"):
+            raise CallerGoneError
+        if not _TRAILER.fullmatch(line):
+            raise BadRequestError("a trailer is invalid or too long")
+        remaining -= len(line)
+    raise BadRequestError(f"there are over {MAX_HEADERS} trailers")
+
+
+class RequestBody:
+    """The body of one request.
+
+    The first `REPLAY_BYTES` are kept, so that a body that is not longer can be sent
+    to more than one target.
+
+    Parameters
+    ----------
+    head : RequestHead
+        Head of the request.
+    reader : Reader
+        Stream of the caller's connection, after the head.
+    sock : socket.socket
+        Connection to the caller.
+    idle_timeout_s : float
+        Longest wait for one piece.
+    send_continue : callable
+        Sends `100 Continue`; called before the first read if the caller waits.
+    """
+
+    def __init__(
+        self,
+        head: RequestHead,
+        reader: Reader,
+        sock: socket.socket,
+        idle_timeout_s: float,
+        send_continue: Callable[[], None],
+    ) -> None:
+        self.length = head.content_length
+        self.chunked = head.chunked
+        self.present = head.has_body
+        self.finished = not head.has_body
+        self.started = False
+        self._waiting = head.expects_continue and head.has_body
+        self._send_continue = send_continue
+        self._socket = sock
+        self._idle_timeout_s = idle_timeout_s
+        self._kept: list[bytes] = []
+        self._kept_bytes = 0
+        self._overflowed = False
+        if head.chunked:
+            self._source = iterate_chunked(reader)
+        else:
+            self._source = iterate_length(reader, head.content_length or 0)
+
+    @property
+    def small(self) -> bool:
+        """Return whether the stated length allows to read the body at once."""
+        return self.length is not None and self.length <= REPLAY_BYTES
+
+    @property
+    def replayable(self) -> bool:
+        """Return whether all that was read so far is kept."""
+        return not self._overflowed
+
+    @property
+    def waiting_for_continue(self) -> bool:
+        """Return whether the caller still waits for `100 Continue`."""
+        return self._waiting
+
+    def preload(self, remaining_s: Callable[[], float]) -> None:
+        """Read the whole body before `remaining_s` is used up."""
+        while not self.finished:
+            left_s = remaining_s()
+            if left_s <= 0:
+                raise BadRequestError("the body did not arrive in time")
+            self._read_piece(min(left_s, self._idle_timeout_s))
+
+    def pieces(self) -> Iterator[bytes]:
+        """Yield the whole body from its start."""
+        if self._overflowed:
+            raise RuntimeError("the start of the body is no longer available")
+        yield from list(self._kept)
+        while not self.finished:
+            piece = self._read_piece(self._idle_timeout_s)
+            if piece:
+                yield piece
+
+    def release(self) -> None:
+        """Drop what was kept; the body is not needed again."""
+        self._kept.clear()
+        self._overflowed = self._overflowed or self._kept_bytes > 0
+
+    def _read_piece(self, timeout_s: float) -> bytes:
+        self.started = True
+        try:
+            self._socket.settimeout(timeout_s)
+            if self._waiting:
+                self._waiting = False
+                self._send_continue()
+            piece = next(self._source, b"")
+        except TimeoutError as error:
+            raise BadRequestError("the body did not arrive in time") from error
+        except OSError as error:
+            raise CallerGoneError from error
+        if not piece:
+            self.finished = True
+        elif not self._overflowed:
+            self._keep(piece)
+        return piece
+
+    def _keep(self, piece: bytes) -> None:
+        self._kept_bytes += len(piece)
+        if self._kept_bytes > REPLAY_BYTES:
+            self._overflowed = True
+            self._kept.clear()
+        else:
+            self._kept.append(piece)
--- /dev/null
+++ b/src/lacewinglift/callers.py
@@ -0,0 +1,221 @@
+"""Connection to a caller: heads read, answers written."""
+
+import contextlib
+import re
+import socket
+import struct
+from collections.abc import Iterator
+from email.utils import formatdate
+
+from attrs import define
+
+from lacewinglift.bodies import CallerGoneError, Reader
+from lacewinglift.headers import (
+    MAX_HEAD_BYTES,
+    BadRequestError,
+    Headers,
+    RequestHead,
+    parse_head,
+)
+from lacewinglift.timers import Timers
+
+HEAD_TIMEOUT_S = 5.0
+# Longest wait for a caller to send or take one piece of a body.
+CALLER_IDLE_TIMEOUT_S = 10.0
+LINGER_S = 1.0
+LINGER_BYTES = 256 * 1024
+
+_BARE_NEWLINE = re.compile(rb"(?<!\r)\n")
+_NOT_REASON = re.compile(r"[^\t\x20-\x7e\x80-\xff]")
+
+
+class HeadReader(Reader):
+    """The part of cheroot's reader that is used for request heads."""
+
+    def peek(self, size: int) -> bytes:
+        """Return what is buffered, after one read if that is under `size` bytes."""
+        ...
+
+
+@define(eq=False)
+class CallerStream:
+    """Connection to a caller.
+
+    Attributes
+    ----------
+    reader : HeadReader
+        Buffered reader with a buffer of `MAX_HEAD_BYTES`.
+    socket : socket.socket
+        The connection.
+    address : str
+        IP address of the caller.
+    timers : Timers
+        Clock.
+    reset : bool
+        Whether the connection is to be reset instead of closed.
+    """
+
+    reader: HeadReader
+    socket: socket.socket
+    address: str
+    timers: Timers
+    reset: bool = False
+
+    def read_head(self) -> RequestHead:
+        """Read the next request head.
+
+        Raises
+        ------
+        BadRequestError
+            If the head is invalid or does not arrive in time.
+        CallerGoneError
+            If the caller closes the connection.
+        """
+        deadline_s = self.timers.now() + HEAD_TIMEOUT_S
+        seen = b""
+        try:
+            while True:
+                block = self._complete_head(seen)
+                if block is not None:
+                    return parse_head(block)
+                self.socket.settimeout(max(deadline_s - self.timers.now(), 0.001))
+                more = self.reader.peek(len(seen) + 1)
+                if len(more) == len(seen):
+                    raise CallerGoneError
+                seen = more
+        except TimeoutError as error:
+            raise BadRequestError("the request head did not arrive in time") from error
+        except OSError as error:
+            raise CallerGoneError from error
+
+    def _complete_head(self, seen: bytes) -> bytes | None:
+        # One empty line before a request is allowed, as some callers send it
+        # after a body.
+        start = 2 if seen.startswith(b"\r\n") else 0
+        end = seen.find(b"\r\n\r\n", start)
+        head = seen[start:] if end < 0 else seen[start : end + 4]
+        if _BARE_NEWLINE.search(head):
+            raise BadRequestError("lines of the head must end with CR LF")
+        if end >= 0:
+            self.reader.read(end + 4)
+            return head
+        if len(seen) >= MAX_HEAD_BYTES:
+            raise BadRequestError(f"the request head is over {MAX_HEAD_BYTES} bytes")
+        return None
+
+    def send(self, data: bytes) -> None:
+        """Send bytes; raise CallerGoneError if the caller does not take them."""
+        try:
+            self.socket.settimeout(CALLER_IDLE_TIMEOUT_S)
+            self.socket.sendall(data)
+        except OSError as error:
+            raise CallerGoneError from error
+
+    def send_continue(self) -> None:
+        """Ask a waiting caller for its body."""
+        self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def linger(self) -> None:
+        """Read what the caller still sends, for a bounded time.
+
+        Closing with unread data would reset the connection, and the caller could
+        lose the answer.
+        """
+        deadline_s = self.timers.now() + LINGER_S
+        remaining = LINGER_BYTES
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+            while remaining > 0:
+                self.socket.settimeout(max(deadline_s - self.timers.now(), 0.001))
+                data = self.socket.recv(65536)
+                if not data:
+                    return
+                remaining -= len(data)
+
+    def arm_reset(self) -> None:
+        """Make the close of the socket reset the connection."""
+        self.reset = True
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+
+
+class AnswerWriter:
+    """Writes one answer to a caller.
+
+    Parameters
+    ----------
+    stream : CallerStream
+        Connection to the caller.
+    head : RequestHead
+        The request that is answered.
+    keep_alive : bool
+        Whether the connection may be used again.
+    """
+
+    def __init__(
+        self, stream: CallerStream, head: RequestHead | None, keep_alive: bool
+    ) -> None:
+        self.stream = stream
+        self.head_only = head is not None and head.method == "HEAD"
+        self.http_1_1 = head is None or head.http_1_1
+        self.keep_alive = keep_alive
+        self.started = False
+        self.chunked = False
+        self.close_delimited = False
+
+    def write(
+        self,
+        status: int,
+        reason: str,
+        headers: Headers,
+        length: int | None,
+        chunks: Iterator[bytes],
+    ) -> None:
+        """Write a whole answer, reading its body as it is written."""
+        bodiless = self.head_only or status in (204, 304)
+        framing = self._framing(status, length, bodiless)
+        block = _format_head(status, reason, [*headers, *framing])
+        if length is not None and not bodiless:
+            # One segment for the head and the start of the body.
+            block += next(chunks, b"")
+        self.started = True
+        self.stream.send(block)
+        for chunk in chunks:
+            if bodiless:
+                continue
+            if self.chunked:
+                chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
+            self.stream.send(chunk)
+        if self.chunked:
+            self.stream.send(b"0\r\n\r\n")
+
+    def cut(self) -> None:
+        """End a started answer so that the caller cannot take it for whole."""
+        if self.close_delimited:
+            self.stream.arm_reset()
+
+    def _framing(self, status: int, length: int | None, bodiless: bool) -> Headers:
+        framing = []
+        if length is not None and status != 204:
+            framing.append(("Content-Length", str(length)))
+        elif not bodiless and self.http_1_1:
+            self.chunked = True
+            framing.append(("Transfer-Encoding", "chunked"))
+        elif not bodiless:
+            self.close_delimited = True
+            self.keep_alive = False
+        if not self.keep_alive:
+            framing.append(("Connection", "close"))
+        elif not self.http_1_1:
+            framing.append(("Connection", "keep-alive"))
+        return framing
+
+
+def _format_head(status: int, reason: str, headers: Headers) -> bytes:
+    lines = [f"HTTP/1.1 {status} {_NOT_REASON.sub('', reason)}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if not any(name.lower() == "date" for name, _ in headers):
+        lines.append(f"Date: {formatdate(usegmt=True)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
--- /dev/null
+++ b/src/lacewinglift/exchanges.py
@@ -0,0 +1,173 @@
+"""Requests in progress, and the watch that cancels them from outside."""
+
+import contextlib
+import enum
+import select
+import socket
+import threading
+from collections.abc import Callable, Iterator
+
+from lacewinglift.timers import Subscription, Timers
+
+# A caller's disconnection is to be noticed within 100 ms.
+WATCH_INTERVAL_S = 0.04
+ACCESS_CHECK_INTERVAL_S = 1.0
+
+_GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
+
+
+class CancelReason(enum.Enum):
+    """Why an exchange is ended from outside."""
+
+    CALLER_GONE = "caller_gone"
+    DEADLINE = "deadline"
+    ACCESS_LOST = "access_lost"
+    STOPPED = "stopped"
+
+
+def _shut(sock: socket.socket | None) -> None:
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
+
+
+class Exchange:
+    """One request in progress, with the two sockets that it blocks on.
+
+    `cancel` is called from other threads. It shuts sockets down and does not close
+    them, so that the worker thread wakes and no descriptor is used twice.
+
+    Parameters
+    ----------
+    timers : Timers
+        Clock.
+    caller : socket.socket
+        Connection to the caller.
+    access_lost : callable, default=None
+        Tells whether the caller may no longer use the service.
+    """
+
+    def __init__(
+        self,
+        timers: Timers,
+        caller: socket.socket,
+        access_lost: Callable[[bool], bool] | None = None,
+    ) -> None:
+        self.timers = timers
+        self.caller = caller
+        self.access_lost = access_lost
+        self.deadline_s: float | None = None
+        self.reason: CancelReason | None = None
+        self.checked_at_s = timers.now()
+        self._target: socket.socket | None = None
+        self._done = False
+        self._lock = threading.Lock()
+
+    def attach(self, target: socket.socket) -> bool:
+        """Note the connection to a target; return False if already cancelled."""
+        with self._lock:
+            if self.reason is not None:
+                return False
+            self._target = target
+            return True
+
+    def detach(self) -> None:
+        """Forget the connection to the target."""
+        with self._lock:
+            self._target = None
+
+    def cancel(self, reason: CancelReason) -> None:
+        """End the exchange unless it has ended."""
+        with self._lock:
+            if self._done or self.reason is not None:
+                return
+            self.reason = reason
+            _shut(self._target)
+            if reason in (CancelReason.ACCESS_LOST, CancelReason.STOPPED):
+                _shut(self.caller)
+
+    def finish(self) -> None:
+        """Note that the worker thread is done with both sockets."""
+        with self._lock:
+            self._done = True
+            self._target = None
+
+    def check_access(self) -> None:
+        """Cancel the exchange if the caller may no longer use the service."""
+        if self.access_lost is None or self.reason is not None:
+            return
+        now = self.timers.now()
+        full = now - self.checked_at_s >= ACCESS_CHECK_INTERVAL_S
+        if full:
+            self.checked_at_s = now
+        if self.access_lost(full):
+            self.cancel(CancelReason.ACCESS_LOST)
+
+    def check_deadline(self) -> None:
+        """Cancel the exchange if its deadline has passed."""
+        deadline_s = self.deadline_s
+        if deadline_s is not None and self.timers.now() >= deadline_s:
+            self.cancel(CancelReason.DEADLINE)
+
+
+class ExchangeWatch:
+    """Checks all exchanges in progress on the timer service."""
+
+    def __init__(self, timers: Timers) -> None:
+        self.timers = timers
+        self.exchanges: dict[int, Exchange] = {}
+        self._lock = threading.Lock()
+        self._subscription: Subscription | None = None
+
+    def start(self) -> None:
+        """Start the checks."""
+        self._subscription = self.timers.subscribe(WATCH_INTERVAL_S, self.check)
+
+    def stop(self) -> None:
+        """End the checks."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+
+    @contextlib.contextmanager
+    def watching(self, exchange: Exchange) -> Iterator[Exchange]:
+        """Check an exchange until the context ends."""
+        with self._lock:
+            self.exchanges[id(exchange)] = exchange
+        try:
+            yield exchange
+        finally:
+            exchange.finish()
+            with self._lock:
+                del self.exchanges[id(exchange)]
+
+    def in_progress(self) -> list[Exchange]:
+        """Return the exchanges in progress."""
+        with self._lock:
+            return list(self.exchanges.values())
+
+    def cancel_all(self, reason: CancelReason) -> int:
+        """Cancel all exchanges in progress and return their number."""
+        exchanges = self.in_progress()
+        for exchange in exchanges:
+            exchange.cancel(reason)
+        return len(exchanges)
+
+    def check(self) -> None:
+        """Cancel exchanges whose caller, access or time is gone."""
+        exchanges = self.in_progress()
+        if not exchanges:
+            return
+        poll = select.poll()
+        by_descriptor = {}
+        for exchange in exchanges:
+            exchange.check_deadline()
+            exchange.check_access()
+            descriptor = exchange.caller.fileno()
+            if descriptor >= 0:
+                by_descriptor[descriptor] = exchange
+                poll.register(descriptor, select.POLLRDHUP)
+        for descriptor, events in poll.poll(0):
+            # POLLRDHUP also shows the end of the stream behind a pipelined
+            # request, which a look at the first unread byte would not.
+            if events & _GONE:
+                by_descriptor[descriptor].cancel(CancelReason.CALLER_GONE)
--- /dev/null
+++ b/src/lacewinglift/forwarder.py
@@ -0,0 +1,560 @@
+"""Target side of a request: attempts, verdicts and the streamed answer."""
+
+import http.client
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from typing import Protocol
+
+from attrs import define, frozen
+from urllib3 import HTTPHeaderDict
+from urllib3.exceptions import HTTPError
+from urllib3.response import HTTPResponse
+from urllib3.util import SKIP_HEADER
+from urllib3.util.wait import wait_for_read
+
+from lacewinglift.bodies import PIECE_BYTES, CallerGoneError, RequestBody
+from lacewinglift.configuration import Service, Target
+from lacewinglift.exchanges import CancelReason, Exchange
+from lacewinglift.headers import BadRequestError, Headers, headers_to_caller
+from lacewinglift.outcomes import Outcome, OutcomeKind
+from lacewinglift.pools import (
+    TargetConnection,
+    TargetPool,
+    TargetPools,
+    TargetResponse,
+)
+from lacewinglift.refusals import RefusalError, refuse
+from lacewinglift.retries import MAX_ATTEMPTS, RetryBudget, may_resend
+from lacewinglift.timers import Timers
+from lacewinglift.verdicts import Verdict
+
+NOT_RUN_HEADER = "x-lacewinglift-not-run"
+PEEK_BYTES = 4096
+
+
+class Attempt(Protocol):
+    """A target chosen for one attempt."""
+
+    target: Target
+
+    def finish(self, outcome: Outcome) -> None:
+        """Report how the attempt ended."""
+        ...
+
+
+class Table(Protocol):
+    """The part of the target table that the forwarder uses."""
+
+    def acquire(self, service_name: str, exclude: set[str]) -> Attempt | None:
+        """Return a target whose name is not in `exclude`, or None."""
+        ...
+
+
+class AnswerCutError(Exception):
+    """An answer ended before its end; the caller must not take it for whole."""
+
+
+class ExchangeCancelledError(Exception):
+    """The exchange was ended from the caller's side; there is no one to answer."""
+
+
+@frozen
+class ForwardRequest:
+    """A request as it goes to a target.
+
+    Attributes
+    ----------
+    method : str
+        Method.
+    target : str
+        Path and query, as the caller sent them.
+    headers : list of (str, str)
+        Headers that the target may see.
+    body : RequestBody
+        The caller's body.
+    exchange : Exchange
+        Lets the request be cancelled.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: RequestBody
+    exchange: Exchange
+    fixed_deadline: bool = False
+    """Whether the time for the answer also covers the upload of a large body."""
+
+
+@define
+class _AttemptFailedError(Exception):
+    kind: OutcomeKind
+    verdict: Verdict
+    message: str
+    retry_after_s: float | None = None
+
+
+class _EarlyAnswerError(Exception):
+    """The target began to answer before it had the whole body."""
+
+
+class Answer:
+    """Answer of a target; the body has not been read yet.
+
+    `close` must be called, whether or not the body was read.
+    """
+
+    def __init__(
+        self,
+        call: "_Call",
+        response: HTTPResponse,
+        raw: TargetResponse,
+        latency_s: float,
+        upload_finished: bool,
+    ) -> None:
+        self.status = response.status
+        self.reason = response.reason or ""
+        self.headers = headers_to_caller(response.headers.iteritems())
+        self.length = _answer_length(response, raw)
+        self.bodiless = raw.length == 0
+        self.upload_finished = upload_finished
+        self._call = call
+        self._response = response
+        self._raw = raw
+        self._latency_s = latency_s
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the pieces of the body; raise AnswerCutError if it is cut off."""
+        if self.bodiless:
+            self._end()
+            return
+        try:
+            while piece := self._response.read1(PIECE_BYTES, decode_content=False):
+                yield piece
+        except TimeoutError as error:
+            self._fail(OutcomeKind.TIMEOUT, error)
+        except (HTTPError, http.client.HTTPException, OSError, ValueError) as error:
+            timed_out = isinstance(error.__cause__, TimeoutError)
+            kind = OutcomeKind.TIMEOUT if timed_out else OutcomeKind.CUT
+            self._fail(kind, error)
+        self._end()
+
+    def close(self) -> None:
+        """Give the target back; an answer that was not read to its end is ended."""
+        self._call.finish(OutcomeKind.CANCELLED, self._latency_s)
+        self._call.close()
+
+    def _end(self) -> None:
+        close_delimited = self._raw.will_close and self._raw.length is None
+        if not (self._raw.complete or close_delimited or self._whole()):
+            self._fail(OutcomeKind.CUT, None)
+        if self._call.exchange.reason is not None:
+            self._fail(OutcomeKind.CANCELLED, None)
+        failed = self.status >= 500
+        kind = OutcomeKind.ERROR if failed else OutcomeKind.SUCCESS
+        self._call.finish(kind, self._latency_s)
+        self._call.release(self._raw, self.upload_finished)
+
+    def _whole(self) -> bool:
+        if self._raw.chunked or self._response.length_remaining != 0:
+            return False
+        self._raw.complete = True
+        return True
+
+    def _fail(self, kind: OutcomeKind, error: Exception | None) -> None:
+        if self._call.exchange.reason is not None:
+            kind = OutcomeKind.CANCELLED
+        self._call.finish(kind, self._latency_s)
+        self._call.close()
+        raise AnswerCutError(f"the answer was cut off ({kind.value})") from error
+
+
+def _answer_length(response: HTTPResponse, raw: TargetResponse) -> int | None:
+    lengths = response.headers.getlist("content-length")
+    if raw.chunked or not lengths:
+        return None
+    return int(lengths[0])
+
+
+def _answer_has_begun(sock: socket.socket) -> bool:
+    """Return whether a readable socket holds more than interim (1xx) answers."""
+    seen = sock.recv(PEEK_BYTES, socket.MSG_PEEK)
+    while seen.startswith((b"HTTP/1.1 1", b"HTTP/1.0 1")):
+        head, end, rest = seen.partition(b"\r\n\r\n")
+        if not end:
+            return len(seen) == PEEK_BYTES
+        sock.recv(len(head) + len(end))
+        seen = rest
+        if not seen:
+            return False
+    return True
+
+
+class _Call:
+    """One attempt at one target, with its connection."""
+
+    def __init__(
+        self,
+        forwarder: "Forwarder",
+        attempt: Attempt,
+        service_name: str,
+        exchange: Exchange,
+    ) -> None:
+        self.forwarder = forwarder
+        self.attempt = attempt
+        self.service_name = service_name
+        self.exchange = exchange
+        self.timers = forwarder.timers
+        self.started_s = self.timers.now()
+        self.finished = False
+        self.released = False
+        self.pool: TargetPool
+        self.connection: TargetConnection
+        self.pool, self.connection = forwarder.pools.checkout(attempt.target.address)
+
+    def elapsed_s(self) -> float:
+        return self.timers.now() - self.started_s
+
+    def finish(self, kind: OutcomeKind, latency_s: float | None = None) -> None:
+        """Report the outcome, once."""
+        if self.finished:
+            return
+        self.finished = True
+        latency_s = self.elapsed_s() if latency_s is None else latency_s
+        self.attempt.finish(Outcome(kind, latency_s))
+        if self.forwarder.on_attempt is not None:
+            self.forwarder.on_attempt(self.service_name, kind)
+
+    def close(self) -> None:
+        """Close the connection unless it was released."""
+        if self.released:
+            return
+        self.released = True
+        self.exchange.detach()
+        self.connection.close()
+
+    def release(self, raw: TargetResponse, upload_finished: bool) -> None:
+        """Give the connection back for other requests if it can carry them."""
+        self.released = True
+        self.exchange.detach()
+        raw.close()
+        if raw.reusable and upload_finished and self.connection.sock is not None:
+            self.pool.checkin(self.connection)
+        else:
+            self.connection.close()
+
+
+class Forwarder:
+    """Sends requests to targets.
+
+    Parameters
+    ----------
+    table : Table
+        Chooses targets.
+    timers : Timers
+        Clock.
+    on_attempt : callable, default=None
+        Told the service and the outcome of each attempt.
+    on_retry : callable, default=None
+        Told the service of each resent request.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        timers: Timers,
+        on_attempt: Callable[[str, OutcomeKind], None] | None = None,
+        on_retry: Callable[[str], None] | None = None,
+    ) -> None:
+        self.table = table
+        self.timers = timers
+        self.on_attempt = on_attempt
+        self.on_retry = on_retry
+        self.pools = TargetPools(timers)
+        self.budgets: dict[str, RetryBudget] = {}
+        self._lock = threading.Lock()
+
+    def close(self) -> None:
+        """Close idle connections to targets."""
+        self.pools.close()
+
+    def forward(
+        self,
+        request: ForwardRequest,
+        service: Service,
+        workspace_name: str | None,
+        deadline_s: float,
+    ) -> Answer:
+        """Send a request to one target after another until one answers.
+
+        Parameters
+        ----------
+        request : ForwardRequest
+            The request.
+        service : Service
+            Its service.
+        workspace_name : str or None
+            Name that the target is told; None on open routes.
+        deadline_s : float
+            Time of the timer service until which the answer must begin. While the
+            body is larger than `bodies.REPLAY_BYTES`, the time is counted from the
+            end of the body.
+
+        Returns
+        -------
+        Answer
+            The answer, to be closed by the caller of this method.
+
+        Raises
+        ------
+        RefusalError
+            If no target answered. The verdict covers all attempts.
+        ExchangeCancelledError
+            If the exchange was cancelled from the caller's side.
+        """
+        run = _Run(self, request, service, workspace_name, deadline_s)
+        return run.forward()
+
+    def budget(self, service_name: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        with self._lock:
+            budget = self.budgets.get(service_name)
+            if budget is None:
+                budget = self.budgets[service_name] = RetryBudget(self.timers)
+            return budget
+
+
+class _Run:
+    """All attempts of one request."""
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        request: ForwardRequest,
+        service: Service,
+        workspace_name: str | None,
+        deadline_s: float,
+    ) -> None:
+        self.forwarder = forwarder
+        self.timers = forwarder.timers
+        self.request = request
+        self.exchange = request.exchange
+        self.service = service
+        self.workspace_name = workspace_name
+        self.deadline_s = deadline_s
+        self.verdict = Verdict.NOT_RUN
+        self.call: _Call
+
+    def forward(self) -> Answer:
+        budget = self.forwarder.budget(self.service.name)
+        budget.note_request()
+        tried: set[str] = set()
+        failure: _AttemptFailedError | None = None
+        while True:
+            attempt = self.forwarder.table.acquire(self.service.name, tried)
+            if attempt is None:
+                raise self._refusal(failure)
+            tried.add(attempt.target.name)
+            if failure is not None and self.forwarder.on_retry is not None:
+                self.forwarder.on_retry(self.service.name)
+            try:
+                return self._attempt(attempt)
+            except _AttemptFailedError as error:
+                failure = error
+            if not self._may_resend(failure, len(tried)) or not budget.take():
+                raise self._refusal(failure)
+
+    def _may_resend(self, failure: _AttemptFailedError, attempts: int) -> bool:
+        if attempts >= MAX_ATTEMPTS or self._remaining_s() <= 0:
+            return False
+        replayable = self.request.body.replayable
+        return may_resend(self.request.method, failure.verdict, replayable)
+
+    def _remaining_s(self) -> float:
+        return self.deadline_s - self.timers.now()
+
+    def _refusal(self, failure: _AttemptFailedError | None) -> RefusalError:
+        if failure is None:
+            return refuse("no_target", f"{self.service.name} has no usable target")
+        if failure.kind is OutcomeKind.SHED:
+            code = "no_target"
+        elif failure.kind is OutcomeKind.TIMEOUT:
+            code = "target_timeout"
+        else:
+            code = "target_failed"
+        message = f"{self.service.name}: {failure.message}"
+        return refuse(code, message, self.verdict, failure.retry_after_s)
+
+    def _attempt(self, attempt: Attempt) -> Answer:
+        try:
+            self.call = _Call(self.forwarder, attempt, self.service.name, self.exchange)
+        except Exception:
+            attempt.finish(Outcome(OutcomeKind.CONNECT_FAILED, 0.0))
+            raise
+        try:
+            self._connect()
+            return self._exchange()
+        except _AttemptFailedError as failure:
+            self._end_attempt(failure.kind)
+            if failure.verdict is Verdict.MAY_HAVE_RUN:
+                self.verdict = failure.verdict
+            raise
+        except BadRequestError as error:
+            self._end_attempt(OutcomeKind.CANCELLED)
+            verdict = self._sent_verdict()
+            raise refuse("bad_request", str(error), verdict) from error
+        except BaseException:
+            self._end_attempt(OutcomeKind.CANCELLED)
+            raise
+
+    def _end_attempt(self, kind: OutcomeKind) -> None:
+        self.call.finish(kind)
+        self.call.close()
+
+    def _sent_verdict(self) -> Verdict:
+        if self.verdict is Verdict.MAY_HAVE_RUN or self.call.connection.sending:
+            return Verdict.MAY_HAVE_RUN
+        return Verdict.NOT_RUN
+
+    def _connect(self) -> None:
+        connection = self.call.connection
+        remaining_s = self._remaining_s()
+        if remaining_s <= 0:
+            raise self._failed(OutcomeKind.TIMEOUT, "the deadline has passed")
+        if connection.sock is None:
+            connection.timeout = min(self.service.connect_timeout_s, remaining_s)
+            try:
+                connection.connect()
+            except (HTTPError, OSError) as error:
+                message = "the connection to a target failed"
+                raise self._failed(OutcomeKind.CONNECT_FAILED, message) from error
+        if not self.exchange.attach(connection.sock):
+            raise self._broken(None)
+
+    def _exchange(self) -> Answer:
+        connection = self.call.connection
+        sock = connection.sock
+        body = self.request.body
+        self._arm_deadline(streaming=not body.finished)
+        upload_finished = True
+        try:
+            self._send(connection)
+        except _EarlyAnswerError:
+            upload_finished = False
+        except (CallerGoneError, BadRequestError):
+            raise
+        except TimeoutError as error:
+            raise self._broken(error) from error
+        except (BrokenPipeError, ConnectionResetError):
+            # The target may have answered before it closed the connection.
+            upload_finished = False
+        except (HTTPError, http.client.HTTPException, OSError) as error:
+            raise self._broken(error) from error
+        if self.exchange.reason is not None:
+            raise self._broken(None)
+        self._arm_deadline(streaming=False)
+        response, raw = self._read_head(connection)
+        latency_s = self.call.elapsed_s()
+        self._check_shed(response)
+        self.exchange.deadline_s = None
+        if self.exchange.reason is not None:
+            raise self._broken(None)
+        sock.settimeout(self.service.request_timeout_s)
+        body.release()
+        return Answer(self.call, response, raw, latency_s, upload_finished)
+
+    def _arm_deadline(self, streaming: bool) -> None:
+        if self.request.fixed_deadline:
+            self.exchange.deadline_s = self.deadline_s
+            return
+        if streaming:
+            self.exchange.deadline_s = None
+            return
+        if self.request.body.started and not self.request.body.replayable:
+            # A long upload is bounded piece by piece; the target's time starts
+            # when it has the whole body.
+            extended_s = self.timers.now() + self.service.request_timeout_s
+            self.deadline_s = max(self.deadline_s, extended_s)
+        self.exchange.deadline_s = self.deadline_s
+
+    def _send(self, connection: TargetConnection) -> None:
+        connection.timeout = max(self._remaining_s(), 0.001)
+        body = self.request.body
+        connection.request(
+            self.request.method,
+            self.request.target,
+            body=self._pieces(connection) if body.present else None,
+            headers=self._headers(),
+            preload_content=False,
+            decode_content=False,
+        )
+
+    def _headers(self) -> HTTPHeaderDict:
+        headers = HTTPHeaderDict()
+        for name, value in self.request.headers:
+            headers.add(name, value)
+        # Keeps urllib3 from adding headers that the caller did not send.
+        for name in ("user-agent", "accept-encoding"):
+            if name not in headers:
+                headers[name] = SKIP_HEADER
+        body = self.request.body
+        if body.chunked:
+            headers["Transfer-Encoding"] = "chunked"
+        elif body.length is not None:
+            headers["Content-Length"] = str(body.length)
+        if self.workspace_name is not None:
+            headers["X-Lacewinglift-Workspace"] = self.workspace_name
+        remaining_ms = max(int(self._remaining_s() * 1000), 0)
+        headers["X-Lacewinglift-Deadline-Ms"] = str(remaining_ms)
+        return headers
+
+    def _pieces(self, connection: TargetConnection) -> Iterator[bytes]:
+        sock = connection.sock
+        for piece in self.request.body.pieces():
+            self.exchange.check_access()
+            if self.exchange.reason is not None:
+                raise ConnectionResetError
+            if wait_for_read(sock, 0) and _answer_has_begun(sock):
+                raise _EarlyAnswerError
+            sock.settimeout(self.service.request_timeout_s)
+            yield piece
+
+    def _read_head(
+        self, connection: TargetConnection
+    ) -> tuple[HTTPResponse, TargetResponse]:
+        connection.timeout = max(self._remaining_s(), 0.001)
+        try:
+            response = connection.getresponse()
+        except (HTTPError, http.client.HTTPException, OSError, ValueError) as error:
+            raise self._broken(error) from error
+        return response, connection.answer
+
+    def _check_shed(self, response: HTTPResponse) -> None:
+        if response.status != 503 or response.headers.get(NOT_RUN_HEADER) != "1":
+            return
+        retry_after = response.headers.get("retry-after", "")
+        retry_after_s = float(retry_after) if retry_after.isdigit() else None
+        raise _AttemptFailedError(
+            OutcomeKind.SHED,
+            Verdict.NOT_RUN,
+            "the targets refuse more work",
+            retry_after_s,
+        )
+
+    def _broken(self, error: Exception | None) -> Exception:
+        """Return what a failure after the connection was opened means."""
+        reason = self.exchange.reason
+        if reason not in (None, CancelReason.DEADLINE):
+            return self._cancelled()
+        timed_out = reason is CancelReason.DEADLINE or isinstance(error, TimeoutError)
+        if timed_out:
+            return self._failed(OutcomeKind.TIMEOUT, "a target did not answer in time")
+        return self._failed(OutcomeKind.CUT, "a target broke off the connection")
+
+    def _failed(self, kind: OutcomeKind, message: str) -> _AttemptFailedError:
+        sent = self.call.connection.sending
+        verdict = Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN
+        return _AttemptFailedError(kind, verdict, message)
+
+    def _cancelled(self) -> ExchangeCancelledError:
+        return ExchangeCancelledError(str(self.exchange.reason))
--- /dev/null
+++ b/src/lacewinglift/frontend.py
@@ -0,0 +1,246 @@
+"""Caller side: an HTTP/1.1 server on cheroot."""
+
+import contextlib
+import logging
+import socket
+import threading
+from typing import Any
+
+from cheroot.errors import acceptable_sock_shutdown_exceptions
+from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
+
+from lacewinglift.bodies import CallerGoneError
+from lacewinglift.callers import CallerStream
+from lacewinglift.exchanges import CancelReason
+from lacewinglift.handling import RequestHandler, RequestParts
+from lacewinglift.headers import MAX_HEAD_BYTES, BadRequestError
+from lacewinglift.logs import log_exception, log_warning
+from lacewinglift.pools import split_address
+
+LISTEN_BACKLOG = 1024
+MAX_CONNECTIONS = 4096
+IDLE_CONNECTION_S = 30.0
+# While an instance finishes, a caller's idle connection has this time for one
+# more request, which is answered with "Connection: close".
+FINISHING_IDLE_S = 2.0
+
+
+class CallerRequest(HTTPRequest):
+    """Request that is parsed by `headers` instead of cheroot.
+
+    cheroot's reader takes `X_A` for `X-A`, keeps one of several equal headers and
+    accepts ambiguous framing.
+    """
+
+    def parse_request(self) -> None:
+        """Read the head of the next request."""
+        # Keeps cheroot from adding error answers of its own.
+        self.sent_headers = True
+        stream = self.conn.stream
+        try:
+            self.head = stream.read_head()
+        except BadRequestError as error:
+            self.server.handler.refuse_head(stream, error)
+            return
+        except CallerGoneError:
+            return
+        self.ready = True
+
+    def respond(self) -> None:
+        """Carry out the request."""
+        self.server.gateway(self).respond()
+
+
+class CallerGateway(Gateway):
+    """Hands requests to the handler."""
+
+    def respond(self) -> None:
+        """Carry out the request."""
+        request = self.req
+        handler = request.server.handler
+        keep = handler.handle(request.conn.stream, request.head)
+        request.close_connection = not keep
+
+
+class CallerConnection(HTTPConnection):
+    """Connection that is counted while it is open."""
+
+    RequestHandlerClass = CallerRequest
+    rbufsize = MAX_HEAD_BYTES
+
+    def __init__(self, server: "CallerServer", sock: socket.socket, *args: Any) -> None:
+        super().__init__(server, sock, *args)
+        self.idle = False
+        self.closed = False
+        self.stream = CallerStream(self.rfile, sock, "", server.handler.parts.timers)
+        server.note_opened(self)
+
+    def communicate(self) -> bool:
+        """Carry out one request; return whether to keep the connection."""
+        self.idle = False
+        self.stream.address = self.remote_addr or ""
+        return super().communicate()
+
+    def close(self) -> None:
+        """Close the connection, unless it was idle and a request has just come."""
+        if self.idle and self.server.ready and self._has_request():
+            self.server.process_conn(self)
+            return
+        if self.closed:
+            return
+        self.closed = True
+        self.server.note_closed(self)
+        # An exception here would end cheroot's worker thread and its server.
+        with contextlib.suppress(OSError, *acceptable_sock_shutdown_exceptions):
+            if not self.stream.reset:
+                self.socket.shutdown(socket.SHUT_RDWR)
+        for each in (self.rfile, self.wfile, self.socket):
+            with contextlib.suppress(OSError, ValueError):
+                each.close()
+
+    def _has_request(self) -> bool:
+        try:
+            self.socket.settimeout(0)
+            return bool(self.socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+
+class CallerServer(HTTPServer):
+    """Server whose worker threads see a connection only when it has data."""
+
+    ConnectionClass = CallerConnection
+    request_queue_size = LISTEN_BACKLOG
+    keep_alive_conn_limit = None
+    timeout = IDLE_CONNECTION_S
+    # Also the time that a stop waits for the thread that accepts connections.
+    expiration_interval = 0.1
+
+    def __init__(
+        self, address: tuple[str, int], worker_threads: int, handler: RequestHandler
+    ) -> None:
+        super().__init__(
+            address,
+            CallerGateway,
+            minthreads=worker_threads,
+            maxthreads=worker_threads,
+            server_name="lacewinglift",
+        )
+        self.handler = handler
+        self.connections: set[CallerConnection] = set()
+        self._connections_lock = threading.Lock()
+
+    def note_opened(self, connection: CallerConnection) -> None:
+        """Count an accepted connection."""
+        with self._connections_lock:
+            self.connections.add(connection)
+        self.handler.parts.metrics.connections.inc()
+
+    def note_closed(self, connection: CallerConnection) -> None:
+        """Forget a closed connection."""
+        with self._connections_lock:
+            self.connections.discard(connection)
+        self.handler.parts.metrics.connections.dec()
+
+    def process_conn(self, conn: CallerConnection) -> None:
+        """Give a connection to a worker thread once it has sent something."""
+        if conn.last_used is not None:
+            conn.idle = False
+            super().process_conn(conn)
+        elif len(self.connections) > MAX_CONNECTIONS:
+            conn.close()
+        else:
+            # cheroot would let a new connection that sends nothing occupy a
+            # worker thread until its timeout.
+            self.put_conn(conn)
+
+    def put_conn(self, conn: CallerConnection) -> None:
+        """Wait for the next request of a connection."""
+        try:
+            conn.idle = True
+            super().put_conn(conn)
+        except (OSError, ValueError, KeyError):
+            conn.idle = False
+            conn.close()
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; connections already made are served."""
+        listener, self.socket = self.socket, None
+        if listener is None:
+            return
+        self._connections._selector.unregister(listener.fileno())
+        listener.settimeout(0)
+        while True:
+            # Closing the socket would reset connections in the backlog.
+            connection = self._connections._from_server_socket(listener)
+            if connection is None:
+                break
+            self.process_conn(connection)
+        listener.close()
+        self.timeout = FINISHING_IDLE_S
+
+    def error_log(
+        self, msg: str = "", level: int = logging.INFO, traceback: bool = False
+    ) -> None:
+        """Log a message of cheroot."""
+        if traceback:
+            log_exception("server_error", message=msg)
+        elif level >= logging.WARNING:
+            log_warning("server_error", message=msg)
+
+
+class Frontend:
+    """Accepts callers and carries out their requests.
+
+    Parameters
+    ----------
+    settings : Settings
+        `caller_address` and `worker_threads` are used.
+    parts : RequestParts
+        What requests pass through.
+    """
+
+    def __init__(self, settings: Any, parts: RequestParts) -> None:
+        self.parts = parts
+        self.handler = RequestHandler(parts)
+        self.server = CallerServer(
+            split_address(settings.caller_address),
+            settings.worker_threads,
+            self.handler,
+        )
+        self._thread: threading.Thread | None = None
+
+    @property
+    def address(self) -> str:
+        """Return the address that is listened on."""
+        host, port = self.server.bind_addr
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Listen and start the worker threads."""
+        self.server.prepare()
+        self.parts.watch.start()
+        self._thread = threading.Thread(
+            target=self.server.serve, name="frontend", daemon=True
+        )
+        self._thread.start()
+
+    def stop_accepting(self) -> None:
+        """Refuse new connections; those accepted before are served."""
+        self.server.stop_accepting()
+
+    def open_connections(self) -> int:
+        """Return the number of open connections of callers."""
+        return len(self.server.connections)
+
+    def cut_all(self) -> int:
+        """End all requests in progress and return their number."""
+        return self.parts.watch.cancel_all(CancelReason.STOPPED)
+
+    def stop(self) -> None:
+        """Close all connections and end the worker threads."""
+        self.server.stop()
+        if self._thread is not None:
+            self._thread.join()
+        self.parts.watch.stop()
+        self.parts.forwarder.close()
--- /dev/null
+++ b/src/lacewinglift/handling.py
@@ -0,0 +1,320 @@
+"""The order in which one request passes through an instance."""
+
+import contextlib
+import http
+import ipaddress
+import urllib.parse
+from collections.abc import Iterable, Iterator
+from typing import Protocol
+
+from attrs import define, field
+
+from lacewinglift.access import (
+    Access,
+    AccessCheck,
+    Distribution,
+    Standing,
+    authorize,
+    check_standing,
+    find_workspace,
+)
+from lacewinglift.addresses import ADDRESSES_PATH, AddressBook
+from lacewinglift.bodies import CallerGoneError, RequestBody
+from lacewinglift.callers import CALLER_IDLE_TIMEOUT_S, AnswerWriter, CallerStream
+from lacewinglift.concurrency import ConcurrencyLimits
+from lacewinglift.configuration import Configuration, Workspace
+from lacewinglift.exchanges import Exchange, ExchangeWatch
+from lacewinglift.forwarder import (
+    AnswerCutError,
+    ExchangeCancelledError,
+    Forwarder,
+    ForwardRequest,
+)
+from lacewinglift.headers import (
+    BadRequestError,
+    Headers,
+    RequestHead,
+    headers_to_target,
+)
+from lacewinglift.logs import log_exception
+from lacewinglift.metrics import Metrics
+from lacewinglift.refusals import Refusal, RefusalError, refuse
+from lacewinglift.shutdown import Shutdown
+from lacewinglift.timers import Timers
+
+METRICS_PATH = "/metrics"
+OWN_PREFIX = "/.lacewinglift/"
+# Time to read the rest of a small body, so that a refusal keeps the connection.
+DRAIN_S = 1.0
+
+_REFUSED_BY_ADMISSION = {
+    "over_limit": "is over its rate; wait before the next request",
+    "isolated": "cannot be admitted here; use another address",
+}
+
+
+class Decision(Protocol):
+    """Answer of the admission."""
+
+    admitted: bool
+    code: str | None
+    retry_after_s: float | None
+
+
+class Admission(Protocol):
+    """Divides the quota of a workspace."""
+
+    def admit(self, workspace: Workspace) -> Decision:
+        """Return whether one more request of a workspace may run now."""
+        ...
+
+
+@define(eq=False)
+class RequestParts:
+    """What requests pass through."""
+
+    timers: Timers
+    distribution: Distribution
+    standing: Standing
+    admission: Admission
+    forwarder: Forwarder
+    addresses: AddressBook
+    shutdown: Shutdown
+    limits: ConcurrencyLimits
+    watch: ExchangeWatch
+    operator_networks: Iterable[str] = ("127.0.0.0/8", "::1/128")
+    metrics: Metrics = field(factory=Metrics)
+
+
+class RequestHandler:
+    """Carries out requests, one at a time in each worker thread."""
+
+    def __init__(self, parts: RequestParts) -> None:
+        self.parts = parts
+        self.operator_networks = [
+            ipaddress.ip_network(network) for network in parts.operator_networks
+        ]
+
+    def refuse_head(self, stream: CallerStream, error: BadRequestError) -> None:
+        """Answer a request whose head is invalid; the connection ends."""
+        writer = AnswerWriter(stream, None, keep_alive=False)
+        refusal = refuse("bad_request", str(error)).refusal
+        with contextlib.suppress(CallerGoneError):
+            self._write_refusal(writer, refusal)
+            stream.linger()
+
+    def handle(self, stream: CallerStream, head: RequestHead) -> bool:
+        """Carry out one request; return whether the connection can be used again."""
+        run = _RequestRun(self, stream, head)
+        with self.parts.metrics.in_flight.track_inprogress():
+            return run.run()
+
+    def is_operator(self, address: str) -> bool:
+        """Return whether an address may read the metrics."""
+        try:
+            parsed = ipaddress.ip_address(address)
+        except ValueError:
+            return False
+        mapped = getattr(parsed, "ipv4_mapped", None)
+        return any((mapped or parsed) in network for network in self.operator_networks)
+
+    def _write_refusal(self, writer: AnswerWriter, refusal: Refusal) -> None:
+        self.parts.metrics.refusals.labels(refusal.code, refusal.verdict.value).inc()
+        _write_own(writer, refusal.status, refusal.headers(), refusal.body())
+
+
+def _write_own(
+    writer: AnswerWriter, status: int, headers: Headers, body: bytes
+) -> None:
+    reason = http.HTTPStatus(status).phrase
+    writer.write(status, reason, headers, len(body), iter([body]))
+
+
+class _RequestRun:
+    """One request."""
+
+    def __init__(
+        self, handler: RequestHandler, stream: CallerStream, head: RequestHead
+    ) -> None:
+        self.handler = handler
+        self.parts = handler.parts
+        self.stream = stream
+        self.head = head
+        self.body = RequestBody(
+            head,
+            stream.reader,
+            stream.socket,
+            CALLER_IDLE_TIMEOUT_S,
+            stream.send_continue,
+        )
+        self.writer = self._new_writer()
+
+    def _new_writer(self) -> AnswerWriter:
+        keep_alive = self.head.keep_alive and not self.parts.shutdown.closing()
+        return AnswerWriter(self.stream, self.head, keep_alive)
+
+    def run(self) -> bool:
+        try:
+            self._serve()
+        except RefusalError as error:
+            return self._refuse(error.refusal)
+        except BadRequestError as error:
+            return self._refuse(refuse("bad_request", str(error)).refusal)
+        except AnswerCutError:
+            self._note_cut("target")
+            self.writer.cut()
+            return False
+        except (CallerGoneError, ExchangeCancelledError):
+            self._note_cut("caller")
+            return False
+        except Exception:
+            log_exception("request_failed", path=self.head.path)
+            self.writer.cut()
+            return False
+        return self._end_connection()
+
+    def _note_cut(self, reason: str) -> None:
+        self.parts.metrics.cut.labels(reason).inc()
+
+    def _end_connection(self) -> bool:
+        if not self.body.finished:
+            self.stream.linger()
+            return False
+        return self.writer.keep_alive
+
+    def _refuse(self, refusal: Refusal) -> bool:
+        if self.writer.started:
+            # Part of another answer has gone out.
+            self.writer.cut()
+            return False
+        try:
+            if not self._drain():
+                self.writer.keep_alive = False
+            self.handler._write_refusal(self.writer, refusal)
+        except CallerGoneError:
+            return False
+        return self._end_connection()
+
+    def _drain(self) -> bool:
+        """Read the rest of a small body; return whether it has ended."""
+        body = self.body
+        if body.finished:
+            return True
+        if not body.small or body.waiting_for_continue:
+            return False
+        deadline_s = self.parts.timers.now() + DRAIN_S
+        try:
+            body.preload(lambda: deadline_s - self.parts.timers.now())
+        except (BadRequestError, CallerGoneError):
+            return False
+        return True
+
+    def _serve(self) -> None:
+        if self.parts.shutdown.stopped():
+            raise refuse("stopping", "this instance has stopped; use another address")
+        path = self.head.path
+        if path == METRICS_PATH and self.handler.is_operator(self.stream.address):
+            self._write_metrics()
+            return
+        configuration = self.parts.distribution.current()
+        if configuration is None:
+            message = "this instance has no configuration yet; use another address"
+            raise refuse("starting", message, retry_after_s=1)
+        if path == ADDRESSES_PATH:
+            self._write_addresses(configuration)
+            return
+        if path == METRICS_PATH or path.startswith(OWN_PREFIX):
+            raise refuse("no_route", f"no route leads to {path}")
+        self._forward(authorize(configuration, self.head))
+
+    def _write_metrics(self) -> None:
+        headers = [("Content-Type", "text/plain; version=0.0.4; charset=utf-8")]
+        _write_own(self.writer, 200, headers, self.parts.metrics.render())
+
+    def _write_addresses(self, configuration: Configuration) -> None:
+        workspace = find_workspace(configuration, self.head)
+        query = urllib.parse.parse_qs(self.head.target.partition("?")[2])
+        data_centre = query.get("data_centre", [None])[0]
+        name = None if workspace is None else workspace.name
+        body = self.parts.addresses.answer(configuration, name, data_centre)
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Cache-Control", "no-store"),
+        ]
+        _write_own(self.writer, 200, headers, body)
+
+    def _forward(self, access: Access) -> None:
+        started_s = self.parts.timers.now()
+        status = "refused"
+        try:
+            if access.workspace is not None:
+                check_standing(self.parts.standing)
+                self._admit(access.workspace)
+            with (
+                self.parts.limits.holding(access.service, access.workspace),
+                self._watched(access) as exchange,
+            ):
+                status = self._exchange(access, exchange, started_s)
+        finally:
+            name = access.service.name
+            self.parts.metrics.requests.labels(name, status).inc()
+            elapsed_s = self.parts.timers.now() - started_s
+            self.parts.metrics.latency.labels(name).observe(elapsed_s)
+
+    def _admit(self, workspace: Workspace) -> None:
+        decision = self.parts.admission.admit(workspace)
+        if decision.admitted:
+            return
+        code = decision.code or "over_limit"
+        why = _REFUSED_BY_ADMISSION.get(code, "cannot be admitted now")
+        message = f"{workspace.name} {why}"
+        raise refuse(code, message, retry_after_s=decision.retry_after_s)
+
+    @contextlib.contextmanager
+    def _watched(self, access: Access) -> Iterator[Exchange]:
+        check = AccessCheck(
+            access, self.parts.distribution, self.parts.standing, self.head
+        )
+        exchange = Exchange(self.parts.timers, self.stream.socket, check.lost)
+        with self.parts.watch.watching(exchange):
+            yield exchange
+
+    def _exchange(self, access: Access, exchange: Exchange, started_s: float) -> str:
+        timeout_s = access.service.request_timeout_s
+        given_s = self.head.timeout_s()
+        if given_s is not None:
+            timeout_s = min(timeout_s, given_s)
+        deadline_s = started_s + timeout_s
+        if self.body.small:
+            self.body.preload(lambda: deadline_s - self.parts.timers.now())
+        request = ForwardRequest(
+            self.head.method,
+            self.head.target,
+            headers_to_target(self.head.headers),
+            self.body,
+            exchange,
+            fixed_deadline=given_s is not None,
+        )
+        name = None if access.workspace is None else access.workspace.name
+        answer = self.parts.forwarder.forward(request, access.service, name, deadline_s)
+        try:
+            self.writer = self._new_writer()
+            if not self.body.finished:
+                self.writer.keep_alive = False
+            self.writer.write(
+                answer.status,
+                answer.reason,
+                answer.headers,
+                answer.length,
+                self._checked(answer.chunks(), exchange),
+            )
+        finally:
+            answer.close()
+        return f"{answer.status // 100}xx"
+
+    def _checked(self, chunks: Iterator[bytes], exchange: Exchange) -> Iterator[bytes]:
+        for chunk in chunks:
+            exchange.check_access()
+            if exchange.reason is not None:
+                raise AnswerCutError(str(exchange.reason))
+            yield chunk
--- /dev/null
+++ b/src/lacewinglift/pools.py
@@ -0,0 +1,232 @@
+"""Connections to targets."""
+
+import http.client
+import re
+import socket
+import threading
+from typing import Any
+
+from urllib3.connection import HTTPConnection
+from urllib3.connectionpool import HTTPConnectionPool
+
+from lacewinglift.timers import Timers
+
+# A connection can go silent for good while it is idle; a new one takes 1 ms.
+REUSE_WITHIN_S = 1.0
+PRUNE_INTERVAL_S = 1.0
+FORGET_POOL_AFTER_S = 60.0
+IDLE_CONNECTIONS_PER_TARGET = 16
+MAX_INTERIM_ANSWERS = 16
+MAX_TRAILERS = 100
+MAX_LINE_BYTES = 16 * 1024
+
+_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_FOLD = re.compile(r"\r\n[ \t]+")
+_CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+_LENGTH = re.compile(r"[0-9]{1,18}")
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\r\n]*)?\r?\n")
+
+
+class BadAnswerError(http.client.HTTPException):
+    """A target sent something that is not one valid HTTP/1.1 answer."""
+
+
+class TargetResponse(http.client.HTTPResponse):
+    """Answer of a target, read more strictly than http.client does.
+
+    http.client takes 103 for a final answer, takes the first half of a chunk size
+    like "0400" for the last chunk, and drops headers that follow an invalid line.
+    Each of these would pass on a wrong or incomplete answer as a whole one.
+    """
+
+    def __init__(self, sock: socket.socket, *args: Any, **kwargs: Any) -> None:
+        super().__init__(sock, *args, **kwargs)
+        self.socket = sock
+        self.complete = False
+        self.excess = False
+
+    @property
+    def reusable(self) -> bool:
+        """Return whether the connection can carry another request."""
+        return self.complete and not self.excess and not self.will_close
+
+    def begin(self) -> None:
+        """Read the head of the answer."""
+        if self.headers is not None:
+            return
+        super().begin()
+        self._check_head()
+        if self.length == 0:
+            self.complete = True
+
+    def _read_status(self) -> tuple[str, int, str]:
+        for _ in range(MAX_INTERIM_ANSWERS):
+            version, status, reason = super()._read_status()
+            if status == 101 or status < 100:
+                raise BadAnswerError(f"unexpected status {status}")
+            if status >= 200:
+                return version, status, reason
+            http.client.parse_headers(self.fp)
+        raise BadAnswerError("too many interim answers")
+
+    def _check_head(self) -> None:
+        message = self.msg
+        if message.defects or message.get_payload():
+            raise BadAnswerError("invalid header line")
+        for name, value in message.items():
+            if not _NAME.fullmatch(name) or _CONTROL.search(_FOLD.sub(" ", value)):
+                raise BadAnswerError("invalid header")
+        lengths = message.get_all("content-length", [])
+        codings = message.get_all("transfer-encoding", [])
+        if codings and (lengths or not self.chunked or len(codings) > 1):
+            raise BadAnswerError("ambiguous framing")
+        if len(lengths) > 1 or not all(_LENGTH.fullmatch(each) for each in lengths):
+            raise BadAnswerError("invalid Content-Length")
+
+    def _read_next_chunk_size(self) -> int:
+        line = self.fp.readline(MAX_LINE_BYTES)
+        match = _CHUNK_SIZE.fullmatch(line)
+        if match is None:
+            self._close_conn()
+            raise ValueError("incomplete or invalid chunk size")
+        return int(match[1], 16)
+
+    def _read_and_discard_trailer(self) -> None:
+        for _ in range(MAX_TRAILERS):
+            line = self.fp.readline(MAX_LINE_BYTES)
+            if line in (b"\r\n", b"\n"):
+                self.complete = True
+                return
+            if not line.endswith(b"\n"):
+                raise http.client.IncompleteRead(b"")
+        raise BadAnswerError("too many trailers")
+
+    def _close_conn(self) -> None:
+        if self.fp is not None and not self.excess:
+            self.excess = self._has_excess()
+        super()._close_conn()
+
+    def _has_excess(self) -> bool:
+        # Bytes after the answer would be read as the answer to the next request.
+        try:
+            self.socket.settimeout(0)
+            return bool(self.fp.peek(1))
+        except (OSError, ValueError):
+            return True
+
+
+class TargetConnection(HTTPConnection):
+    """Connection that knows whether any byte of a request may have left."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.used_at_s = 0.0
+        self.sending = False
+        self.answer: TargetResponse | None = None
+        self.response_class = self._new_answer
+
+    def _new_answer(
+        self, sock: socket.socket, *args: Any, **kwargs: Any
+    ) -> TargetResponse:
+        self.answer = TargetResponse(sock, *args, **kwargs)
+        return self.answer
+
+    def send(self, data: Any) -> None:
+        """Send data to the target."""
+        self.sending = True
+        super().send(data)
+
+
+class TargetPool(HTTPConnectionPool):
+    """Connections to one target; those not used lately are closed."""
+
+    ConnectionCls = TargetConnection
+
+    def __init__(self, host: str, port: int, timers: Timers) -> None:
+        super().__init__(
+            host,
+            port,
+            maxsize=IDLE_CONNECTIONS_PER_TARGET,
+            block=False,
+            retries=False,
+        )
+        self.timers = timers
+        self.used_at_s = timers.now()
+
+    def checkout(self) -> TargetConnection:
+        """Return a connection; it is open only if it was used lately."""
+        self.used_at_s = self.timers.now()
+        connection = self._get_conn()
+        if self._stale(connection):
+            connection.close()
+        connection.sending = False
+        return connection
+
+    def checkin(self, connection: TargetConnection) -> None:
+        """Take back a connection whose answer was read to its end."""
+        connection.used_at_s = self.timers.now()
+        if self.pool is None or self.pool.full():
+            connection.close()
+            return
+        self._put_conn(connection)
+
+    def prune(self) -> None:
+        """Close connections that were not used lately."""
+        if self.pool is None:
+            return
+        with self.pool.mutex:
+            connections = [each for each in self.pool.queue if each is not None]
+            stale = [each for each in connections if self._stale(each)]
+            if not stale:
+                return
+            self.pool.queue[:] = [
+                None if each in stale else each for each in self.pool.queue
+            ]
+        for connection in stale:
+            connection.close()
+
+    def _stale(self, connection: TargetConnection) -> bool:
+        return self.timers.now() - connection.used_at_s > REUSE_WITHIN_S
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class TargetPools:
+    """One pool for each target address."""
+
+    def __init__(self, timers: Timers) -> None:
+        self.timers = timers
+        self.pools: dict[str, TargetPool] = {}
+        self._lock = threading.Lock()
+        self._subscription = timers.subscribe(PRUNE_INTERVAL_S, self.prune)
+
+    def checkout(self, address: str) -> tuple[TargetPool, TargetConnection]:
+        """Return a connection to a target, and its pool."""
+        with self._lock:
+            pool = self.pools.get(address)
+            if pool is None:
+                pool = TargetPool(*split_address(address), self.timers)
+                self.pools[address] = pool
+            return pool, pool.checkout()
+
+    def prune(self) -> None:
+        """Close idle connections and forget pools that are no longer used."""
+        with self._lock:
+            now = self.timers.now()
+            for address, pool in list(self.pools.items()):
+                pool.prune()
+                if now - pool.used_at_s > FORGET_POOL_AFTER_S:
+                    del self.pools[address]
+                    pool.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._subscription.cancel()
+        with self._lock:
+            for pool in self.pools.values():
+                pool.close()
+            self.pools.clear()
--- /dev/null
+++ b/src/lacewinglift/refusals.py
@@ -0,0 +1,88 @@
+"""Answers of lacewinglift itself to requests that it does not carry out."""
+
+import json
+import math
+
+from attrs import frozen
+
+from lacewinglift.errors import LacewingliftError
+from lacewinglift.verdicts import Verdict
+
+STATUS_BY_CODE = {
+    "bad_request": 400,
+    "key_missing": 401,
+    "key_unknown": 401,
+    "workspace_forbidden": 403,
+    "no_route": 404,
+    "over_limit": 429,
+    "starting": 503,
+    "isolated": 503,
+    "stopping": 503,
+    "concurrency": 503,
+    "no_target": 503,
+    "target_failed": 502,
+    "target_timeout": 504,
+}
+
+
+@frozen
+class Refusal:
+    """Why a request was not carried out, or is not known to have been."""
+
+    code: str
+    verdict: Verdict
+    message: str
+    retry_after_s: float | None = None
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status of the code."""
+        return STATUS_BY_CODE[self.code]
+
+    def headers(self) -> list[tuple[str, str]]:
+        """Return the headers of the answer.
+
+        Targets cannot send `X-Lacewinglift-*` headers to callers, so these two
+        tell a refusal from an answer of a target with the same status.
+        """
+        headers = [
+            ("Content-Type", "application/json"),
+            ("X-Lacewinglift-Refusal", self.code),
+            ("X-Lacewinglift-Verdict", self.verdict.value),
+        ]
+        if self.status == 401:
+            headers.append(("WWW-Authenticate", "Bearer"))
+        if self.retry_after_s is not None:
+            # The header has whole seconds only; rounding down would invite a
+            # request that is refused again.
+            headers.append(("Retry-After", str(max(1, math.ceil(self.retry_after_s)))))
+        return headers
+
+    def body(self) -> bytes:
+        """Return the JSON body of the answer."""
+        fields = {
+            "code": self.code,
+            "verdict": self.verdict.value,
+            "message": self.message,
+        }
+        return json.dumps(fields).encode()
+
+
+class RefusalError(LacewingliftError):
+    """A request is answered with a refusal."""
+
+    code = "refusal"
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+def refuse(
+    code: str,
+    message: str,
+    verdict: Verdict = Verdict.NOT_RUN,
+    retry_after_s: float | None = None,
+) -> RefusalError:
+    """Return the exception that refuses a request."""
+    return RefusalError(Refusal(code, verdict, message, retry_after_s))
--- /dev/null
+++ b/src/lacewinglift/retries.py
@@ -0,0 +1,61 @@
+"""When a failed request may be sent to another target."""
+
+import threading
+
+from lacewinglift.timers import Timers
+from lacewinglift.verdicts import Verdict
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+MAX_ATTEMPTS = 3
+RETRIES_PER_REQUEST = 0.1
+RETRIES_PER_S = 3.0
+# Lets the requests that were sent to a target in the moment it failed be sent
+# elsewhere, without the load of a retry storm.
+RETRY_BURST = 10.0
+
+
+def may_resend(method: str, verdict: Verdict, body_replayable: bool) -> bool:
+    """Return whether a request may be sent again after a failed attempt.
+
+    Parameters
+    ----------
+    method : str
+        Method of the request.
+    verdict : Verdict
+        What is known about the failed attempt.
+    body_replayable : bool
+        Whether the body can be sent again from its start.
+    """
+    if not body_replayable or verdict is Verdict.ANSWERED:
+        return False
+    return verdict is Verdict.NOT_RUN or method in IDEMPOTENT_METHODS
+
+
+class RetryBudget:
+    """Limits the resent requests of one service.
+
+    Each request adds `RETRIES_PER_REQUEST` and each second `RETRIES_PER_S`.
+    """
+
+    def __init__(self, timers: Timers) -> None:
+        self.timers = timers
+        self.tokens = RETRY_BURST
+        self._filled_at_s = timers.now()
+        self._lock = threading.Lock()
+
+    def note_request(self) -> None:
+        """Count a first attempt."""
+        with self._lock:
+            self.tokens = min(self.tokens + RETRIES_PER_REQUEST, RETRY_BURST)
+
+    def take(self) -> bool:
+        """Return whether one more request may be resent now, and count it."""
+        with self._lock:
+            now = self.timers.now()
+            gained = (now - self._filled_at_s) * RETRIES_PER_S
+            self._filled_at_s = now
+            self.tokens = min(self.tokens + gained, RETRY_BURST)
+            if self.tokens < 1.0:
+                return False
+            self.tokens -= 1.0
+            return True
--- /dev/null
+++ b/src/lacewinglift/shutdown.py
@@ -0,0 +1,126 @@
+"""Order of a graceful stop."""
+
+import enum
+import threading
+from collections.abc import Callable
+from typing import Protocol
+
+from attrs import frozen
+
+from lacewinglift.logs import log_info, log_warning
+from lacewinglift.timers import Timers
+
+WAIT_STEP_S = 0.05
+
+
+class ShutdownState(enum.Enum):
+    """How far a stop has come."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    """The instance is no longer in address answers, and serves as before."""
+    FINISHING = "finishing"
+    """Each answer closes its connection; no new connections are accepted."""
+    STOPPED = "stopped"
+
+
+class Drainable(Protocol):
+    """The caller side, which is emptied before the process ends."""
+
+    def stop_accepting(self) -> None:
+        """Refuse new connections; those accepted before are served."""
+        ...
+
+    def open_connections(self) -> int:
+        """Return the number of open connections of callers."""
+        ...
+
+    def cut_all(self) -> int:
+        """End all requests in progress and return their number."""
+        ...
+
+    def stop(self) -> None:
+        """Close the rest."""
+        ...
+
+
+@frozen
+class StopReport:
+    """How a stop ended."""
+
+    cut_requests: int
+    open_connections: int
+    """Connections that callers still held when the stop ended."""
+
+
+class Shutdown:
+    """State of a stop, and its steps.
+
+    Parameters
+    ----------
+    timers : Timers
+        Clock.
+    address_lifetime_s : callable
+        Returns the time for which callers may use an address answer.
+    on_leaving : callable
+        Tells the membership that this instance leaves.
+    stop_bound_s : float
+        Longest time from the start of the stop to its end.
+    """
+
+    def __init__(
+        self,
+        timers: Timers,
+        address_lifetime_s: Callable[[], float],
+        on_leaving: Callable[[], None],
+        stop_bound_s: float,
+    ) -> None:
+        self.timers = timers
+        self.address_lifetime_s = address_lifetime_s
+        self.on_leaving = on_leaving
+        self.stop_bound_s = stop_bound_s
+        self.state = ShutdownState.SERVING
+        self._hurry = threading.Event()
+
+    def closing(self) -> bool:
+        """Return whether answers close their connections."""
+        return self.state in (ShutdownState.FINISHING, ShutdownState.STOPPED)
+
+    def stopped(self) -> bool:
+        """Return whether requests are refused."""
+        return self.state is ShutdownState.STOPPED
+
+    def hurry(self) -> None:
+        """End a stop that is under way at once; called on a second signal."""
+        self._hurry.set()
+
+    def run(self, frontend: Drainable) -> StopReport:
+        """Stop gracefully; return when all is done, or when the bound is reached."""
+        bound_s = self.timers.now() + self.stop_bound_s
+        log_info("stop_begins", bound_s=self.stop_bound_s)
+        self.state = ShutdownState.LEAVING
+        self.on_leaving()
+        leave_until_s = self.timers.now() + self.address_lifetime_s()
+        self._wait(lambda: self.timers.now() >= leave_until_s, bound_s)
+        self.state = ShutdownState.FINISHING
+        frontend.stop_accepting()
+        done = self._wait(lambda: frontend.open_connections() == 0, bound_s)
+        self.state = ShutdownState.STOPPED
+        report = StopReport(0, 0)
+        if not done:
+            connections = frontend.open_connections()
+            report = StopReport(frontend.cut_all(), connections)
+            log_warning(
+                "stop_cut",
+                requests=report.cut_requests,
+                connections=report.open_connections,
+            )
+        frontend.stop()
+        log_info("stop_ends", cut_requests=report.cut_requests)
+        return report
+
+    def _wait(self, done: Callable[[], bool], bound_s: float) -> bool:
+        while not done():
+            if self.timers.now() >= bound_s or self._hurry.wait(WAIT_STEP_S):
+                return done()
+        return True
--- /dev/null
+++ b/testing/standins/request_half.py
@@ -0,0 +1,225 @@
+"""The request half of an instance, with doubles for what decides elsewhere."""
+
+import contextlib
+import socket
+import threading
+import time
+from types import SimpleNamespace
+
+from attrs import define, evolve, field
+
+from lacewinglift.addresses import AddressBook
+from lacewinglift.concurrency import ConcurrencyLimits
+from lacewinglift.configuration import (
+    Configuration,
+    Fleet,
+    Route,
+    Service,
+    Target,
+    Workspace,
+    digest_key,
+)
+from lacewinglift.exchanges import ExchangeWatch
+from lacewinglift.forwarder import Forwarder
+from lacewinglift.frontend import Frontend
+from lacewinglift.generated import fleet_pb2
+from lacewinglift.handling import RequestParts
+from lacewinglift.metrics import Metrics
+from lacewinglift.shutdown import Shutdown
+from lacewinglift.timers import ThreadTimers
+from lacewinglift.views import MemberView
+
+KEY = "kiosk-key-1"
+KEYED = f"Authorization: Bearer {KEY}"
+
+
+@define
+class FixedAttempt:
+    target: Target
+    outcomes: list
+
+    def finish(self, outcome):
+        self.outcomes.append((self.target.name, outcome))
+
+
+@define
+class FixedTable:
+    """Gives the targets in the order in which they are listed."""
+
+    targets: list
+    outcomes: list = field(factory=list)
+
+    def acquire(self, service_name, exclude):
+        for target in self.targets:
+            if target.name not in exclude:
+                return FixedAttempt(target, self.outcomes)
+        return None
+
+    def kinds(self):
+        return [outcome.kind for _, outcome in self.outcomes]
+
+
+@define
+class FixedDistribution:
+    configuration: Configuration | None
+
+    def current(self):
+        return self.configuration
+
+
+@define
+class FixedStanding:
+    code: str | None = None
+
+    def refusal(self):
+        return self.code
+
+
+@define
+class FixedAdmission:
+    decision: object = SimpleNamespace(admitted=True, code=None, retry_after_s=None)
+    asked: list = field(factory=list)
+
+    def admit(self, workspace):
+        self.asked.append(workspace.name)
+        return self.decision
+
+
+def make_member(name, data_centre, state=fleet_pb2.LIVE):
+    return MemberView(name, 1, state, data_centre, caller_address=f"{name}:80")
+
+
+def make_configuration(generation, targets, **service_fields):
+    service = Service("cassa", tuple(targets), **service_fields)
+    return Configuration(
+        generation,
+        Fleet("pilarossi", data_centres=("milano", "torino")),
+        {"cassa": service},
+        (
+            Route("/cassa", "cassa"),
+            Route("/open", "cassa", open=True),
+            Route("/vip", "cassa", workspaces=("vip",)),
+        ),
+        {
+            "kiosk": Workspace("kiosk", 100.0, 100, (digest_key(KEY),)),
+            "vip": Workspace("vip", 100.0, 100, (digest_key("vip-key"),)),
+        },
+    )
+
+
+@define(eq=False)
+class RequestHalf:
+    """A running frontend and the doubles around it."""
+
+    frontend: Frontend
+    parts: RequestParts
+    timers: ThreadTimers
+    table: FixedTable
+    distribution: FixedDistribution
+    standing: FixedStanding
+    admission: FixedAdmission
+    left: threading.Event
+
+    def connect(self):
+        host, port = self.frontend.address.split(":")
+        sock = socket.create_connection((host, int(port)), timeout=10)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sock
+
+    def publish(self, **changes):
+        current = self.distribution.configuration
+        self.distribution.configuration = evolve(
+            current, generation=current.generation + 1, **changes
+        )
+
+
+@contextlib.contextmanager
+def running_half(targets, worker_threads=8, **service_fields):
+    """Run a request half in front of `targets` (address strings)."""
+    timers = ThreadTimers()
+    targets = [
+        Target(f"t{index}", address, "milano", slots=8, connections=64)
+        for index, address in enumerate(targets)
+    ]
+    table = FixedTable(targets)
+    metrics = Metrics()
+    left = threading.Event()
+    distribution = FixedDistribution(make_configuration(1, targets, **service_fields))
+    members = [make_member("a", "milano"), make_member("b", "torino")]
+    parts = RequestParts(
+        timers,
+        distribution,
+        FixedStanding(),
+        FixedAdmission(),
+        Forwarder(table, timers, metrics.note_attempt, metrics.note_retry),
+        AddressBook("milano", lambda: members),
+        Shutdown(timers, lambda: 0.3, left.set, 10.0),
+        ConcurrencyLimits(worker_threads),
+        ExchangeWatch(timers),
+        metrics=metrics,
+    )
+    settings = SimpleNamespace(
+        caller_address="127.0.0.1:0", worker_threads=worker_threads
+    )
+    frontend = Frontend(settings, parts)
+    frontend.start()
+    half = RequestHalf(
+        frontend,
+        parts,
+        timers,
+        table,
+        distribution,
+        parts.standing,
+        parts.admission,
+        left,
+    )
+    try:
+        yield half
+    finally:
+        frontend.cut_all()
+        frontend.stop()
+        timers.stop()
+
+
+def request_bytes(method="GET", path="/cassa", *headers, body=b"", key=KEYED):
+    lines = [f"{method} {path} HTTP/1.1", "Host: fleet.example"]
+    lines += [key] if key else []
+    lines += headers
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def receive_all(sock):
+    """Return all bytes until the end of the stream; a reset is marked."""
+    data = bytearray()
+    try:
+        while piece := sock.recv(65536):
+            data += piece
+    except ConnectionResetError:
+        data += b"<reset>"
+    return bytes(data)
+
+
+def exchange(half, data):
+    """Send a request that closes the connection, and return the whole answer."""
+    with half.connect() as sock:
+        sock.sendall(data)
+        return receive_all(sock)
+
+
+def call(half, method="GET", path="/cassa", *headers, **fields):
+    """Make one request on one connection and return the raw answer."""
+    return exchange(
+        half, request_bytes(method, path, "Connection: close", *headers, **fields)
+    )
+
+
+def wait_until(condition, timeout_s=5.0):
+    """Wait for a condition; return whether it came true."""
+    until = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > until:
+            return False
+        time.sleep(0.005)
+    return True
--- /dev/null
+++ b/testing/test_frontend.py
@@ -0,0 +1,160 @@
+import json
+import time
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, Not, StartsWith
+
+from lacewinglift.outcomes import OutcomeKind
+from testing.standins.request_half import (
+    KEY,
+    call,
+    exchange,
+    receive_all,
+    request_bytes,
+    running_half,
+)
+from testing.standins.scripted_targets import ScriptedTarget, answer, serve_bytes
+
+
+@pytest.fixture
+def target():
+    target = ScriptedTarget(serve_bytes(answer(200, b"sold", "X-Till: 1", "X-Till: 2")))
+    yield target
+    target.close()
+
+
+@pytest.fixture
+def half(target):
+    with running_half([target.address]) as half:
+        yield half
+
+
+def test_request_reaches_target_and_answer_returns(half, target):
+    """Guards against a path that is not whole from caller to target and back."""
+    reply = call(half, "POST", "/cassa/sale?n=1", "X-A: 1", "X-A: 2", body=b"beer")
+    assert_that(reply, StartsWith(b"HTTP/1.1 200 "))
+    assert_that(reply, Contains(b"X-Till: 1\r\nX-Till: 2\r\n"))
+    assert reply.endswith(b"\r\n\r\nsold")
+    (received,) = target.received
+    assert_that(received.line, Equals("POST /cassa/sale?n=1 HTTP/1.1"))
+    assert_that(received.values("x-a"), Equals(["1", "2"]))
+    assert_that(received.body, Equals(b"beer"))
+    assert_that(half.table.kinds(), Equals([OutcomeKind.SUCCESS]))
+
+
+def test_key_never_reaches_target(half, target):
+    """Guards against a target that learns a caller's key."""
+    call(half, "GET", "/cassa")
+    call(half, "GET", "/open")
+    for received in target.received:
+        assert_that(str(received), Not(Contains(KEY)))
+    assert_that(
+        [received.values("x-lacewinglift-workspace") for received in target.received],
+        Equals([["kiosk"], []]),
+    )
+
+
+def test_trusted_and_hop_by_hop_headers_are_dropped(half, target):
+    """Guards against callers that speak for the fleet, or steer the connection."""
+    call(
+        half,
+        "GET",
+        "/cassa",
+        "X-Lacewinglift-Workspace: vip",
+        "Connection: X-Named, Host",
+        "X-Named: 1",
+        "TE: trailers",
+        "Keep-Alive: 5",
+    )
+    names = {name.lower() for name, _ in target.received[0].headers}
+    assert not names & {"x-named", "te", "keep-alive", "connection"}
+    assert_that(
+        target.received[0].values("x-lacewinglift-workspace"), Equals(["kiosk"])
+    )
+    assert_that(target.received[0].values("host"), Equals(["fleet.example"]))
+
+
+REFUSED_KEYS = [
+    ("/cassa", None, "401", "key_missing"),
+    ("/cassa", "Authorization: Bearer wrong", "401", "key_unknown"),
+    ("/cassa", f"Authorization: Basic {KEY}", "401", "key_unknown"),
+    ("/vip", f"Authorization: Bearer {KEY}", "403", "workspace_forbidden"),
+    ("/nowhere", f"Authorization: Bearer {KEY}", "404", "no_route"),
+    ("/.lacewinglift/other", None, "404", "no_route"),
+]
+
+
+@pytest.mark.parametrize(("path", "key", "status", "code"), REFUSED_KEYS)
+def test_requests_without_right_are_refused(half, target, path, key, status, code):
+    """Guards against a request that runs for no workspace or for a wrong one."""
+    reply = call(half, "GET", path, key=key)
+    head, _, body = reply.partition(b"\r\n\r\n")
+    assert_that(head, StartsWith(f"HTTP/1.1 {status} ".encode()))
+    fields = json.loads(body)
+    assert_that((fields["code"], fields["verdict"]), Equals((code, "not_run")))
+    assert_that(target.received, Equals([]))
+
+
+BAD_REQUESTS = [
+    "POST /cassa HTTP/1.1\nHost: h\nContent-Length: 1\nContent-Length: 2\n\n",
+    "POST /cassa HTTP/1.1\nHost: h\nContent-Length: 1\nTransfer-Encoding: chunked\n\n",
+    "POST /cassa HTTP/1.1\nHost: h\nTransfer-Encoding: chunked\n\nzz\n",
+    "POST /cassa HTTP/1.1\nHost: h\nTransfer-Encoding: chunked\n\n3\nabcd\n0\n\n",
+    "GET /cassa HTTP/1.1\nHost: h\nX_A: 1\n\n",
+    "GET /cassa/../open HTTP/1.1\nHost: h\n\n",
+    "GET /cassa HTTP/1.1\nHost: h\nX: " + "a" * 17000 + "\n\n",
+    "GET http://h/cassa HTTP/1.1\nHost: h\n\n",
+]
+
+
+@pytest.mark.parametrize("text", BAD_REQUESTS)
+def test_ambiguous_requests_are_refused_and_closed(half, target, text):
+    """Guards against requests that a target may read in another way."""
+    reply = exchange(
+        half,
+        text.replace("\n", "\r\n")
+        .replace("Host", f"Authorization: Bearer {KEY}\r\nHost")
+        .encode(),
+    )
+    assert_that(reply, StartsWith(b"HTTP/1.1 400 "))
+    assert_that(reply, Contains(b"Connection: close"))
+    assert_that(target.received, Equals([]))
+
+
+def test_connection_carries_several_requests(half, target):
+    """Guards against answers that are framed so that the next one is lost."""
+    with half.connect() as sock:
+        sock.sendall(request_bytes() * 2)
+        sock.sendall(request_bytes("GET", "/cassa", "Connection: close"))
+        reply = receive_all(sock)
+    assert_that(reply.count(b"sold"), Equals(3))
+    assert_that(target.connections, Equals(1))
+
+
+def test_pooled_target_connection_is_used_only_when_recent(half, target):
+    """Guards against requests sent into connections that went silent."""
+    call(half)
+    time.sleep(1.3)
+    call(half)
+    assert_that(target.connections, Equals(2))
+
+
+def test_address_answer(half):
+    """Guards against an address answer that callers cannot use."""
+    reply = call(half, "GET", "/.lacewinglift/addresses?data_centre=torino", key=None)
+    fields = json.loads(reply.partition(b"\r\n\r\n")[2])
+    assert_that(
+        fields,
+        Equals(
+            {
+                "workspace": None,
+                "generation": 1,
+                "lifetime_s": 10.0,
+                "addresses": [
+                    {"address": "b:80", "data_centre": "torino"},
+                    {"address": "a:80", "data_centre": "milano"},
+                ],
+            }
+        ),
+    )
