--- a/src/lacewinglift/targets.py
+++ b/src/lacewinglift/targets.py
@@ -37,6 +37,7 @@
 )
 from lacewinglift.generated.fleet_pb2 import Suspicion
 from lacewinglift.logs import log_info, log_warning
+from lacewinglift.outcomes import Outcome, OutcomeKind
 from lacewinglift.timers import Timers
 
 # Interval at which unanswered requests are looked at.
@@ -58,18 +59,6 @@
 LATENCY_MIN_S = 1e-4
 
 
-class OutcomeKind(enum.Enum):
-    """How one attempt at a target ended."""
-
-    SUCCESS = "success"
-    ERROR = "error"
-    TIMEOUT = "timeout"
-    CONNECT_FAILED = "connect_failed"
-    CUT = "cut"
-    SHED = "shed"
-    CANCELLED = "cancelled"
-
-
 FAILURES = frozenset(
     {
         OutcomeKind.ERROR,
@@ -92,15 +81,6 @@
     SHEDDING = "shedding"
 
 
-@frozen
-class Outcome:
-    """Result of one attempt."""
-
-    kind: OutcomeKind
-    latency_s: float
-    """Time until the head of the answer, or until the attempt failed."""
-
-
 @frozen
 class ProbeRequest:
     """A probe that is to be made now."""
