--- /dev/null
+++ b/src/lacewinglift/commands/serve.py
@@ -0,0 +1,83 @@
+"""``lacewinglift serve``: run one instance."""
+
+import argparse
+import signal
+import sys
+import threading
+
+from absl import logging
+
+from lacewinglift.errors import SettingsError
+from lacewinglift.instance import Instance
+from lacewinglift.logs import log_info
+from lacewinglift.settings import load_settings
+
+EXIT_FAULTS = 1
+EXIT_ADDRESS_IN_USE = 3
+EXIT_CUT = 6
+
+
+def register(subparsers: argparse._SubParsersAction) -> None:
+    """Add the subcommand."""
+    parser = subparsers.add_parser(
+        "serve",
+        help="run one instance",
+        description="Run one instance in the foreground. SIGTERM or SIGINT stops it "
+        "gracefully: it leaves the live list, serves until address answers have "
+        "expired, finishes all requests and exits. A second signal, or "
+        "stop_bound_s of the settings, ends it at once.",
+        epilog="exit codes: 0 stopped, nothing cut; 1 faults in the settings; "
+        "2 wrong use; 3 an address cannot be listened on; 6 stopped, requests cut",
+    )
+    parser.add_argument(
+        "--settings",
+        required=True,
+        metavar="FILE",
+        help="settings of this instance (JSON with comments)",
+    )
+    parser.add_argument(
+        "--log-level",
+        choices=("info", "warning", "error"),
+        default="info",
+        help="lowest level that is logged to stderr (default: %(default)s)",
+    )
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> int:
+    """Run one instance until it is told to stop."""
+    logging.use_absl_handler()
+    logging.set_verbosity(options.log_level)
+    try:
+        settings = load_settings(options.settings)
+    except SettingsError as error:
+        print(f"lacewinglift: {error.code}: {error}", file=sys.stderr)
+        return EXIT_FAULTS
+    try:
+        instance = Instance(settings)
+        instance.start()
+    except OSError as error:
+        print(
+            f"lacewinglift: address: {error}; check caller_address and peer_address "
+            f"in {options.settings}",
+            file=sys.stderr,
+        )
+        return EXIT_ADDRESS_IN_USE
+    return wait_and_stop(instance)
+
+
+def wait_and_stop(instance: Instance) -> int:
+    """Wait for a signal, stop gracefully and return the exit code."""
+    asked = threading.Event()
+
+    def handle(number: int, frame: object) -> None:
+        if asked.is_set():
+            instance.shutdown.hurry()
+        asked.set()
+
+    signal.signal(signal.SIGTERM, handle)
+    signal.signal(signal.SIGINT, handle)
+    asked.wait()
+    report = instance.stop()
+    log_info("instance_stopped", cut_requests=report.cut_requests)
+    return EXIT_CUT if report.cut_requests else 0
--- a/src/lacewinglift/control.py
+++ b/src/lacewinglift/control.py
@@ -31,6 +31,8 @@
 
 BORROW_TIMEOUT_S = 0.03
 LEAVE_POLL_S = 0.1
+# A little longer than a loan is held.
+SETTLING_S = LOAN_HOLD_S + 0.01
 # The allocator frees the shares of a leaving instance in two writes, half a
 # second apart at most, each after at most one heartbeat.
 GIVE_BACK_TIMEOUT_S = 4.0
@@ -250,6 +252,7 @@
                     demand.workspace: demand.milli_tokens_per_s / 1000
                     for demand in self.admission.demands()
                 }
+                self.members.ledger_version = self.holder.version()
                 self.members.suspicions = self.targets.suspicions()
                 self.members.tick()
                 self.standing.update()
@@ -266,20 +269,17 @@
             self.identity.renew(self.timers.wall_ms())
             self.members.reset_echoes()
             log_warning("incarnation_fenced", renewed=self.identity.incarnation)
-        self._report_ledger_version()
         self.members.learn_members(list(ledger.members))
         self.standing.apply_ledger(ledger)
-        self.links.wake_all()
-
-    def _report_ledger_version(self) -> None:
-        # It lags while loans made under an earlier division may be in use.
-        self.members.ledger_version = self.holder.version()
-        if self.holder.version() < self.holder.ledger().version:
-            self.loop.call_later(LOAN_HOLD_S, self._report_settled_version)
-
-    def _report_settled_version(self) -> None:
-        self._report_ledger_version()
-        self.standing.update()
+        self._announce_ledger()
+        # Loans made under the division before it are over by then.
+        self.loop.call_later(SETTLING_S, self._announce_ledger)
+
+    def _announce_ledger(self) -> None:
+        version = self.holder.version()
+        if version != self.members.ledger_version:
+            self.members.ledger_version = version
+            self.standing.update()
         self.links.wake_all()
 
     def _holds_shares(self) -> bool:
--- /dev/null
+++ b/src/lacewinglift/instance.py
@@ -0,0 +1,138 @@
+"""Builds, starts and stops the parts of one instance."""
+
+import json
+import time
+
+from lacewinglift.addresses import AddressBook
+from lacewinglift.concurrency import ConcurrencyLimits
+from lacewinglift.control import Control
+from lacewinglift.dumps import dump_instance
+from lacewinglift.exchanges import ExchangeWatch
+from lacewinglift.forwarder import Forwarder
+from lacewinglift.frontend import Frontend
+from lacewinglift.generated import fleet_pb2
+from lacewinglift.handling import RequestParts
+from lacewinglift.identity import Identity
+from lacewinglift.logs import log_info
+from lacewinglift.metrics import Metrics
+from lacewinglift.probes import Prober
+from lacewinglift.settings import Settings
+from lacewinglift.shutdown import Shutdown, StopReport
+from lacewinglift.targets import TargetTable
+from lacewinglift.timers import ThreadTimers
+
+READY_CHECK_INTERVAL_S = 0.1
+DEFAULT_ADDRESS_LIFETIME_S = 10.0
+
+
+def make_identity(settings: Settings) -> Identity:
+    """Return the identity of a process that has just started."""
+    return Identity(
+        instance=settings.instance,
+        fleet=settings.fleet,
+        cell=settings.cell,
+        data_centre=settings.data_centre,
+        caller_address=settings.caller_address,
+        peer_address=settings.peer_address,
+        incarnation=time.time_ns() // 1_000_000,
+    )
+
+
+class Instance:
+    """One instance; `start`, then `stop` once."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.timers = ThreadTimers()
+        self.identity = make_identity(settings)
+        self.metrics = Metrics()
+        self.targets = TargetTable(
+            self.timers, settings.data_centre, settings.instance
+        )
+        self.control = Control(
+            self.identity,
+            settings.store_address,
+            list(settings.seeds),
+            self.targets,
+            self.timers,
+        )
+        self.prober = Prober(self.targets, self.timers)
+        self.forwarder = Forwarder(
+            self.targets,
+            self.timers,
+            on_attempt=self.metrics.note_attempt,
+            on_retry=self.metrics.note_retry,
+        )
+        self.shutdown = Shutdown(
+            self.timers,
+            self.address_lifetime_s,
+            self.announce_leaving,
+            settings.stop_bound_s,
+        )
+        self.parts = RequestParts(
+            timers=self.timers,
+            distribution=self.control.distribution,
+            standing=self.control.standing,
+            admission=self.control.admission,
+            forwarder=self.forwarder,
+            addresses=AddressBook(
+                settings.data_centre, self.control.members.addressable
+            ),
+            shutdown=self.shutdown,
+            limits=ConcurrencyLimits(settings.worker_threads),
+            watch=ExchangeWatch(self.timers),
+            operator_networks=settings.operator_networks,
+            metrics=self.metrics,
+        )
+        self.frontend = Frontend(settings, self.parts)
+        self.control.dump_state = self.dump
+
+    def start(self) -> None:
+        """Listen for callers and peers; raises OSError for an address in use."""
+        self.frontend.start()
+        self.control.start()
+        self.prober.start()
+        self.ready_check = self.timers.subscribe(
+            READY_CHECK_INTERVAL_S, self.announce_live
+        )
+        log_info(
+            "instance_started",
+            instance=self.identity.instance,
+            incarnation=self.identity.incarnation,
+            callers=self.identity.caller_address,
+        )
+
+    def stop(self) -> StopReport:
+        """Stop gracefully and return what was cut."""
+        self.ready_check.cancel()
+        report = self.shutdown.run(self.frontend)
+        self.control.give_back_shares()
+        self.prober.stop()
+        self.control.stop()
+        self.timers.stop()
+        return report
+
+    def announce_live(self) -> None:
+        """Join the live list once keyed requests can be served."""
+        if self.identity.state != fleet_pb2.STARTING:
+            return
+        if self.control.standing.refusal() is not None:
+            return
+        self.control.set_state(fleet_pb2.LIVE)
+        self.ready_check.cancel()
+        log_info("instance_live", generation=self.control.distribution.generation())
+
+    def announce_leaving(self) -> None:
+        """Leave the live list."""
+        self.control.set_state(fleet_pb2.LEAVING)
+
+    def address_lifetime_s(self) -> float:
+        """Return for how long callers may still use an earlier address answer."""
+        configuration = self.control.distribution.current()
+        if configuration is None:
+            return DEFAULT_ADDRESS_LIFETIME_S
+        return configuration.fleet.address_lifetime_s
+
+    def dump(self) -> str:
+        """Return the state of all parts as JSON, without keys."""
+        return json.dumps(dump_instance(self), default=str)
