--- a/src/lacewinglift/balancing.py
+++ b/src/lacewinglift/balancing.py
@@ -18,6 +18,9 @@
 # Bounds on how much a latency estimate moves the choice, so that a target that
 # looks slow still receives requests that show whether it is.
 LATENCY_RATIO_MAX = 4.0
+# Loads that differ by less are equal. Otherwise the target with the highest of
+# several nearly equal estimates would get no requests while all are idle.
+LOAD_TOLERANCE = 1.5
 
 
 class Candidate(Protocol):
@@ -70,7 +73,7 @@
     if second >= first:
         second += 1
     one, other = candidates[first], candidates[second]
-    return one if load(one) <= load(other) else other
+    return other if load(one) > LOAD_TOLERANCE * load(other) else one
 
 
 @policy("round_robin")
--- a/src/lacewinglift/detection.py
+++ b/src/lacewinglift/detection.py
@@ -46,6 +46,9 @@
 
 LEVEL_GAIN = 1 / 32
 OWN_LEVEL_GAIN = 1 / 512
+# Slower than detection: a choice that avoided a slow target at once would starve
+# the test of the requests that prove the fault.
+CHOICE_LEVEL_GAIN = 1 / 256
 VARIANCE_GAIN = 1 / 256
 VARIANCE_START = 1.0
 # Allowance for the error of the measured spread and for heavier tails.
@@ -226,7 +229,9 @@
     """Sequential test of a target's latency against the median of the others."""
 
     level: float = 0.0
-    """Mean log latency, which also serves the choice of a target."""
+    """Recent mean log latency."""
+    choice_level: float = 0.0
+    """Mean log latency over a longer time, for the choice of a target."""
     own_level: float = 0.0
     """Long-run mean log latency outside runs of evidence."""
     samples: int = 0
@@ -244,10 +249,12 @@
         if self.samples:
             service.record(sample, value - self.level)
         else:
-            self.level = self.own_level = value
+            self.level = self.own_level = self.choice_level = value
             service.recent.append(sample)
         self.samples += 1
         self.level += (value - self.level) * max(LEVEL_GAIN, 1.0 / self.samples)
+        gain = max(CHOICE_LEVEL_GAIN, 1.0 / self.samples)
+        self.choice_level += (value - self.choice_level) * gain
         if judged and self.reference is not None:
             self._judge(sample, service, margin)
         if not self.run:
--- a/src/lacewinglift/targets.py
+++ b/src/lacewinglift/targets.py
@@ -410,14 +410,14 @@
 
     def _refresh_ratios(self) -> None:
         levels = sorted(
-            s.latency.level for s in self.states.values() if s.latency.samples
+            s.latency.choice_level for s in self.states.values() if s.latency.samples
         )
         if not levels:
             return
         middle = median(levels)
         for state in self.states.values():
             if state.latency.samples:
-                state.latency_ratio = math.exp(state.latency.level - middle)
+                state.latency_ratio = math.exp(state.latency.choice_level - middle)
 
     def _prior(self, state: TargetState, now_s: float) -> float:
         prior = self.peers.prior_nats(state.name, len(self.states), now_s)
@@ -538,6 +538,7 @@
         state.ejected_nats = 0.0
         state.cold_since_s = now_s
         state.latency.level = state.latency.own_level
+        state.latency.choice_level = state.latency.own_level
         state.clear_evidence(now_s)
         log_info("target_returned", service=self.service.name, target=state.name)
 
