Copy drawn values in the mutation test of checks

A list or object drawn twice was the same object, so a later change could make it contain itself, and json.dumps failed with RecursionError in the test.

--- a/testing/test_checks.py
+++ b/testing/test_checks.py
@@ -1,3 +1,4 @@
+import copy
 import json
 import pathlib
 import re
@@ -229,7 +230,7 @@
                 path[-1]
             )
         else:
-            parent[path[-1]] = data.draw(VALUES)
+            parent[path[-1]] = copy.deepcopy(data.draw(VALUES))
     with tempfile.TemporaryDirectory() as folder:
         files = [pathlib.Path(folder) / f"{number}.jsonc" for number in range(2)]
         for file, document in zip(files, documents, strict=True):
