Add the publisher

A race reports the services, routes and workspaces that the other operator changed. The manifest is offered to the instances in the platform's list, and missing instances are named.

--- /dev/null
+++ b/src/lacewinglift/differences.py
@@ -0,0 +1,85 @@
+"""Which entries differ between two generations of a configuration."""
+
+from collections.abc import Iterable
+
+from attrs import frozen
+
+from lacewinglift.errors import ConfigurationError
+from lacewinglift.generated.configuration_pb2 import SegmentContent
+
+MAX_NAMES_SHOWN = 10
+
+
+@frozen
+class Changes:
+    """Names of the entries that were added, removed or changed."""
+
+    fleet: bool = False
+    """Whether a setting of the fleet as a whole changed."""
+    services: tuple[str, ...] = ()
+    routes: tuple[str, ...] = ()
+    workspaces: tuple[str, ...] = ()
+
+    def __str__(self) -> str:
+        parts = ["fleet settings"] if self.fleet else []
+        for kind in ("services", "routes", "workspaces"):
+            names = getattr(self, kind)
+            if names:
+                parts.append(f"{kind} {_join(names)}")
+        return "; ".join(parts) or "nothing"
+
+    def as_dict(self) -> dict[str, object]:
+        """Return the changes as JSON values."""
+        return {
+            "fleet": self.fleet,
+            "services": list(self.services),
+            "routes": list(self.routes),
+            "workspaces": list(self.workspaces),
+        }
+
+
+def compare_segments(before: Iterable[bytes], after: Iterable[bytes]) -> Changes:
+    """Return what differs between the contents of two sets of segments.
+
+    Segments that both generations have in common may be left out of both.
+    """
+    old, new = _records(before), _records(after)
+    changed: dict[str, list[str]] = {}
+    for kind, name in sorted(old.keys() | new.keys()):
+        if old.get((kind, name)) != new.get((kind, name)):
+            changed.setdefault(kind, []).append(name)
+    return Changes(
+        fleet="fleet" in changed,
+        services=tuple(changed.get("services", ())),
+        routes=tuple(changed.get("routes", ())),
+        workspaces=tuple(changed.get("workspaces", ())),
+    )
+
+
+def _records(contents: Iterable[bytes]) -> dict[tuple[str, str], bytes]:
+    """Return the records by kind and name; keys count as part of workspaces."""
+    found: dict[tuple[str, str], bytes] = {}
+    for data in contents:
+        content = _parse(data)
+        if content.HasField("fleet"):
+            found["fleet", ""] = content.fleet.SerializeToString()
+        for service in content.services:
+            found["services", service.name] = service.SerializeToString()
+        for route in content.routes:
+            found["routes", route.prefix] = route.SerializeToString()
+        for workspace in content.workspaces:
+            found["workspaces", workspace.name] = workspace.SerializeToString()
+    return found
+
+
+def _parse(data: bytes) -> SegmentContent:
+    try:
+        return SegmentContent.FromString(data)
+    except Exception as error:
+        raise ConfigurationError(f"a segment cannot be decoded: {error}") from None
+
+
+def _join(names: tuple[str, ...]) -> str:
+    shown = ", ".join(names[:MAX_NAMES_SHOWN])
+    more = len(names) - MAX_NAMES_SHOWN
+    return f"{shown} and {more} more" if more > 0 else shown
--- a/src/lacewinglift/errors.py
+++ b/src/lacewinglift/errors.py
@@ -72,10 +72,22 @@
 
 
 class PublishConflictError(LacewingliftError):
-    """Another operator published first."""
+    """Another operator published first; nothing of this publication is in force.
+
+    Parameters
+    ----------
+    message : str
+        Who published, and what that changed.
+    generation : int
+        Generation that is in the store.
+    """
 
     code = "publish_conflict"
 
+    def __init__(self, message: str, generation: int) -> None:
+        super().__init__(message)
+        self.generation = generation
+
 
 class PeerError(LacewingliftError):
     """A call to another instance failed."""
--- /dev/null
+++ b/src/lacewinglift/rollout.py
@@ -0,0 +1,223 @@
+"""Offers a generation to the instances and waits until it is in force."""
+
+import asyncio
+import json
+import random
+from collections.abc import Mapping, Sequence
+
+from attrs import define, field, frozen
+
+from lacewinglift.errors import PeerError, StoreError
+from lacewinglift.generated.fleet_pb2 import (
+    LEAVING,
+    LIVE,
+    GetStatusRequest,
+    InstanceStatus,
+    Manifest,
+    OfferConfigurationRequest,
+)
+from lacewinglift.logs import log_info
+from lacewinglift.peers import PeerCalls
+from lacewinglift.store import Store
+from lacewinglift.timers import Timers
+
+INSTANCES_PREFIX = "platform/instances/"
+CALL_TIMEOUT_S = 1.0
+POLL_INTERVAL_S = 0.25
+LIST_INTERVAL_S = 1.0
+MAX_OFFERS = 100
+"""Instances that are offered a generation; the others learn it from heartbeats."""
+MAX_OFFERED_BYTES = 1024 * 1024
+"""Above this only the manifest is offered, and instances fetch the segments."""
+MAX_CALLS_AT_ONCE = 16
+
+
+@frozen
+class ListedInstance:
+    """An instance in the platform's list."""
+
+    name: str
+    peer_address: str
+
+
+@define
+class _View:
+    """What is known of the fleet while a generation is rolled out."""
+
+    addresses: dict[str, str] = field(factory=dict)
+    """Peer addresses of instances by name."""
+    listed: set[str] = field(factory=set)
+    """Live instances in the platform's list."""
+    leaving: set[str] = field(factory=set)
+    statuses: dict[str, InstanceStatus] = field(factory=dict)
+    silent: set[str] = field(factory=set)
+    """Given addresses that did not answer."""
+
+    def note(self, status: InstanceStatus) -> None:
+        """Keep the newest report on an instance."""
+        known = self.statuses.get(status.instance)
+        if known is None or _freshness(status) > _freshness(known):
+            self.statuses[status.instance] = status
+        if status.peer_address:
+            self.addresses[status.instance] = status.peer_address
+
+    def expected(self) -> set[str]:
+        """Return the live instances."""
+        heard = {
+            name
+            for name, status in self.statuses.items()
+            if status.state == LIVE and not status.suspected
+        }
+        gone = self.leaving | {
+            name for name, status in self.statuses.items() if status.state == LEAVING
+        }
+        return (self.listed | heard) - gone
+
+    def in_force(self, generation: int) -> set[str]:
+        """Return the live instances that reported `generation` or a later one."""
+        return {
+            name
+            for name in self.expected() & self.statuses.keys()
+            if self.statuses[name].generation >= generation
+        }
+
+    def missing(self, generation: int) -> set[str]:
+        """Return the live instances that did not, and addresses without answer."""
+        known = set(self.addresses.values())
+        return (self.expected() - self.in_force(generation)) | (self.silent - known)
+
+
+def _freshness(status: InstanceStatus) -> tuple[int, int, int]:
+    return status.incarnation, status.generation, -status.age_ms
+
+
+class Rollout:
+    """Brings a generation to the instances.
+
+    Parameters
+    ----------
+    store : Store
+        For the platform's list of instances.
+    peer_addresses : sequence of str
+        Instances to ask in any case.
+    timers : Timers
+        Clock.
+    """
+
+    def __init__(
+        self, store: Store, peer_addresses: Sequence[str], timers: Timers
+    ) -> None:
+        self.store = store
+        self.peer_addresses = list(peer_addresses)
+        self.timers = timers
+        self.calls = PeerCalls()
+        self.slots = asyncio.Semaphore(MAX_CALLS_AT_ONCE)
+
+    async def run(
+        self, manifest: Manifest, segments: Mapping[bytes, bytes], wait_s: float
+    ) -> tuple[list[str], list[str]]:
+        """Offer a manifest and return the instances that have it and that lack it."""
+        view = _View()
+        deadline = self.timers.now() + wait_s
+        try:
+            await self._read_list(view)
+            await self._offer(view, manifest, segments)
+            await self._wait(view, manifest.generation, deadline)
+        finally:
+            self.calls.close()
+        generation = manifest.generation
+        return sorted(view.in_force(generation)), sorted(view.missing(generation))
+
+    async def _read_list(self, view: _View) -> None:
+        """Read the platform's list; without it the instances' reports decide."""
+        try:
+            entries = await self.store.list_prefix(INSTANCES_PREFIX)
+        except StoreError as error:
+            log_info("instance_list_unavailable", reason=error)
+            return
+        view.listed.clear()
+        view.leaving.clear()
+        for entry in entries:
+            name = entry.key.removeprefix(INSTANCES_PREFIX)
+            state, address = _parse_listed(entry.value)
+            (view.listed if state == "live" else view.leaving).add(name)
+            if address:
+                view.addresses[name] = address
+
+    async def _offer(
+        self, view: _View, manifest: Manifest, segments: Mapping[bytes, bytes]
+    ) -> None:
+        request = OfferConfigurationRequest(manifest=manifest)
+        if sum(map(len, segments.values())) <= MAX_OFFERED_BYTES:
+            for sha256, content in segments.items():
+                request.segments.add(sha256=sha256, content=content)
+        listed = sorted(
+            address
+            for name, address in view.addresses.items()
+            if name in view.listed and address not in self.peer_addresses
+        )
+        if len(listed) > MAX_OFFERS:
+            listed = random.sample(listed, MAX_OFFERS)
+        addresses = [*self.peer_addresses, *listed]
+        await asyncio.gather(
+            *(self._call(each, "OfferConfiguration", request) for each in addresses)
+        )
+
+    async def _wait(self, view: _View, generation: int, deadline: float) -> None:
+        next_list = self.timers.now() + LIST_INTERVAL_S
+        while True:
+            await self._poll(view, generation)
+            if not view.missing(generation) or self.timers.now() >= deadline:
+                return
+            await asyncio.sleep(POLL_INTERVAL_S)
+            if self.timers.now() >= next_list:
+                next_list = self.timers.now() + LIST_INTERVAL_S
+                await self._read_list(view)
+
+    async def _poll(self, view: _View, generation: int) -> None:
+        """Ask instances until each that lacks the generation was reported on.
+
+        An instance reports on its whole cell, so a few answers cover the fleet.
+        """
+        covered: set[str] = set()
+        view.silent.clear()
+        await asyncio.gather(
+            *(self._ask(each, view, covered) for each in self.peer_addresses)
+        )
+        asked = set(self.peer_addresses)
+        while True:
+            lacking = view.missing(generation) - covered
+            addresses = [view.addresses.get(name, "") for name in sorted(lacking)]
+            chosen = [each for each in addresses if each and each not in asked]
+            if not chosen:
+                return
+            batch = random.sample(chosen, min(len(chosen), MAX_CALLS_AT_ONCE))
+            asked.update(batch)
+            await asyncio.gather(*(self._ask(each, view, covered) for each in batch))
+
+    async def _ask(self, address: str, view: _View, covered: set[str]) -> None:
+        reply = await self._call(address, "GetStatus", GetStatusRequest())
+        if reply is None:
+            if address in self.peer_addresses:
+                view.silent.add(address)
+            return
+        for status in (reply.self, *reply.peers):
+            view.note(status)
+            covered.add(status.instance)
+
+    async def _call(self, address: str, method: str, request: object) -> object:
+        async with self.slots:
+            try:
+                return await self.calls.call(address, method, request, CALL_TIMEOUT_S)
+            except PeerError as error:
+                log_info("instance_not_reached", peer=address, reason=error)
+                return None
+
+
+def _parse_listed(value: bytes) -> tuple[str, str]:
+    """Return state and peer address of an entry of the platform's list."""
+    try:
+        entry = json.loads(value)
+        return str(entry.get("state", "live")), str(entry.get("peer_address", ""))
+    except (ValueError, AttributeError):
+        return "live", ""
