--- a/src/lacewinglift/checks.py
+++ b/src/lacewinglift/checks.py
@@ -23,12 +23,20 @@
 from lacewinglift.generated.configuration_schema import validate
 from lacewinglift.jsonc import Path, read_document
 from lacewinglift.overlays import Sources
+from lacewinglift.segments import MAX_SEGMENT_BYTES
 
 SECTIONS = ("services", "routes", "workspaces")
 EMPTY_KEY_DIGEST = hashlib.sha256(b"").hexdigest()
 RESERVED_PREFIXES = ("/.lacewinglift", "/metrics")
 """Paths that every instance answers itself."""
 
+# Upper bounds of what a record takes beside the text in it.
+TARGET_OVERHEAD_BYTES = 32
+NAME_OVERHEAD_BYTES = 2
+RECORD_BASE_BYTES = 8 * 1024
+"""Settings of a service, its name and its data centres."""
+MAX_RECORD_BYTES = MAX_SEGMENT_BYTES // 2 - RECORD_BASE_BYTES
+
 
 @define
 class Draft:
@@ -346,6 +354,29 @@
     return None
 
 
+@check
+def _check_record_sizes(draft: Draft) -> Iterator[Finding]:
+    for name, service in draft.entries("services"):
+        targets = service["targets"].items()
+        size = sum(len(target) + len(each["address"]) for target, each in targets)
+        size += len(targets) * TARGET_OVERHEAD_BYTES
+        if size > MAX_RECORD_BYTES:
+            message = (
+                f"{name!r} has more targets than one record in the store holds "
+                f"({MAX_RECORD_BYTES} bytes); divide it into several services"
+            )
+            yield ("services", name, "targets"), message
+    for prefix, route in draft.entries("routes"):
+        listed = route.get("workspaces", ())
+        size = sum(len(name) + NAME_OVERHEAD_BYTES for name in listed)
+        if size > MAX_RECORD_BYTES:
+            message = (
+                f"{prefix!r} lists more workspaces than one record in the store "
+                f"holds ({MAX_RECORD_BYTES} bytes); divide it into several routes"
+            )
+            yield ("routes", prefix, "workspaces"), message
+
+
 @check
 def _check_prefixes(draft: Draft) -> Iterator[Finding]:
     for prefix in draft.names("routes"):
--- a/testing/test_checks.py
+++ b/testing/test_checks.py
@@ -124,6 +124,16 @@
     assert lines == ["base:5", "base:9", "base:14", "base:20"]
 
 
+def test_service_that_is_too_large_is_a_fault(faults):
+    """Guards against a limit that is noticed only while publishing."""
+    targets = ",".join(
+        f'"t{each}": {{"address": "10.0.0.{each % 200}:{each}", "data_centre": "m"}}'
+        for each in range(1, 8000)
+    )
+    [found] = faults(BASE.replace('"targets": {', '"targets": {' + targets + ","))
+    assert found.startswith("base:7 'orders' has more targets")
+
+
 def test_key_is_never_shown(faults):
     """Guards against a clear-text key that reaches a terminal or log."""
     [found] = faults(BASE.replace(KEY, "my-secret-key"))
