--- a/src/lacewinglift/jsonc.py
+++ b/src/lacewinglift/jsonc.py
@@ -13,11 +13,13 @@
 Path = tuple[str | int, ...]
 """Names and list indexes that lead from the top of a document to a value."""
 
-_COMMENT = re.compile(
-    r'"(?:\\.|[^"\\])*"?'  # a string, so that comment marks in it are kept
-    r"|//[^\n]*"
-    r"|/\*.*?\*/"
-    r"|(?P<open>/\*)",
+# Text between comments, with whole strings so that comment marks in them are kept.
+# Possessive, because backtracking would need memory for each string of the file.
+_PART = re.compile(
+    r'(?P<text>(?:[^"/]++|"(?:\\.|[^"\\])*+"|/(?![/*]))++)'
+    r"|(?P<comment>//[^\n]*|/\*.*?\*/)"
+    r"|(?P<open>/\*)"
+    r"|(?P<rest>.)",
     re.DOTALL,
 )
 _NOT_NEWLINE = re.compile(r"[^\n]")
@@ -43,16 +45,16 @@
 def strip_comments(text: str) -> str:
     """Return `text` with comments replaced by as many spaces."""
 
-    def blank(match: re.Match[str]) -> str:
-        part = match.group()
-        if part.startswith('"'):
-            return part
-        if match.group("open"):
+    parts = []
+    for match in _PART.finditer(text):
+        if match.lastgroup == "open":
             line = _line_of(text, match.start())
             raise JsoncError("this comment is not closed; add */", line)
-        return _NOT_NEWLINE.sub(" ", part)
-
-    return _COMMENT.sub(blank, text)
+        part = match.group()
+        if match.lastgroup == "comment":
+            part = _NOT_NEWLINE.sub(" ", part)
+        parts.append(part)
+    return "".join(parts)
 
 
 def parse(text: str) -> Any:
--- a/src/lacewinglift/overlays.py
+++ b/src/lacewinglift/overlays.py
@@ -1,6 +1,5 @@
 """Merges overlays, which hold differences only, into the base file."""
 
-import copy
 from collections.abc import Iterator, Sequence
 from typing import Any
 
@@ -66,7 +65,7 @@
         """Merge the overlays."""
         documents = [self.base, *self.overlays]
         self.faults = [fault for document in documents for fault in document.faults]
-        self.merged = copy.deepcopy(self.base.value) if self.base.readable else {}
+        self.merged = self.base.value if self.base.readable else {}
         settings: dict[Path, Document] = {}
         for overlay in self.overlays:
             if overlay.readable:
@@ -97,7 +96,7 @@
                 self.faults.append(fault)
                 continue
             settings[path] = overlay
-            _set(self.merged, path, value)
+            self.merged = _with_value(self.merged, path, value)
 
     def _refusal(self, path: Path, value: Any) -> str | None:
         """Return why an overlay may not set `value` at `path`."""
@@ -178,18 +177,18 @@
     return value
 
 
-def _set(merged: dict[str, Any], path: Path, value: Any) -> None:
+def _with_value(merged: dict[str, Any], path: Path, value: Any) -> dict[str, Any]:
+    """Return `merged` with `value` at `path`; only objects on the way are copied."""
     if not path:
-        return
-    parent = merged
-    for part in path[:-1]:
-        child = parent.get(part)
-        if not isinstance(child, dict):
-            child = parent[part] = {}
-        parent = child
-    if value is None:
-        parent.pop(path[-1], None)
-    elif value == {} and isinstance(parent.get(path[-1]), dict):
-        return
-    else:
-        parent[path[-1]] = copy.deepcopy(value)
+        return merged
+    changed = dict(merged)
+    name = str(path[0])
+    below = changed.get(name)
+    if len(path) > 1:
+        below = below if isinstance(below, dict) else {}
+        changed[name] = _with_value(below, path[1:], value)
+    elif value is None:
+        changed.pop(name, None)
+    elif value != {} or not isinstance(below, dict):
+        changed[name] = value
+    return changed
--- a/src/lacewinglift/segments.py
+++ b/src/lacewinglift/segments.py
@@ -38,13 +38,15 @@
 """About 4 KB each; a service with its targets is larger than other entries."""
 MAX_PLAIN_REFERENCES = 64
 """References that a manifest holds before they move to index segments."""
-DECODED_BUCKETS = 128
-"""Buckets of each kind that stay decoded: about 10 MB at most."""
+DECODED_ENTRIES = 4096
+"""Workspaces and keys, each, that stay decoded: about 5 MB together."""
 
 KINDS = tuple(ENTRIES_PER_BUCKET)
 _Entry = TypeVar("_Entry")
 Segments = Mapping[bytes, bytes]
 """Contents of segments by their SHA-256 digests."""
+_Verified = dict[bytes, tuple[bytes, tuple[Any, ...]]]
+"""Checked contents, with services and routes decoded, by digest and place."""
 
 
 @frozen
@@ -59,8 +61,7 @@
 class SegmentedConfiguration(Configuration):
     """A configuration whose workspaces and keys are decoded on use."""
 
-    verified: frozenset[bytes] = field(default=frozenset(), kw_only=True, repr=False)
-    """Digests of the segments whose content was checked."""
+    verified: _Verified = field(factory=dict, kw_only=True, repr=False)
 
 
 def encode_configuration(
@@ -136,7 +137,7 @@
     ConfigurationError
         Where a segment is missing, has a wrong hash or cannot be used.
     """
-    reader = _Reader(manifest, segments, getattr(previous, "verified", frozenset()))
+    reader = _Reader(manifest, segments, previous)
     fleet = reader.fleet()
     services = reader.services()
     routes = reader.routes(services)
@@ -149,7 +150,7 @@
         routes=routes,
         workspaces=workspaces,
         by_digest=keys,
-        verified=frozenset(reader.checked),
+        verified=reader.verified,
     )
 
 
@@ -169,16 +170,18 @@
 
     def __init__(self, contents: Sequence[bytes]) -> None:
         self.contents = contents
-        self.bucket = lru_cache(DECODED_BUCKETS)(self._decode)
+        # Names that are not there raise KeyError, which is not cached, so that
+        # callers with wrong names do not displace others.
+        self.lookup = lru_cache(DECODED_ENTRIES)(self._find)
         self.length: int | None = None
 
     def __getitem__(self, name: str) -> Workspace:
-        key = name.encode("utf-8", "surrogatepass")
-        return self.bucket(bucket_of(key, len(self.contents)))[name]
+        return self.lookup(name)
 
     def __iter__(self) -> Iterator[str]:
-        for number in range(len(self.contents)):
-            yield from self._decode(number)
+        for content in self.contents:
+            for record in _parse(content).workspaces:
+                yield record.name
 
     def __len__(self) -> int:
         if self.length is None:
@@ -189,9 +192,12 @@
         """Return the workspaces; each bucket is decoded once in an iteration."""
         return _WorkspaceValues(self)
 
-    def _decode(self, number: int) -> dict[str, Workspace]:
-        records = _parse(self.contents[number]).workspaces
-        return {record.name: workspace_of(record) for record in records}
+    def _find(self, name: str) -> Workspace:
+        number = bucket_of(name.encode("utf-8", "surrogatepass"), len(self.contents))
+        for record in _parse(self.contents[number]).workspaces:
+            if record.name == name:
+                return workspace_of(record)
+        raise KeyError(name)
 
 
 class _WorkspaceValues(Iterable[Workspace]):
@@ -199,8 +205,8 @@
         self.buckets = buckets
 
     def __iter__(self) -> Iterator[Workspace]:
-        for number in range(len(self.buckets.contents)):
-            yield from self.buckets._decode(number).values()
+        for content in self.buckets.contents:
+            yield from map(workspace_of, _parse(content).workspaces)
 
     def __len__(self) -> int:
         return len(self.buckets)
@@ -222,29 +228,29 @@
     ) -> None:
         self.contents = contents
         self.workspaces = workspaces
-        self.bucket = lru_cache(DECODED_BUCKETS)(self._decode)
+        self.lookup = lru_cache(DECODED_ENTRIES)(self._find)
 
     def __getitem__(self, digest: bytes) -> Workspace:
-        name = self.bucket(bucket_of(digest, len(self.contents)))[digest]
-        workspace = self.workspaces[name]
-        # The workspace decides, so that a key that was withdrawn from it is never
-        # accepted because of an older bucket of keys.
-        if digest not in workspace.key_digests:
-            raise KeyError(digest)
-        return workspace
+        return self.lookup(digest)
 
     def __iter__(self) -> Iterator[bytes]:
-        for number in range(len(self.contents)):
-            yield from self._decode(number)
+        for content in self.contents:
+            for record in _parse(content).keys:
+                yield record.digest
 
     def __len__(self) -> int:
         return sum(1 for _ in self)
 
-    def _decode(self, number: int) -> dict[bytes, str]:
-        return {
-            record.digest: record.workspace
-            for record in _parse(self.contents[number]).keys
-        }
+    def _find(self, digest: bytes) -> Workspace:
+        number = bucket_of(digest, len(self.contents))
+        for record in _parse(self.contents[number]).keys:
+            if record.digest == digest:
+                workspace = self.workspaces[record.workspace]
+                # The workspace decides, so that a key that was withdrawn from it
+                # is never accepted because of an older bucket of keys.
+                if digest in workspace.key_digests:
+                    return workspace
+        raise KeyError(digest)
 
 
 class _Writer:
@@ -351,33 +357,27 @@
 
 class _Reader:
     def __init__(
-        self, manifest: Manifest, segments: Segments, verified: frozenset[bytes]
+        self, manifest: Manifest, segments: Segments, previous: Configuration | None
     ) -> None:
         self.segments = segments
-        self.verified = verified
-        self.checked: set[bytes] = set()
+        self.known: _Verified = {}
+        if isinstance(previous, SegmentedConfiguration):
+            self.known = previous.verified
+        self.verified: _Verified = {}
         self.references: dict[str, SegmentReference] = {}
         for reference in _expand(manifest, segments):
-            if self.references.setdefault(reference.name, reference) != reference:
+            if self.references.setdefault(reference.name, reference) is not reference:
                 raise ConfigurationError(f"segment {reference.name!r} is there twice")
         self.counts = _bucket_counts(self.references)
         stated = (manifest.workspace_buckets, manifest.key_buckets)
         if stated != (self.counts["workspaces"], self.counts["keys"]):
             raise ConfigurationError("the manifest has a wrong number of buckets")
 
-    def content(self, name: str) -> bytes:
-        reference = self.references[name]
-        content = self.segments.get(reference.sha256)
-        if content is None:
-            raise ConfigurationError(f"segment {name!r} is missing")
-        if reference.sha256 not in self.verified:
-            _checked(reference, content)
-        return content
-
     def fleet(self) -> Any:
         if "fleet" not in self.references:
             raise ConfigurationError("the manifest has no fleet segment")
-        return fleet_of(_parse(self.content("fleet")).fleet)
+        _, (fleet,) = self._read("fleet", "", lambda found: [fleet_of(found.fleet)])
+        return fleet
 
     def services(self) -> dict[str, Service]:
         found = self._entries("services", lambda content: content.services, service_of)
@@ -395,15 +395,14 @@
         count = self.counts[kind]
         contents = []
         for number in range(count):
-            name = f"{kind}/{number}"
-            content = self.content(name)
-            # The place is part of what was verified: the same content under
-            # another number would hide its entries.
-            mark = self.references[name].sha256 + f"{name} of {count}".encode()
-            if mark not in self.verified:
-                verify(_parse(content), number, count)
-            self.checked |= {mark, self.references[name].sha256}
-            contents.append(content)
+
+            def build(found: SegmentContent, number: int = number) -> tuple[Any, ...]:
+                verify(found, number, count)
+                return ()
+
+            # The same content in another place would hide its entries.
+            place = f"{kind}/{number} of {count}"
+            contents.append(self._read(f"{kind}/{number}", place, build)[0])
         return contents
 
     def _entries(
@@ -412,11 +411,34 @@
         records: Callable[[SegmentContent], Iterable[Any]],
         convert: Callable[[Any], _Entry],
     ) -> list[_Entry]:
-        return [
-            convert(record)
-            for number in range(self.counts[kind])
-            for record in records(_parse(self.content(f"{kind}/{number}")))
-        ]
+        def build(found: SegmentContent) -> Iterator[_Entry]:
+            return map(convert, records(found))
+
+        found: list[_Entry] = []
+        for number in range(self.counts[kind]):
+            found += self._read(f"{kind}/{number}", kind, build)[1]
+        return found
+
+    def _read(
+        self,
+        name: str,
+        place: str,
+        build: Callable[[SegmentContent], Iterable[Any]],
+    ) -> tuple[bytes, tuple[Any, ...]]:
+        """Return a segment and what `build` makes of it, checked once."""
+        reference = self.references[name]
+        content = self.segments.get(reference.sha256)
+        if content is None:
+            raise ConfigurationError(f"segment {name!r} is missing")
+        mark = reference.sha256 + place.encode()
+        known = self.known.get(mark)
+        # The content is compared, because it is not sure to be what was checked
+        # under this digest.
+        if known is None or known[0] != content:
+            found = _parse(_checked(reference, content))
+            known = (content, tuple(build(found)))
+        self.verified[mark] = known
+        return known
 
 
 def _bucket_counts(references: Mapping[str, SegmentReference]) -> dict[str, int]:
--- a/testing/test_segments.py
+++ b/testing/test_segments.py
@@ -144,6 +144,21 @@
         decode_configuration(encoded.manifest, encoded.segments, previous)
 
 
+@pytest.mark.parametrize(
+    "sha256", sorted(encode_configuration(make_configuration(), "ann").segments)
+)
+def test_previous_result_does_not_excuse_a_wrong_or_missing_segment(sha256):
+    """Guards against an offered segment that replaces a checked one unseen."""
+    encoded = encode_configuration(make_configuration(), "ann")
+    previous = decode_configuration(encoded.manifest, encoded.segments)
+    segments = {**encoded.segments, sha256: b"\x1a\x00"}
+    with pytest.raises(ConfigurationError, match="wrong hash"):
+        decode_configuration(encoded.manifest, segments, previous)
+    del segments[sha256]
+    with pytest.raises(ConfigurationError, match="is missing"):
+        decode_configuration(encoded.manifest, segments, previous)
+
+
 def test_service_that_is_too_large_is_refused():
     """Guards against a segment that the store does not accept."""
     targets = tuple(
