--- /dev/null
+++ b/testing/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Runs a fleet of instances against stand-ins, on this machine."""
--- /dev/null
+++ b/testing/standins/bare_instance.py
@@ -0,0 +1,41 @@
+"""Stand-in for an instance, for tests of the launcher: answers addresses only."""
+
+import argparse
+import http.server
+import json
+import pathlib
+import sys
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    addresses: list[dict[str, str]] = []
+
+    def do_GET(self) -> None:
+        body = json.dumps({"addresses": self.addresses}).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+def main() -> None:
+    """Answer until killed; `--fail` exits at once, as after an error at start."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--settings", type=pathlib.Path, required=True)
+    parser.add_argument("--fail", action="store_true")
+    options = parser.parse_args()
+    if options.fail:
+        sys.exit("the settings cannot be used")
+    files = options.settings.parent.glob("*-?.jsonc")
+    settings = [json.loads(path.read_text()) for path in files]
+    _Handler.addresses = [
+        {"address": each["caller_address"], "data_centre": each["data_centre"]}
+        for each in settings
+    ]
+    own = json.loads(options.settings.read_text())
+    host, port = own["caller_address"].split(":")
+    http.server.ThreadingHTTPServer((host, int(port)), _Handler).serve_forever()
+
+
+if __name__ == "__main__":
+    main()
--- a/testing/standins/control.py
+++ b/testing/standins/control.py
@@ -77,7 +77,7 @@
         self.thread.join()
 
 
-def call_control(address: str, command: str, **parameters: Any) -> Any:
+def call_control(address: str, command: str, /, **parameters: Any) -> Any:
     """Run `command` on the control port at `address` and return its answer."""
     fields = {key: json.dumps(value) for key, value in parameters.items()}
     url = f"http://{address}/{command}?{urllib.parse.urlencode(fields)}"
--- a/testing/standins/instances_list.py
+++ b/testing/standins/instances_list.py
@@ -25,21 +25,30 @@
     """Writes the list to the store, later than instances come and go.
 
     The platform enters an instance `lag_s` after its start and removes it `lag_s`
-    after its end. A value is a JSON object with `address`, `data_centre` and
-    `state` ("live" or "leaving").
+    after its end. A value is a JSON object with `address`, `peer_address`,
+    `data_centre` and `state` ("live" or "leaving").
     """
 
     store: WritableStore
     lag_s: float = LIST_LAG_S
+    entries: dict[str, dict[str, str]] = field(factory=dict)
     pending: list[threading.Timer] = field(factory=list)
 
-    def enter(self, instance: str, address: str, data_centre: str) -> None:
+    def enter(
+        self, instance: str, address: str, peer_address: str, data_centre: str
+    ) -> None:
         """Enter an instance as live, after the lag."""
-        self._later(lambda: self._write(instance, address, data_centre, "live"))
+        entry = {
+            "address": address,
+            "peer_address": peer_address,
+            "data_centre": data_centre,
+        }
+        self.entries[instance] = entry
+        self._later(lambda: self._write(instance, "live"))
 
-    def mark_leaving(self, instance: str, address: str, data_centre: str) -> None:
+    def mark_leaving(self, instance: str) -> None:
         """Mark an instance as leaving, after the lag."""
-        self._later(lambda: self._write(instance, address, data_centre, "leaving"))
+        self._later(lambda: self._write(instance, "leaving"))
 
     def remove(self, instance: str) -> None:
         """Remove an instance, after the lag."""
@@ -65,11 +74,6 @@
         self.pending.append(timer)
         timer.start()
 
-    def _write(self, instance: str, address: str, data_centre: str, state: str) -> None:
-        value = {
-            "address": address,
-            "data_centre": data_centre,
-            "state": state,
-            "written_at": time.time(),
-        }
+    def _write(self, instance: str, state: str) -> None:
+        value = {**self.entries[instance], "state": state, "written_at": time.time()}
         self.store.put(INSTANCES_PREFIX + instance, json.dumps(value).encode())
--- a/testing/test_standins.py
+++ b/testing/test_standins.py
@@ -253,11 +253,15 @@
 def test_instances_list_lags(store):
     """Guards against tests that rely on a list without its lag."""
     instances = InstancesList(store, lag_s=0.3)
-    instances.enter("i1", "127.0.0.1:1", "milano")
+    instances.enter("i1", "127.0.0.1:1", "127.0.0.1:2", "milano")
     assert_that(store.values(INSTANCES_PREFIX), Equals({}))
     time.sleep(0.5)
     entry = json.loads(store.values(INSTANCES_PREFIX)[INSTANCES_PREFIX + "i1"])
     assert_that(entry["state"], Equals("live"))
+    instances.mark_leaving("i1")
+    time.sleep(0.5)
+    entry = json.loads(store.values(INSTANCES_PREFIX)[INSTANCES_PREFIX + "i1"])
+    assert_that(entry["state"], Equals("leaving"))
     instances.remove("i1")
     time.sleep(0.5)
     assert_that(store.values(INSTANCES_PREFIX), Equals({}))
