--- a/testing/fleet/demo.py
+++ b/testing/fleet/demo.py
@@ -71,7 +71,7 @@
 
     def executed(self, target: str) -> int:
         """Return how many requests a target has run."""
-        return self.fleet.control_targets("report", target=target)["executed"]
+        return self.fleet.control_target("report", target)["executed"]
 
 
 def run_demo(options: FleetOptions) -> int:
@@ -159,14 +159,14 @@
         time.sleep(2.0)
         usual = demo.executed(target) / 2.0
         before = demo.executed(target)
-        demo.fleet.control_targets("set", target=target, hang=True, health_honest=False)
+        demo.fleet.control_target("set", target, hang=True, health_honest=False)
         since = time.monotonic()
         time.sleep(EJECTION_BOUND_S)
         at_bound = demo.executed(target)
         time.sleep(4.0)
         later = (demo.executed(target) - at_bound) / 4.0
         answered = load.kinds(since)["ok"]
-    demo.fleet.control_targets("set", target=target, hang=False, health_honest=True)
+    demo.fleet.control_target("set", target, hang=False, health_honest=True)
     rate = f"{usual:.1f}/s before, {later:.1f}/s after {EJECTION_BOUND_S:g} s"
     seen = f"{rate}; {at_bound - before} requests met the hang; {answered} answered"
     held = usual > 0 and later <= EJECTED_SHARE * usual
@@ -269,7 +269,7 @@
 @step
 def count_duplicates(demo: Demo) -> Finding:
     """Count sales that ran more than once during all of this."""
-    duplicates = demo.fleet.control_targets("duplicates")
+    duplicates = demo.fleet.duplicates()
     sales = [name for name in duplicates if name.startswith("POST")]
     seen = f"{len(sales)} sales ran twice"
     return Finding("each sale ran at most once", seen, not sales)
--- a/testing/fleet/deployment.py
+++ b/testing/fleet/deployment.py
@@ -101,10 +101,13 @@
         Number of instances that share the targets.
     address_lifetime_s : float
         Lifetime of address answers.
+    rate_scale : float, default=1.0
+        Factor of all rates.
     """
 
     instances: int
     address_lifetime_s: float
+    rate_scale: float = 1.0
     keys: dict[str, str] = field(
         factory=lambda: {name: secrets.token_urlsafe(24) for name in WORKSPACES}
     )
@@ -119,7 +122,7 @@
 
     def rates(self) -> dict[str, float]:
         """Return the rate of each workspace, scaled to the number of instances."""
-        scale = max(self.instances / PLANNED_INSTANCES, 1.0)
+        scale = max(self.instances / PLANNED_INSTANCES, 1.0) * self.rate_scale
         return {name: plan.rate_per_s * scale for name, plan in WORKSPACES.items()}
 
     def base(self, withdrawn: frozenset[str] = frozenset()) -> dict[str, Any]:
--- a/testing/fleet/launcher.py
+++ b/testing/fleet/launcher.py
@@ -7,6 +7,7 @@
 import subprocess
 import tempfile
 import time
+from collections import Counter
 from typing import Any
 
 import urllib3
@@ -52,6 +53,12 @@
         Lifetime of address answers, so also how long a graceful stop takes.
     list_lag_s : float, default=5.0
         Lag of the platform's list of instances.
+    worker_threads : int, default=64
+        Threads of each instance for callers' requests.
+    target_processes : int, default=1
+        Processes that share the stand-ins for targets.
+    rate_scale : float, default=1.0
+        Factor of all workspaces' rates.
     serve_command : list of str
         Command line of an instance, without `--settings FILE`.
     publish_command : list of str
@@ -62,6 +69,8 @@
     address_lifetime_s: float = 2.0
     list_lag_s: float = 5.0
     worker_threads: int = 64
+    target_processes: int = 1
+    rate_scale: float = 1.0
     serve_command: list[str] = field(
         factory=lambda: python_command("lacewinglift", "serve")
     )
@@ -87,12 +96,14 @@
 
     def __init__(self, options: FleetOptions) -> None:
         self.options = options
-        self.deployment = Deployment(options.instances, options.address_lifetime_s)
+        self.deployment = Deployment(
+            options.instances, options.address_lifetime_s, options.rate_scale
+        )
         self.instances: list[Instance] = []
         self.targets: dict[str, str] = {}
         self.store_address = ""
         self.store_control = ""
-        self.targets_control = ""
+        self.target_controls: dict[str, str] = {}
         self.http = urllib3.PoolManager(retries=False, timeout=2.0)
 
     def __enter__(self) -> "Fleet":
@@ -169,16 +180,24 @@
             "pids": {each.address: each.child.pid for each in self.instances},
             "config": str(self.configuration.folder),
             "publish": shlex.join(self.publish_arguments()),
-            "controls": {"store": self.store_control, "targets": self.targets_control},
+            "controls": {"store": self.store_control, **self.target_controls},
         }
 
     def control_store(self, command: str, /, **parameters: Any) -> Any:
         """Run a command of the store's stand-in."""
         return call_control(self.store_control, command, **parameters)
 
-    def control_targets(self, command: str, /, **parameters: Any) -> Any:
-        """Run a command of the targets' stand-ins."""
-        return call_control(self.targets_control, command, **parameters)
+    def control_target(self, command: str, /, target: str, **parameters: Any) -> Any:
+        """Run a command of the stand-in for one target."""
+        control = self.target_controls[target]
+        return call_control(control, command, target=target, **parameters)
+
+    def duplicates(self) -> dict[str, int]:
+        """Return how often requests ran, for the ids that ran more than once."""
+        total: Counter[str] = Counter()
+        for control in set(self.target_controls.values()):
+            total.update(call_control(control, "executions"))
+        return {name: n for name, n in total.items() if n > 1}
 
     def is_serving(self, instance: Instance) -> bool:
         """Return whether an instance knows all others and serves keyed requests."""
@@ -226,12 +245,18 @@
             for service in SERVICES
             for name in target_names(service)
         ]
-        file = self.folder / "targets.json"
+        count = self.options.target_processes
+        for number in range(count):
+            self._start_target_process(f"targets-{number + 1}", plan[number::count])
+
+    def _start_target_process(self, name: str, plan: list[dict[str, Any]]) -> None:
+        file = self.folder / f"{name}.json"
         file.write_text(json.dumps(plan))
         command = python_command("testing.standins.target", file)
-        ready = self.children.start("targets", command, True).read_ready_line()
-        self.targets = ready["targets"]
-        self.targets_control = ready["control"]
+        ready = self.children.start(name, command, True).read_ready_line()
+        self.targets.update(ready["targets"])
+        for target in ready["targets"]:
+            self.target_controls[target] = ready["control"]
 
     def _start_instances(self) -> None:
         ports = free_ports(2 * self.options.instances)
--- /dev/null
+++ b/testing/load/__init__.py
@@ -0,0 +1,1 @@
+"""Measures a fleet: added latency, processor time, memory, calls to the store."""
--- a/testing/standins/target.py
+++ b/testing/standins/target.py
@@ -580,16 +580,21 @@
             ).forget_connections(),
             "report": lambda target: self._find(target).report(),
             "reports": lambda: [each.report() for each in self.targets.values()],
+            "executions": self.executions,
             "duplicates": self.duplicates,
         }
 
-    def duplicates(self) -> dict[str, int]:
-        """Return the ids that ran more than once at all targets together."""
+    def executions(self) -> dict[str, int]:
+        """Return how often requests ran at all targets together, by id."""
         total: Counter[str] = Counter()
         for target in self.targets.values():
             with target.condition:
                 total.update(target.executions)
-        return {name: n for name, n in total.items() if n > 1}
+        return dict(total)
+
+    def duplicates(self) -> dict[str, int]:
+        """Return the ids that ran more than once at all targets together."""
+        return {name: n for name, n in self.executions().items() if n > 1}
 
     def close(self) -> None:
         """Stop all targets."""
