--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -31,6 +31,9 @@
 
 NOT_RUN_HEADER = "x-lacewinglift-not-run"
 PEEK_BYTES = 4096
+# A wait shorter than this part of the service's timeout says more about the
+# caller's deadline than about the target.
+TIMEOUT_EVIDENCE_PART = 0.1
 
 
 class Attempt(Protocol):
@@ -351,6 +354,8 @@
         tried: set[str] = set()
         failure: _AttemptFailedError | None = None
         while True:
+            if self._remaining_s() <= 0:
+                raise self._refusal(failure or self._too_late())
             attempt = self.forwarder.table.acquire(self.service.name, tried)
             if attempt is None:
                 raise self._refusal(failure)
@@ -360,8 +365,11 @@
             try:
                 return self._attempt(attempt)
             except _AttemptFailedError as error:
-                failure = error
-            if not self._may_resend(failure, len(tried)) or not budget.take():
+                last = error
+            if failure is None or failure.verdict is Verdict.NOT_RUN:
+                # The refusal names the attempt that may have run, if there is one.
+                failure = last
+            if not self._may_resend(last, len(tried)) or not budget.take():
                 raise self._refusal(failure)
 
     def _may_resend(self, failure: _AttemptFailedError, attempts: int) -> bool:
@@ -370,6 +378,10 @@
         replayable = self.request.body.replayable
         return may_resend(self.request.method, failure.verdict, replayable)
 
+    def _too_late(self) -> _AttemptFailedError:
+        message = "the deadline passed before a target was chosen"
+        return _AttemptFailedError(OutcomeKind.TIMEOUT, Verdict.NOT_RUN, message)
+
     def _remaining_s(self) -> float:
         return self.deadline_s - self.timers.now()
 
@@ -383,7 +395,7 @@
         else:
             code = "target_failed"
         message = f"{self.service.name}: {failure.message}"
-        return refuse(code, message, self.verdict, failure.retry_after_s)
+        return refuse(code, message, failure.verdict, failure.retry_after_s)
 
     def _attempt(self, attempt: Attempt) -> Answer:
         try:
@@ -395,7 +407,7 @@
             self._connect()
             return self._exchange()
         except _AttemptFailedError as failure:
-            self._end_attempt(failure.kind)
+            self._end_attempt(self._evidence(failure.kind))
             if failure.verdict is Verdict.MAY_HAVE_RUN:
                 self.verdict = failure.verdict
             raise
@@ -407,6 +419,16 @@
             self._end_attempt(OutcomeKind.CANCELLED)
             raise
 
+    def _evidence(self, kind: OutcomeKind) -> OutcomeKind:
+        """Return the kind to report for a failed attempt."""
+        least_s = self.service.request_timeout_s * TIMEOUT_EVIDENCE_PART
+        if kind is OutcomeKind.CONNECT_FAILED and self._remaining_s() > 0:
+            return kind
+        out_of_time = kind in (OutcomeKind.TIMEOUT, OutcomeKind.CONNECT_FAILED)
+        if out_of_time and self.call.elapsed_s() < least_s:
+            return OutcomeKind.CANCELLED
+        return kind
+
     def _end_attempt(self, kind: OutcomeKind) -> None:
         self.call.finish(kind)
         self.call.close()
@@ -418,9 +440,7 @@
 
     def _connect(self) -> None:
         connection = self.call.connection
-        remaining_s = self._remaining_s()
-        if remaining_s <= 0:
-            raise self._failed(OutcomeKind.TIMEOUT, "the deadline has passed")
+        remaining_s = max(self._remaining_s(), 0.001)
         if connection.sock is None:
             connection.timeout = min(self.service.connect_timeout_s, remaining_s)
             try:
--- a/src/lacewinglift/handling.py
+++ b/src/lacewinglift/handling.py
@@ -285,7 +285,7 @@
         if given_s is not None:
             timeout_s = min(timeout_s, given_s)
         deadline_s = started_s + timeout_s
-        if self.body.small:
+        if self.body.small and started_s < deadline_s:
             self.body.preload(lambda: deadline_s - self.parts.timers.now())
         request = ForwardRequest(
             self.head.method,
--- a/src/lacewinglift/headers.py
+++ b/src/lacewinglift/headers.py
@@ -214,9 +214,10 @@
     if "//" in path:
         raise BadRequestError("the path has an empty segment")
     for segment in path.split("/"):
-        # Servlet containers drop ";..." before they resolve dot segments.
-        if urllib.parse.unquote(segment).split(";", 1)[0] in (".", ".."):
-            raise BadRequestError("the path has a dot segment")
+        # Servlet containers drop ";..." before they resolve segments.
+        name = urllib.parse.unquote(segment).split(";", 1)[0]
+        if name in (".", "..") or (segment and not name):
+            raise BadRequestError("the path has a dot segment or an empty one")
 
 
 def routing_paths(path: str) -> list[str]:
--- a/testing/standins/scripted_targets.py
+++ b/testing/standins/scripted_targets.py
@@ -53,8 +53,9 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-def reset(sock):
+def reset(sock, stream):
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    stream.close()
     sock.close()
 
 
@@ -84,7 +85,8 @@
             self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         for sock in self.sockets:
-            sock.close()
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
 
     def wait_closed(self, sock):
         """Block until the peer closes `sock`, and note when."""
--- /dev/null
+++ b/testing/test_bodies.py
@@ -0,0 +1,87 @@
+import io
+import socket
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from lacewinglift.bodies import (
+    REPLAY_BYTES,
+    CallerGoneError,
+    RequestBody,
+    iterate_chunked,
+)
+from lacewinglift.headers import BadRequestError, parse_head
+
+
+def encode(pieces, upper, extension, trailers):
+    form = "%X" if upper else "%x"
+    data = b""
+    for piece in pieces:
+        data += (form % len(piece)).encode() + extension + b"\r\n" + piece + b"\r\n"
+    return data + b"0\r\n" + trailers + b"\r\n"
+
+
+CHUNKED = st.builds(
+    lambda pieces, *rest: (b"".join(pieces), encode(pieces, *rest)),
+    st.lists(st.binary(min_size=1, max_size=40), max_size=4),
+    st.booleans(),
+    st.sampled_from([b"", b";a", b' ;a="b"']),
+    st.sampled_from([b"", b"X-T: 1\r\n"]),
+)
+
+
+@given(CHUNKED, st.binary(max_size=5), st.data())
+def test_chunked_body_is_read_exactly(body, following, data):
+    """Guards against a body whose end is taken from the next request."""
+    content, encoded = body
+    reader = io.BufferedReader(io.BytesIO(encoded + following), buffer_size=7)
+    assert_that(b"".join(iterate_chunked(reader)), Equals(content))
+    assert_that(reader.read(), Equals(following))
+    cut = data.draw(st.integers(0, len(encoded) - 1))
+    with pytest.raises(CallerGoneError):
+        list(iterate_chunked(io.BufferedReader(io.BytesIO(encoded[:cut]))))
+
+
+BAD_CHUNKS = [
+    b"0x1\r\na\r\n0\r\n\r\n",
+    b"+1\r\na\r\n0\r\n\r\n",
+    b"-1\r\na\r\n0\r\n\r\n",
+    b"1_0\r\n",
+    b" 1\r\na\r\n0\r\n\r\n",
+    b"\r\n",
+    b"1\na\r\n0\r\n\r\n",
+    b"1\r\nab\r\n0\r\n\r\n",
+    b"1000001\r\n",
+    b"100000000\r\n",
+    b"1;" + b"a" * 300 + b"\r\na\r\n0\r\n\r\n",
+    b"0\r\nX_T: 1\r\n\r\n",
+    b"0\r\n folded\r\n\r\n",
+    b"0\r\n" + b"X: 1\r\n" * 102 + b"\r\n",
+]
+
+
+@pytest.mark.parametrize("data", BAD_CHUNKS)
+def test_bad_chunks_are_refused(data):
+    """Guards against chunks that a target may read in another way."""
+    with pytest.raises(BadRequestError):
+        list(iterate_chunked(io.BufferedReader(io.BytesIO(data))))
+
+
+@given(st.integers(1, 3 * REPLAY_BYTES), st.integers(0, 6))
+def test_body_is_replayed_whole_or_not_at_all(length, pieces_read):
+    """Guards against a resend without the bytes that the first attempt took."""
+    content = bytes(index % 251 for index in range(length))
+    head = parse_head(
+        f"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n".encode()
+    )
+    with socket.socket() as sock:
+        reader = io.BufferedReader(io.BytesIO(content), buffer_size=16384)
+        body = RequestBody(head, reader, sock, 1.0, lambda: None)
+        first = body.pieces()
+        taken = sum(len(next(first, b"")) for _ in range(pieces_read))
+        assert_that(body.replayable, Equals(taken <= REPLAY_BYTES))
+        if body.replayable:
+            assert_that(b"".join(body.pieces()), Equals(content))
--- /dev/null
+++ b/testing/test_handling.py
@@ -0,0 +1,181 @@
+import threading
+import time
+from types import SimpleNamespace
+
+import pytest
+from attrs import evolve
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, EndsWith, Equals, LessThan, Not, StartsWith
+
+from lacewinglift.addresses import AddressBook, home_instances
+from lacewinglift.concurrency import ConcurrencyLimits
+from lacewinglift.configuration import Route, Service, Workspace
+from lacewinglift.generated import fleet_pb2
+from lacewinglift.refusals import RefusalError
+from testing.standins.request_half import (
+    call,
+    make_configuration,
+    make_member,
+    request_bytes,
+    running_half,
+    wait_until,
+)
+from testing.standins.scripted_targets import ScriptedTarget, answer, serve_answers
+
+
+@pytest.fixture
+def gate():
+    return threading.Event()
+
+
+@pytest.fixture
+def half(gate):
+    def reply(received):
+        if "slow" in received.line:
+            gate.wait(10)
+        return answer(200, b"sold", "X-Lacewinglift-Verdict: not_run")
+
+    target = ScriptedTarget(serve_answers(reply))
+    with running_half([target.address], worker_threads=8) as half:
+        yield half
+    gate.set()
+    target.close()
+
+
+def test_slow_service_leaves_threads_for_others(half, gate):
+    """Guards against one slow service that holds all worker threads."""
+    sockets = [half.connect() for _ in range(6)]
+    for sock in sockets:
+        sock.sendall(request_bytes("GET", "/cassa/slow"))
+    assert wait_until(lambda: half.parts.limits.in_progress == 4)
+    reply = call(half)
+    assert_that(reply, StartsWith(b"HTTP/1.1 503"))
+    assert_that(reply, Contains(b'"code": "concurrency", "verdict": "not_run"'))
+    assert_that(
+        call(half, path="/.lacewinglift/addresses"), StartsWith(b"HTTP/1.1 200")
+    )
+    gate.set()
+    for sock in sockets:
+        sock.recv(65536)
+        sock.close()
+    assert wait_until(lambda: half.parts.limits.in_progress == 0)
+    assert_that(half.parts.limits.by_workspace, Equals({}))
+
+
+def test_silent_connections_hold_no_threads(half):
+    """Guards against callers that connect early and so stop all others."""
+    sockets = [half.connect() for _ in range(20)]
+    started = time.monotonic()
+    assert_that(call(half), EndsWith(b"sold"))
+    assert_that(time.monotonic() - started, LessThan(1.0))
+    for sock in sockets:
+        sock.close()
+
+
+def test_limits_bound_services_and_workspaces():
+    """Guards against a workspace or service that takes more than its part."""
+    limits = ConcurrencyLimits(worker_threads=16)
+    service = Service("cassa", (), max_concurrent=5)
+    small = Workspace("kiosk", 1.0, 1, max_concurrent=2)
+    held = [limits.holding(service, small) for _ in range(2)]
+    for each in held:
+        each.__enter__()
+    with pytest.raises(RefusalError), limits.holding(service, small):
+        pass
+    others = [limits.holding(service, None) for _ in range(3)]
+    for each in others:
+        each.__enter__()
+    with pytest.raises(RefusalError), limits.holding(service, None):
+        pass
+    with limits.holding(Service("archivio", ()), None):
+        assert_that(limits.in_progress, Equals(6))
+
+
+def test_standing_and_admission_decide_before_targets(half):
+    """Guards against keyed requests that run without standing or quota."""
+    half.standing.code = "isolated"
+    assert_that(call(half), Contains(b'"code": "isolated", "verdict": "not_run"'))
+    assert_that(half.admission.asked, Equals([]))
+    assert_that(call(half, path="/open", key=None), EndsWith(b"sold"))
+    half.standing.code = None
+    half.admission.decision = SimpleNamespace(
+        admitted=False, code="over_limit", retry_after_s=1.2
+    )
+    reply = call(half, "POST", body=b"x" * 5000)
+    assert_that(reply, StartsWith(b"HTTP/1.1 429"))
+    assert_that(reply, Contains(b"Retry-After: 2\r\n"))
+    assert_that(half.table.outcomes, Not(Contains("cassa")))
+
+
+def test_refused_upload_keeps_the_connection(half):
+    """Guards against a reconnection for each request over the rate."""
+    half.admission.decision = SimpleNamespace(
+        admitted=False, code="over_limit", retry_after_s=None
+    )
+    with half.connect() as sock:
+        for _ in range(3):
+            sock.sendall(request_bytes("POST", body=b"x" * 5000))
+            assert_that(sock.recv(65536), StartsWith(b"HTTP/1.1 429"))
+
+
+def test_targets_cannot_speak_for_the_fleet(half):
+    """Guards against a target's answer that looks like a refusal of the fleet."""
+    assert_that(call(half), Not(Contains(b"X-Lacewinglift")))
+
+
+def test_path_parameters_do_not_change_the_route(half):
+    """Guards against a path that another route's target would accept."""
+    routes = (Route("/", "cassa", open=True), Route("/cassa", "cassa"))
+    half.publish(routes=routes)
+    for path in ("/cassa;x/sale", "/%63assa/sale"):
+        reply = call(half, path=path, key=None)
+        assert_that(reply, Not(StartsWith(b"HTTP/1.1 200")))
+
+
+def test_instance_without_configuration_refuses(half):
+    """Guards against requests that are served with no rules."""
+    half.distribution.configuration = None
+    assert_that(call(half), Contains(b'"code": "starting"'))
+
+
+def test_metrics_are_for_operators(half):
+    """Guards against metrics that any caller can read."""
+    call(half)
+    reply = call(half, path="/metrics", key=None)
+    assert_that(
+        reply,
+        Contains(b'lacewinglift_requests_total{service="cassa",status="2xx"} 1.0'),
+    )
+    half.frontend.handler.operator_networks = []
+    assert_that(call(half, path="/metrics"), Contains(b'"code": "no_route"'))
+
+
+def test_homes_stay_when_others_leave():
+    """Guards against callers that all move when one instance is replaced."""
+    members = [make_member(f"i{n}", "milano" if n % 2 else "torino") for n in range(12)]
+    homes = home_instances("kiosk", members, 2)
+    assert_that(len(homes), Equals(4))
+    stays = [member for member in members if member.instance in homes]
+    others = [member for member in members if member.instance not in homes]
+    assert_that(home_instances("kiosk", stays + others[:3], 2), Equals(homes))
+
+
+def test_address_answer_omits_leaving_and_starting_instances():
+    """Guards against callers that are sent to instances about to stop."""
+    members = [
+        make_member("a", "milano"),
+        make_member("b", "milano", fleet_pb2.LEAVING),
+        make_member("c", "milano", fleet_pb2.STARTING),
+    ]
+    book = AddressBook("milano", lambda: members)
+    configuration = make_configuration(1, ())
+    for workspace in (None, "kiosk"):
+        text = book.answer(configuration, workspace, None).decode()
+        assert_that(text, Contains('"a:80"'))
+        assert_that(text, Not(Contains('"b:80"')))
+        assert_that(text, Not(Contains('"c:80"')))
+    with pytest.raises(RefusalError):
+        book.answer(configuration, None, "roma")
+    members[:] = [evolve(members[0], state=fleet_pb2.LEAVING)]
+    with pytest.raises(RefusalError):
+        book.answer(configuration, None, None)
--- /dev/null
+++ b/testing/test_retries.py
@@ -0,0 +1,138 @@
+import json
+import time
+
+import pytest
+from attrs import evolve
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from lacewinglift.retries import (
+    RETRIES_PER_REQUEST,
+    RETRIES_PER_S,
+    RETRY_BURST,
+    RetryBudget,
+)
+from lacewinglift.timers import ManualTimers
+from testing.standins.request_half import call, running_half
+from testing.standins.scripted_targets import (
+    ScriptedTarget,
+    answer,
+    read_body,
+    read_head,
+    reset,
+)
+
+REFUSING = "127.0.0.1:1"
+SHED = answer(503, b"", "X-Lacewinglift-Not-Run: 1")
+
+
+class UnreliableTarget:
+    """Executes requests, or fails in the way that is set for the next one."""
+
+    def __init__(self):
+        self.fault = "none"
+        self.executed = []
+        self.target = ScriptedTarget(self.serve)
+
+    def serve(self, target, sock, stream):
+        while True:
+            stream.peek(1)
+            fault = self.fault
+            if fault == "cut_before_reading":
+                return reset(sock, stream)
+            received = read_head(stream)
+            if received is None or fault == "cut_in_body":
+                return reset(sock, stream)
+            read_body(stream, received)
+            if fault == "shed":
+                sock.sendall(SHED)
+                continue
+            self.executed.append(received.values("x-id")[0])
+            if fault == "cut_after_run":
+                return reset(sock, stream)
+            if fault == "half_head":
+                sock.sendall(b"HTTP/1.1 200 O")
+                return reset(sock, stream)
+            if fault == "hang":
+                return target.wait_closed(sock)
+            status = 500 if fault == "error" else 200
+            sock.sendall(answer(status, b"done", "X-Ran: 1"))
+
+
+FAULTS = st.sampled_from(
+    [
+        "none",
+        "refuse",
+        "cut_before_reading",
+        "cut_in_body",
+        "shed",
+        "cut_after_run",
+        "half_head",
+        "hang",
+        "error",
+    ]
+)
+REQUEST = st.tuples(
+    st.sampled_from(["POST", "PUT", "GET", "PATCH"]),
+    st.tuples(FAULTS, FAULTS, FAULTS),
+    st.sampled_from([b"", b"sale", b"s" * 100_000]),
+)
+
+
+@pytest.fixture(scope="module")
+def unreliable():
+    targets = [UnreliableTarget() for _ in range(3)]
+    addresses = [each.target.address for each in targets]
+    with running_half(addresses, request_timeout_s=0.1) as half:
+        yield half, targets
+    for each in targets:
+        each.target.close()
+
+
+@settings(
+    max_examples=100,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(st.lists(REQUEST, min_size=1, max_size=4))
+def test_requests_run_at_most_once_and_not_run_is_true(unreliable, requests):
+    """Guards against a sale that runs twice, or ran although it "did not run"."""
+    half, targets = unreliable
+    for number, (method, faults, body) in enumerate(requests):
+        half.parts.forwarder.budgets.clear()
+        for index, (each, fault) in enumerate(zip(targets, faults, strict=True)):
+            each.fault = fault
+            each.executed.clear()
+            address = REFUSING if fault == "refuse" else each.target.address
+            old = half.table.targets[index]
+            half.table.targets[index] = evolve(old, address=address)
+        name = f"{time.monotonic()}-{number}"
+        reply = call(half, method, "/cassa", f"X-Id: {name}", body=body)
+        runs = sum(each.executed.count(name) for each in targets)
+        head, _, text = reply.partition(b"\r\n\r\n")
+        if method in ("POST", "PATCH"):
+            assert runs <= 1, (method, faults, runs)
+        if b"X-Lacewinglift-Refusal" not in head:
+            assert b"X-Ran: 1" in head and runs >= 1
+        elif json.loads(text)["verdict"] == "not_run":
+            assert_that(runs, Equals(0), str((method, faults)))
+
+
+@given(st.lists(st.tuples(st.sampled_from(["ask", "request"]), st.floats(0, 2))))
+def test_budget_bounds_resent_requests(steps):
+    """Guards against retries that multiply the load of a failing service."""
+    timers = ManualTimers()
+    budget = RetryBudget(timers)
+    started_s, taken, requests = timers.now(), 0, 0
+    for kind, pause_s in steps:
+        timers.advance(pause_s)
+        if kind == "request":
+            budget.note_request()
+            requests += 1
+        else:
+            taken += budget.take()
+        elapsed_s = timers.now() - started_s
+        allowed = RETRY_BURST + RETRIES_PER_S * elapsed_s
+        assert taken <= allowed + RETRIES_PER_REQUEST * requests + 1e-6
--- /dev/null
+++ b/testing/test_shutdown.py
@@ -0,0 +1,110 @@
+import threading
+import time
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, EndsWith, Equals, LessThan, StartsWith
+
+from lacewinglift.shutdown import ShutdownState
+from testing.standins.request_half import (
+    call,
+    receive_all,
+    request_bytes,
+    running_half,
+    wait_until,
+)
+from testing.standins.scripted_targets import ScriptedTarget, answer, serve_answers
+
+
+@pytest.fixture
+def gate():
+    return threading.Event()
+
+
+@pytest.fixture
+def half(gate):
+    def reply(received):
+        if "slow" in received.line:
+            gate.wait(10)
+        return answer(200, b"sold")
+
+    target = ScriptedTarget(serve_answers(reply))
+    with running_half([target.address], request_timeout_s=20.0) as half:
+        yield half
+    gate.set()
+    target.close()
+
+
+def start_stop(half):
+    reports = []
+    shutdown = half.parts.shutdown
+    thread = threading.Thread(
+        target=lambda: reports.append(shutdown.run(half.frontend))
+    )
+    thread.start()
+    return thread, reports
+
+
+def in_state(half, state):
+    return wait_until(lambda: half.parts.shutdown.state is state)
+
+
+def test_stop_cuts_no_request(half, gate):
+    """Guards against a restart that cuts requests or refuses callers too early."""
+    with half.connect() as slow, half.connect() as idle:
+        idle.sendall(request_bytes())
+        assert_that(idle.recv(65536), EndsWith(b"sold"))
+        slow.sendall(request_bytes("POST", "/cassa/slow", body=b"x"))
+        thread, reports = start_stop(half)
+        assert half.left.wait(2)
+        # Callers use the address for as long as their address answer is valid.
+        assert_that(call(half), EndsWith(b"sold"))
+        assert in_state(half, ShutdownState.FINISHING)
+        idle.sendall(request_bytes())
+        assert_that(receive_all(idle), Contains(b"Connection: close"))
+        assert wait_until(lambda: refused(half))
+        assert_that(reports, Equals([]))
+        gate.set()
+        received = receive_all(slow)
+        assert_that(received, StartsWith(b"HTTP/1.1 200"))
+        assert_that(received, EndsWith(b"sold"))
+    thread.join(5)
+    assert_that((reports[0].cut_requests, reports[0].open_connections), Equals((0, 0)))
+
+
+def refused(half):
+    try:
+        half.connect().close()
+    except ConnectionRefusedError:
+        return True
+    return False
+
+
+def test_idle_connections_do_not_hold_up_a_stop(half):
+    """Guards against a stop that lasts until its bound because of idle callers."""
+    with half.connect() as idle:
+        idle.sendall(request_bytes())
+        idle.recv(65536)
+        thread, reports = start_stop(half)
+        thread.join(6)
+        assert_that(len(reports), Equals(1))
+        assert_that(reports[0].cut_requests, Equals(0))
+
+
+@pytest.mark.parametrize("way", ["hurry", "bound"])
+def test_stop_ends_at_once_when_told_or_at_its_bound(half, way):
+    """Guards against a process that an operator cannot stop."""
+    with half.connect() as slow:
+        slow.sendall(request_bytes("POST", "/cassa/slow", body=b"x"))
+        assert wait_until(lambda: half.parts.watch.in_progress())
+        if way == "bound":
+            half.parts.shutdown.stop_bound_s = 0.8
+        started = time.monotonic()
+        thread, reports = start_stop(half)
+        if way == "hurry":
+            assert in_state(half, ShutdownState.FINISHING)
+            half.parts.shutdown.hurry()
+        assert_that(receive_all(slow), Equals(b""))
+        thread.join(5)
+        assert_that(time.monotonic() - started, LessThan(2.0))
+        assert_that(reports[0].cut_requests, Equals(1))
