Read heads without holding threads, and refuse heads cut off by targets

http.client takes the end of the stream within the headers of an answer for their end, so a cut head without Content-Length looked like a whole answer.

--- a/src/lacewinglift/bodies.py
+++ b/src/lacewinglift/bodies.py
@@ -135,6 +135,7 @@
         self._kept: list[bytes] = []
         self._kept_bytes = 0
         self._overflowed = False
+        self._broken = False
         if head.chunked:
             self._source = iterate_chunked(reader)
         else:
@@ -180,6 +181,10 @@
 
     def _read_piece(self, timeout_s: float) -> bytes:
         self.started = True
+        if self._broken:
+            # An ended iterator would look like the end of the body.
+            raise CallerGoneError
+        self._broken = True
         try:
             self._socket.settimeout(timeout_s)
             if self._waiting:
@@ -190,6 +195,7 @@
             raise BadRequestError("the body did not arrive in time") from error
         except OSError as error:
             raise CallerGoneError from error
+        self._broken = False
         if not piece:
             self.finished = True
         elif not self._overflowed:
--- a/src/lacewinglift/callers.py
+++ b/src/lacewinglift/callers.py
@@ -4,7 +4,7 @@
 import re
 import socket
 import struct
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from email.utils import formatdate
 
 from attrs import define
@@ -22,6 +22,8 @@
 HEAD_TIMEOUT_S = 5.0
 # Longest wait for a caller to send or take one piece of a body.
 CALLER_IDLE_TIMEOUT_S = 10.0
+SEND_SLICE_S = 0.25
+COALESCE_BYTES = 16 * 1024
 LINGER_S = 1.0
 LINGER_BYTES = 256 * 1024
 
@@ -60,9 +62,21 @@
     address: str
     timers: Timers
     reset: bool = False
+    cancelled: Callable[[], bool] = bool
+    """Tells, while an answer is sent, whether it is to be cut off."""
+    head_since_s: float | None = None
+    head_bytes: int = 0
 
-    def read_head(self) -> RequestHead:
-        """Read the next request head.
+    def poll_head(self) -> RequestHead | None:
+        """Read what has arrived of the next request head.
+
+        The socket must be readable, unless the reader has data that was not looked
+        at before.
+
+        Returns
+        -------
+        RequestHead or None
+            The head; None while it is incomplete.
 
         Raises
         ------
@@ -71,24 +85,26 @@
         CallerGoneError
             If the caller closes the connection.
         """
-        deadline_s = self.timers.now() + HEAD_TIMEOUT_S
-        seen = b""
+        if self.head_since_s is None:
+            self.head_since_s = self.timers.now()
+        elif self.timers.now() - self.head_since_s > HEAD_TIMEOUT_S:
+            raise BadRequestError("the request head did not arrive in time")
         try:
-            while True:
-                block = self._complete_head(seen)
-                if block is not None:
-                    return parse_head(block)
-                self.socket.settimeout(max(deadline_s - self.timers.now(), 0.001))
-                more = self.reader.peek(len(seen) + 1)
-                if len(more) == len(seen):
-                    raise CallerGoneError
-                seen = more
-        except TimeoutError as error:
-            raise BadRequestError("the request head did not arrive in time") from error
+            self.socket.settimeout(HEAD_TIMEOUT_S)
+            seen = self.reader.peek(self.head_bytes + 1)
         except OSError as error:
             raise CallerGoneError from error
-
-    def _complete_head(self, seen: bytes) -> bytes | None:
+        if len(seen) <= self.head_bytes:
+            raise CallerGoneError
+        block = self._take_head(seen)
+        if block is None:
+            self.head_bytes = len(seen)
+            return None
+        self.head_bytes = 0
+        self.head_since_s = None
+        return parse_head(block)
+
+    def _take_head(self, seen: bytes) -> bytes | None:
         # One empty line before a request is allowed, as some callers send it
         # after a body.
         start = 2 if seen.startswith(b"\r\n") else 0
@@ -105,9 +121,19 @@
 
     def send(self, data: bytes) -> None:
         """Send bytes; raise CallerGoneError if the caller does not take them."""
+        left = memoryview(data)
+        progress_s = self.timers.now()
         try:
-            self.socket.settimeout(CALLER_IDLE_TIMEOUT_S)
-            self.socket.sendall(data)
+            self.socket.settimeout(SEND_SLICE_S)
+            while left:
+                if self.cancelled():
+                    raise CallerGoneError
+                with contextlib.suppress(TimeoutError):
+                    left = left[self.socket.send(left) :]
+                    progress_s = self.timers.now()
+                    continue
+                if self.timers.now() - progress_s > CALLER_IDLE_TIMEOUT_S:
+                    raise CallerGoneError
         except OSError as error:
             raise CallerGoneError from error
 
@@ -177,7 +203,7 @@
         bodiless = self.head_only or status in (204, 304)
         framing = self._framing(status, length, bodiless)
         block = _format_head(status, reason, [*headers, *framing])
-        if length is not None and not bodiless:
+        if length is not None and length <= COALESCE_BYTES and not bodiless:
             # One segment for the head and the start of the body.
             block += next(chunks, b"")
         self.started = True
--- a/src/lacewinglift/exchanges.py
+++ b/src/lacewinglift/exchanges.py
@@ -25,17 +25,17 @@
     STOPPED = "stopped"
 
 
-def _shut(sock: socket.socket | None) -> None:
+def _shut(sock: socket.socket | None, how: int) -> None:
     if sock is not None:
         with contextlib.suppress(OSError):
-            sock.shutdown(socket.SHUT_RDWR)
+            sock.shutdown(how)
 
 
 class Exchange:
     """One request in progress, with the two sockets that it blocks on.
 
-    `cancel` is called from other threads. It shuts sockets down and does not close
-    them, so that the worker thread wakes and no descriptor is used twice.
+    `cancel` is called from other threads. It shuts sockets down, which wakes the
+    worker thread, and leaves their closing to that thread.
 
     Parameters
     ----------
@@ -68,12 +68,19 @@
         with self._lock:
             if self.reason is not None:
                 return False
-            self._target = target
+            # A descriptor of its own: the worker thread may close `target` at any
+            # time, and its number may then belong to another connection.
+            self._target = target.dup()
             return True
 
     def detach(self) -> None:
         """Forget the connection to the target."""
         with self._lock:
+            self._forget_target()
+
+    def _forget_target(self) -> None:
+        if self._target is not None:
+            self._target.close()
             self._target = None
 
     def cancel(self, reason: CancelReason) -> None:
@@ -82,15 +89,17 @@
             if self._done or self.reason is not None:
                 return
             self.reason = reason
-            _shut(self._target)
+            _shut(self._target, socket.SHUT_RDWR)
             if reason in (CancelReason.ACCESS_LOST, CancelReason.STOPPED):
-                _shut(self.caller)
+                # Wakes a read of the body. The write side stays open: its end
+                # could look like the end of a close-delimited answer.
+                _shut(self.caller, socket.SHUT_RD)
 
     def finish(self) -> None:
         """Note that the worker thread is done with both sockets."""
         with self._lock:
             self._done = True
-            self._target = None
+            self._forget_target()
 
     def check_access(self) -> None:
         """Cancel the exchange if the caller may no longer use the service."""
--- a/src/lacewinglift/frontend.py
+++ b/src/lacewinglift/frontend.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from cheroot.errors import acceptable_sock_shutdown_exceptions
+from cheroot.makefile import MakeFile, StreamReader
 from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
 
 from lacewinglift.bodies import CallerGoneError
@@ -38,13 +39,14 @@
         self.sent_headers = True
         stream = self.conn.stream
         try:
-            self.head = stream.read_head()
+            self.head = stream.poll_head()
         except BadRequestError as error:
             self.server.handler.refuse_head(stream, error)
             return
         except CallerGoneError:
             return
-        self.ready = True
+        self.ready = self.head is not None
+        self.conn.rfile.incomplete = not self.ready
 
     def respond(self) -> None:
         """Carry out the request."""
@@ -62,6 +64,20 @@
         request.close_connection = not keep
 
 
+class CallerReader(StreamReader):
+    """Reader that can wait for the rest of a request head."""
+
+    incomplete = False
+
+    def has_data(self) -> bool:
+        """Return whether a worker thread has something to read already."""
+        return super().has_data() and not self.incomplete
+
+
+def _make_file(sock: socket.socket, mode: str, size: int) -> Any:
+    return CallerReader(sock, mode, size) if "r" in mode else MakeFile(sock, mode, size)
+
+
 class CallerConnection(HTTPConnection):
     """Connection that is counted while it is open."""
 
@@ -69,17 +85,22 @@
     rbufsize = MAX_HEAD_BYTES
 
     def __init__(self, server: "CallerServer", sock: socket.socket, *args: Any) -> None:
-        super().__init__(server, sock, *args)
+        super().__init__(server, sock, _make_file)
         self.idle = False
         self.closed = False
         self.stream = CallerStream(self.rfile, sock, "", server.handler.parts.timers)
         server.note_opened(self)
 
     def communicate(self) -> bool:
-        """Carry out one request; return whether to keep the connection."""
+        """Carry out one request; return whether to keep the connection.
+
+        A worker thread does not wait for the rest of a head: the connection goes
+        back to the selector, so that slow callers hold no threads.
+        """
         self.idle = False
         self.stream.address = self.remote_addr or ""
-        return super().communicate()
+        self.rfile.incomplete = False
+        return super().communicate() or self.rfile.incomplete
 
     def close(self) -> None:
         """Close the connection, unless it was idle and a request has just come."""
@@ -127,6 +148,7 @@
             server_name="lacewinglift",
         )
         self.handler = handler
+        self.accepting = True
         self.connections: set[CallerConnection] = set()
         self._connections_lock = threading.Lock()
 
@@ -165,9 +187,10 @@
 
     def stop_accepting(self) -> None:
         """Close the listening socket; connections already made are served."""
-        listener, self.socket = self.socket, None
-        if listener is None:
+        if not self.accepting:
             return
+        self.accepting = False
+        listener = self.socket
         self._connections._selector.unregister(listener.fileno())
         listener.settimeout(0)
         while True:
--- a/src/lacewinglift/handling.py
+++ b/src/lacewinglift/handling.py
@@ -41,6 +41,7 @@
 from lacewinglift.refusals import Refusal, RefusalError, refuse
 from lacewinglift.shutdown import Shutdown
 from lacewinglift.timers import Timers
+from lacewinglift.verdicts import Verdict
 
 METRICS_PATH = "/metrics"
 OWN_PREFIX = "/.lacewinglift/"
@@ -160,17 +161,20 @@
             return self._refuse(error.refusal)
         except BadRequestError as error:
             return self._refuse(refuse("bad_request", str(error)).refusal)
-        except AnswerCutError:
+        except AnswerCutError as error:
             self._note_cut("target")
-            self.writer.cut()
-            return False
+            verdict = Verdict.MAY_HAVE_RUN
+            return self._refuse(refuse("target_failed", str(error), verdict).refusal)
         except (CallerGoneError, ExchangeCancelledError):
             self._note_cut("caller")
+            self.writer.cut()
             return False
         except Exception:
             log_exception("request_failed", path=self.head.path)
-            self.writer.cut()
-            return False
+            self.writer.keep_alive = False
+            message = "this instance failed; its log has the error"
+            verdict = Verdict.MAY_HAVE_RUN
+            return self._refuse(refuse("target_failed", message, verdict).refusal)
         return self._end_connection()
 
     def _note_cut(self, reason: str) -> None:
@@ -276,8 +280,12 @@
             access, self.parts.distribution, self.parts.standing, self.head
         )
         exchange = Exchange(self.parts.timers, self.stream.socket, check.lost)
-        with self.parts.watch.watching(exchange):
-            yield exchange
+        self.stream.cancelled = lambda: exchange.reason is not None
+        try:
+            with self.parts.watch.watching(exchange):
+                yield exchange
+        finally:
+            self.stream.cancelled = bool
 
     def _exchange(self, access: Access, exchange: Exchange, started_s: float) -> str:
         timeout_s = access.service.request_timeout_s
@@ -316,5 +324,5 @@
         for chunk in chunks:
             exchange.check_access()
             if exchange.reason is not None:
-                raise AnswerCutError(str(exchange.reason))
+                raise ExchangeCancelledError(exchange.reason.value)
             yield chunk
--- a/src/lacewinglift/pools.py
+++ b/src/lacewinglift/pools.py
@@ -1,6 +1,7 @@
 """Connections to targets."""
 
 import http.client
+import io
 import re
 import socket
 import threading
@@ -18,6 +19,7 @@
 IDLE_CONNECTIONS_PER_TARGET = 16
 MAX_INTERIM_ANSWERS = 16
 MAX_TRAILERS = 100
+MAX_ANSWER_HEAD_BYTES = 64 * 1024
 MAX_LINE_BYTES = 16 * 1024
 
 _NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
@@ -31,12 +33,34 @@
     """A target sent something that is not one valid HTTP/1.1 answer."""
 
 
+class _HeadReader:
+    """Reader of whole lines, for as many bytes as a head may have."""
+
+    def __init__(self, stream: io.BufferedReader) -> None:
+        self.stream = stream
+        self.remaining = MAX_ANSWER_HEAD_BYTES
+
+    def readline(self, size: int) -> bytes:
+        line = self.stream.readline(min(size, self.remaining))
+        if not line.endswith(b"\n"):
+            raise BadAnswerError("the head is incomplete or too long")
+        self.remaining -= len(line)
+        return line
+
+    def peek(self, size: int) -> bytes:
+        return self.stream.peek(size)
+
+    def close(self) -> None:
+        self.stream.close()
+
+
 class TargetResponse(http.client.HTTPResponse):
     """Answer of a target, read more strictly than http.client does.
 
     http.client takes 103 for a final answer, takes the first half of a chunk size
-    like "0400" for the last chunk, and drops headers that follow an invalid line.
-    Each of these would pass on a wrong or incomplete answer as a whole one.
+    like "0400" for the last chunk, takes a head that is cut off for a whole one,
+    and drops headers that follow an invalid line. Each of these would pass on a
+    wrong or incomplete answer as a whole one.
     """
 
     def __init__(self, sock: socket.socket, *args: Any, **kwargs: Any) -> None:
@@ -54,7 +78,14 @@
         """Read the head of the answer."""
         if self.headers is not None:
             return
-        super().begin()
+        stream = self.fp
+        reader = self.fp = _HeadReader(stream)
+        try:
+            super().begin()
+        finally:
+            # Failures that close the connection have set it to None.
+            if self.fp is reader:
+                self.fp = stream
         self._check_head()
         if self.length == 0:
             self.complete = True
@@ -192,7 +223,7 @@
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of an address."""
     host, _, port = address.rpartition(":")
-    return host, int(port)
+    return host.strip("[]"), int(port)
 
 
 class TargetPools:
--- a/testing/standins/request_half.py
+++ b/testing/standins/request_half.py
@@ -107,7 +107,7 @@
     )
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class RequestHalf:
     """A running frontend and the doubles around it."""
 
--- a/testing/test_bodies.py
+++ b/testing/test_bodies.py
@@ -70,18 +70,30 @@
         list(iterate_chunked(io.BufferedReader(io.BytesIO(data))))
 
 
+def make_body(content, length):
+    head = parse_head(
+        f"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n".encode()
+    )
+    reader = io.BufferedReader(io.BytesIO(content), buffer_size=16384)
+    return RequestBody(head, reader, socket.socket(), 1.0, lambda: None)
+
+
+def test_broken_body_never_looks_finished():
+    """Guards against the rest of a body that is taken for the next request."""
+    body = make_body(b"abc", 5)
+    for _ in range(2):
+        with pytest.raises(CallerGoneError):
+            body.preload(lambda: 1.0)
+    assert_that(body.finished, Equals(False))
+
+
 @given(st.integers(1, 3 * REPLAY_BYTES), st.integers(0, 6))
 def test_body_is_replayed_whole_or_not_at_all(length, pieces_read):
     """Guards against a resend without the bytes that the first attempt took."""
     content = bytes(index % 251 for index in range(length))
-    head = parse_head(
-        f"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n".encode()
-    )
-    with socket.socket() as sock:
-        reader = io.BufferedReader(io.BytesIO(content), buffer_size=16384)
-        body = RequestBody(head, reader, sock, 1.0, lambda: None)
-        first = body.pieces()
-        taken = sum(len(next(first, b"")) for _ in range(pieces_read))
-        assert_that(body.replayable, Equals(taken <= REPLAY_BYTES))
-        if body.replayable:
-            assert_that(b"".join(body.pieces()), Equals(content))
+    body = make_body(content, length)
+    first = body.pieces()
+    taken = sum(len(next(first, b"")) for _ in range(pieces_read))
+    assert_that(body.replayable, Equals(taken <= REPLAY_BYTES))
+    if body.replayable:
+        assert_that(b"".join(body.pieces()), Equals(content))
--- a/testing/test_forwarder.py
+++ b/testing/test_forwarder.py
@@ -280,6 +280,30 @@
         assert wait_until(lambda: target.closed_at is not None)
 
 
+@pytest.mark.parametrize("caller", ["HTTP/1.0", "slow"])
+def test_withdrawn_key_cuts_answers_that_fin_would_not(caller):
+    """Guards against a cut that looks like an end, or that waits for the caller."""
+
+    def flood(target, sock, stream):
+        read_head(stream)
+        sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n" + b"a" * 1000)
+        if caller == "slow":
+            sock.sendall(b"a" * 30_000_000)
+        target.wait_closed(sock)
+
+    with halves(flood) as (half, _), half.connect() as sock:
+        version = "1.0" if caller == "HTTP/1.0" else "1.1"
+        sock.sendall(request_bytes().replace(b"HTTP/1.1", f"HTTP/{version}".encode()))
+        assert wait_until(lambda: half.parts.watch.in_progress())
+        time.sleep(0.2)
+        half.publish(workspaces={})
+        assert wait_until(lambda: half.table.kinds() == [OutcomeKind.CANCELLED], 1.0)
+        received = receive_all(sock)
+        assert_that(received, Contains(b"aaa"))
+        assert_that(received, Not(EndsWith(b"0\r\n\r\n")))
+        assert received.endswith(b"<reset>") or version == "1.1"
+
+
 @pytest.mark.parametrize("lost", ["key", "standing"])
 def test_lost_access_cuts_a_long_upload(lost):
     """Guards against an upload that goes on without the right to it."""
--- a/testing/test_handling.py
+++ b/testing/test_handling.py
@@ -62,13 +62,19 @@
     assert_that(half.parts.limits.by_workspace, Equals({}))
 
 
-def test_silent_connections_hold_no_threads(half):
-    """Guards against callers that connect early and so stop all others."""
+@pytest.mark.parametrize("start", [b"", b"GET /cassa HTT"])
+def test_slow_connections_hold_no_threads(half, start):
+    """Guards against callers that send nothing, or half a head, and stop all others."""
     sockets = [half.connect() for _ in range(20)]
+    for sock in sockets:
+        sock.sendall(start)
     started = time.monotonic()
     assert_that(call(half), EndsWith(b"sold"))
     assert_that(time.monotonic() - started, LessThan(1.0))
     for sock in sockets:
+        if start:
+            sock.sendall(request_bytes("GET", "/cassa")[len(start) :])
+            assert_that(sock.recv(65536), EndsWith(b"sold"))
         sock.close()
 
 
