--- a/testing/fleet/demo.py
+++ b/testing/fleet/demo.py
@@ -165,10 +165,10 @@
         at_bound = demo.executed(target)
         time.sleep(4.0)
         later = (demo.executed(target) - at_bound) / 4.0
-        answered = load.kinds(since)["ok"]
+        answered = _describe(load, since)
     demo.fleet.control_target("set", target, hang=False, health_honest=True)
     rate = f"{usual:.1f}/s before, {later:.1f}/s after {EJECTION_BOUND_S:g} s"
-    seen = f"{rate}; {at_bound - before} requests met the hang; {answered} answered"
+    seen = f"{rate}; {at_bound - before} met the hang; {answered}"
     held = usual > 0 and later <= EJECTED_SHARE * usual
     return Finding("hanging target is ejected", seen, held)
 
