--- a/testing/fleet/launcher.py
+++ b/testing/fleet/launcher.py
@@ -37,6 +37,7 @@
 ADDRESSES_PATH = "/.lacewinglift/addresses"
 READY_TIMEOUT_S = 60.0
 PUBLISH_TIMEOUT_S = 60.0
+PUBLISH_PEERS = 3
 STAND_IN_GRACE_S = 3.0
 STOP_BOUND_S = 15.0
 
@@ -155,10 +156,13 @@
 
     def publish_arguments(self) -> list[str]:
         """Return the command line of a publication."""
+        # The platform's list lags, so that it may not have the instances yet.
+        peers = [each.peer_address for each in self.instances[:PUBLISH_PEERS]]
         return [
             *self.options.publish_command,
             "--store",
             self.store_address,
+            *(part for peer in peers for part in ("--peer", peer)),
             str(self.configuration.base),
             str(self.configuration.overlay),
         ]
