--- a/testing/fleet/demo.py
+++ b/testing/fleet/demo.py
@@ -18,6 +18,8 @@
 # Longer than echoes and the last contact with the store support standing.
 OUTAGE_S = 10.0
 EXIT_BOUND_S = 15.0
+# Buckets of a new fleet start empty and fill in burst / rate, which is 1 s here.
+FILL_S = 2.0
 # An ejected target may get this share of its usual requests: those of slow start
 # after a probe, because its health report is good.
 EJECTED_SHARE = 0.25
@@ -84,6 +86,7 @@
         findings.append(Finding("fleet starts and serves", seen, True))
         _print(findings[-1])
         demo = Demo(fleet)
+        time.sleep(FILL_S)
         for run in STEPS:
             findings.append(run(demo))
             _print(findings[-1])
