Test the control halves of a cell under cuts, outages and restarts

Four control halves run in one process on real streams with the store stand-in; heartbeats and calls between chosen pairs are dropped.

--- /dev/null
+++ b/testing/standins/cell.py
@@ -0,0 +1,187 @@
+"""Several control halves in one process, with cuts between chosen pairs."""
+
+import time
+
+from attrs import define, field
+
+from lacewinglift.configuration import (
+    Configuration,
+    Fleet,
+    Route,
+    Service,
+    Target,
+    Workspace,
+    digest_key,
+)
+from lacewinglift.control import Control
+from lacewinglift.distribution import manifest_key, segment_key
+from lacewinglift.errors import PeerError
+from lacewinglift.generated import fleet_pb2
+from lacewinglift.identity import Identity
+from lacewinglift.segments import encode_configuration
+from lacewinglift.targets import TargetTable
+from lacewinglift.timers import ThreadTimers
+from testing.fleet.processes import free_ports
+from testing.standins.store import StoreStandIn
+
+FLEET = "cell-test"
+DATA_CENTRES = ("milano", "torino", "verona")
+
+
+def make_configuration(generation=1, keys=("key",), rate_per_s=200.0, burst=200):
+    """Return a small configuration; its generation is that to be published."""
+    target = Target("t1", "127.0.0.1:1", "milano", 6, 330)
+    workspace = Workspace(
+        "arena", rate_per_s, burst, tuple(digest_key(key) for key in keys)
+    )
+    return Configuration(
+        generation,
+        Fleet(FLEET, data_centres=DATA_CENTRES),
+        {"catalogo": Service("catalogo", (target,))},
+        (Route("/catalogo", "catalogo"),),
+        {workspace.name: workspace},
+    )
+
+
+@define(eq=False)
+class Node:
+    """One control half and what it runs on."""
+
+    control: Control
+    timers: ThreadTimers
+
+    @property
+    def name(self):
+        return self.control.identity.instance
+
+    def refusal(self):
+        return self.control.standing.refusal()
+
+    def admits(self):
+        workspace = self.control.distribution.current().workspaces["arena"]
+        return self.control.admission.admit(workspace).admitted
+
+    def stop(self):
+        self.control.stop()
+        self.timers.stop()
+
+
+@define(eq=False)
+class ControlCell:
+    """Control halves that share a store stand-in."""
+
+    store: StoreStandIn = field(factory=StoreStandIn)
+    nodes: dict[str, Node] = field(factory=dict)
+    peers: dict[str, str] = field(factory=dict)
+    cuts: set[tuple[str, str]] = field(factory=set)
+    """Pairs (sender, receiver) between which nothing arrives."""
+
+    def start(self, count):
+        ports = free_ports(count)
+        self.peers = {f"i{n}": f"127.0.0.1:{port}" for n, port in enumerate(ports)}
+        for name in self.peers:
+            self.start_node(name)
+        self.wait(lambda: all(node.refusal() is None for node in self.all()))
+        self.wait(self.shares_are_even)
+
+    def start_node(self, name):
+        number = int(name[1:])
+        timers = ThreadTimers()
+        identity = Identity(
+            name,
+            FLEET,
+            "main",
+            DATA_CENTRES[number % 3],
+            f"127.0.0.1:{1000 + number}",
+            self.peers[name],
+            time.time_ns() // 1_000_000,
+        )
+        seeds = [address for peer, address in self.peers.items() if peer != name]
+        table = TargetTable(timers, identity.data_centre, name, seed=1)
+        control = Control(identity, self.store.address, seeds, table, timers)
+        self._inject_cuts(control)
+        node = Node(control, timers)
+        self.nodes[name] = node
+        control.start()
+        self._announce_live(node)
+        return node
+
+    def stop_node(self, name):
+        self.nodes.pop(name).stop()
+
+    def close(self):
+        for name in list(self.nodes):
+            self.stop_node(name)
+        self.store.close()
+
+    def all(self):
+        return list(self.nodes.values())
+
+    def cut_off(self, name):
+        """Cut an instance off from all others, both ways."""
+        self.cuts |= {(name, other) for other in self.peers}
+        self.cuts |= {(other, name) for other in self.peers}
+
+    def put(self, configuration):
+        """Write a configuration to the store, as a publication does."""
+        encoded = encode_configuration(configuration, "test")
+        for sha256, content in encoded.segments.items():
+            self.store.put(segment_key(FLEET, sha256), content)
+        self.store.put(manifest_key(FLEET), encoded.manifest.SerializeToString())
+        return encoded
+
+    def generations(self):
+        return [node.control.distribution.generation() for node in self.all()]
+
+    def ledger(self):
+        """Return the ledger that stands in the store."""
+        key = f"/lacewinglift/{FLEET}/cells/main/ledger"
+        return fleet_pb2.Ledger.FromString(self.store.values(key).get(key, b""))
+
+    def granted(self):
+        """Return the parts that the store's ledger grants, by instance."""
+        ledger = self.ledger()
+        return {
+            ledger.members[share.member].instance: share.granted_ppm
+            for entry in ledger.workspaces
+            for share in entry.shares
+        }
+
+    def shares_are_even(self):
+        granted = self.granted()
+        names = {name for name in self.nodes if granted.get(name)}
+        return names == set(self.nodes) and sum(granted.values()) > 990_000
+
+    def wait(self, condition, timeout_s=30.0):
+        """Wait for `condition`; fails when it does not come true."""
+        deadline_s = time.monotonic() + timeout_s
+        while not condition():
+            assert time.monotonic() < deadline_s, "the condition did not come true"
+            time.sleep(0.05)
+
+    def _announce_live(self, node):
+        def announce():
+            if node.refusal() is None:
+                node.control.set_state(fleet_pb2.LIVE)
+                subscription.cancel()
+
+        subscription = node.timers.subscribe(0.05, announce)
+
+    def _inject_cuts(self, control):
+        name = control.identity.instance
+        receive = control.members.receive
+        call = control.calls.call
+
+        def receive_unless_cut(heartbeat):
+            if (heartbeat.instance, name) in self.cuts:
+                return True
+            return receive(heartbeat)
+
+        async def call_unless_cut(address, method, request, timeout_s):
+            other = next((n for n, a in self.peers.items() if a == address), "")
+            if {(name, other), (other, name)} & self.cuts:
+                raise PeerError(f"{name} and {other} are cut off; end the cut")
+            return await call(address, method, request, timeout_s)
+
+        control.members.receive = receive_unless_cut
+        control.calls.call = call_unless_cut
