--- a/src/lacewinglift/checks.py
+++ b/src/lacewinglift/checks.py
@@ -26,6 +26,8 @@
 from lacewinglift.segments import MAX_SEGMENT_BYTES
 
 SECTIONS = ("services", "routes", "workspaces")
+GROUP_SIZE = 64
+"""Entries that are validated at once when there are faults."""
 EMPTY_KEY_DIGEST = hashlib.sha256(b"").hexdigest()
 RESERVED_PREFIXES = ("/.lacewinglift", "/metrics")
 """Paths that every instance answers itself."""
@@ -179,8 +181,8 @@
 def _draft(merged: Any) -> tuple[list[Finding], Draft]:
     """Return what the schema refuses, and what the checks work on.
 
-    Entries of a faulty configuration are validated one by one, because each fault
-    costs a further run of the validator.
+    The entries of a faulty configuration are validated in small groups, because
+    each fault costs a further run of the validator.
     """
     if not isinstance(merged, dict):
         finding = ((), 'the file must be an object such as {"fleet": {}, ...}')
@@ -191,13 +193,9 @@
     for section in SECTIONS:
         entries = merged.get(section)
         if isinstance(entries, dict):
-            for name, entry in entries.items():
-                found, value[section][name] = _repair_entry(section, name, entry)
-                findings += found
+            found, value[section] = _repair_entries(section, entries)
+            findings += found
     refused = {path[:end] for path, _ in findings for end in range(len(path) + 1)}
-    for section in SECTIONS:
-        known = value[section].items()
-        value[section] = {name: entry for name, entry in known if entry is not None}
     return findings, Draft(value, refused)
 
 
@@ -210,14 +208,28 @@
     return repair(validate, outline)
 
 
-def _repair_entry(section: str, name: str, entry: Any) -> tuple[list[Finding], Any]:
+def _repair_entries(
+    section: str, entries: dict[str, Any]
+) -> tuple[list[Finding], dict[str, Any]]:
+    findings: list[Finding] = []
+    repaired: dict[str, Any] = {}
+    names = list(entries)
+    for start in range(0, len(names), GROUP_SIZE):
+        group = {name: entries[name] for name in names[start : start + GROUP_SIZE]}
+        if not _is_refused(_piece(section, group)):
+            repaired |= group
+            continue
+        for name, entry in group.items():
+            found, left = repair(validate, _piece(section, {name: entry}))
+            findings += found
+            repaired |= left[section]
+    return findings, repaired
+
+
+def _piece(section: str, entries: dict[str, Any]) -> dict[str, Any]:
+    """Return a configuration that has no other entries and no faults beside."""
     piece: dict[str, Any] = {"fleet": {"name": "f", "data_centres": ["d"]}}
-    piece |= {each: {} for each in SECTIONS}
-    piece[section] = {name: entry}
-    if not _is_refused(piece):
-        return [], entry
-    findings, repaired = repair(validate, piece)
-    return findings, repaired[section].get(name)
+    return piece | {each: {} for each in SECTIONS} | {section: entries}
 
 
 def _is_refused(value: Any) -> bool:
--- a/src/lacewinglift/jsonc.py
+++ b/src/lacewinglift/jsonc.py
@@ -44,7 +44,6 @@
 
 def strip_comments(text: str) -> str:
     """Return `text` with comments replaced by as many spaces."""
-
     parts = []
     for match in _PART.finditer(text):
         if match.lastgroup == "open":
