--- a/src/lacewinglift/targets.py
+++ b/src/lacewinglift/targets.py
@@ -37,6 +37,7 @@
 )
 from lacewinglift.generated.fleet_pb2 import Suspicion
 from lacewinglift.logs import log_info, log_warning
+from lacewinglift.outcomes import Outcome, OutcomeKind
 from lacewinglift.timers import Timers
 
 # Interval at which unanswered requests are looked at.
@@ -58,18 +59,6 @@
 LATENCY_MIN_S = 1e-4
 
 
-class OutcomeKind(enum.Enum):
-    """How one attempt at a target ended."""
-
-    SUCCESS = "success"
-    ERROR = "error"
-    TIMEOUT = "timeout"
-    CONNECT_FAILED = "connect_failed"
-    CUT = "cut"
-    SHED = "shed"
-    CANCELLED = "cancelled"
-
-
 FAILURES = frozenset(
     {
         OutcomeKind.ERROR,
@@ -92,15 +81,6 @@
     SHEDDING = "shedding"
 
 
-@frozen
-class Outcome:
-    """Result of one attempt."""
-
-    kind: OutcomeKind
-    latency_s: float
-    """Time until the head of the answer, or until the attempt failed."""
-
-
 @frozen
 class ProbeRequest:
     """A probe that is to be made now."""
@@ -410,14 +390,14 @@
 
     def _refresh_ratios(self) -> None:
         levels = sorted(
-            s.latency.level for s in self.states.values() if s.latency.samples
+            s.latency.choice_level for s in self.states.values() if s.latency.samples
         )
         if not levels:
             return
         middle = median(levels)
         for state in self.states.values():
             if state.latency.samples:
-                state.latency_ratio = math.exp(state.latency.level - middle)
+                state.latency_ratio = math.exp(state.latency.choice_level - middle)
 
     def _prior(self, state: TargetState, now_s: float) -> float:
         prior = self.peers.prior_nats(state.name, len(self.states), now_s)
@@ -538,6 +518,7 @@
         state.ejected_nats = 0.0
         state.cold_since_s = now_s
         state.latency.level = state.latency.own_level
+        state.latency.choice_level = state.latency.own_level
         state.clear_evidence(now_s)
         log_info("target_returned", service=self.service.name, target=state.name)
 
--- a/testing/test_targets.py
+++ b/testing/test_targets.py
@@ -4,7 +4,8 @@
 
 from lacewinglift.configuration import Configuration, Fleet, Service, Target
 from lacewinglift.generated.fleet_pb2 import Suspicion
-from lacewinglift.targets import Outcome, OutcomeKind, TargetTable
+from lacewinglift.outcomes import Outcome, OutcomeKind
+from lacewinglift.targets import TargetTable
 from lacewinglift.timers import ManualTimers
 
 CENTRES = ("milano", "torino", "verona")
