Compute the key index of a changed configuration copy

Since the segments were added, by_digest was an argument of Configuration, so attrs.evolve with other workspaces kept the index of the old ones, and a withdrawn key still worked in the copy.

--- a/src/lacewinglift/configuration.py
+++ b/src/lacewinglift/configuration.py
@@ -107,13 +107,12 @@
     services: Mapping[str, Service]
     routes: tuple[Route, ...]
     workspaces: Mapping[str, Workspace]
-    by_digest: Mapping[bytes, Workspace] = field(default=None, repr=False)
+    by_digest: Mapping[bytes, Workspace] = field(init=False, repr=False)
     by_prefix: dict[str, Route] = field(init=False, repr=False)
 
     def __attrs_post_init__(self) -> None:
-        """Build the indexes that were not given."""
-        if self.by_digest is None:
-            object.__setattr__(self, "by_digest", _workspaces_by_digest(self))
+        """Build the indexes."""
+        object.__setattr__(self, "by_digest", _workspaces_by_digest(self))
         object.__setattr__(self, "by_prefix", _routes_by_prefix(self))
 
     def route_for(self, path: str) -> Route | None:
--- a/src/lacewinglift/segments.py
+++ b/src/lacewinglift/segments.py
@@ -61,8 +61,15 @@
 class SegmentedConfiguration(Configuration):
     """A configuration whose workspaces and keys are decoded on use."""
 
+    keys: Mapping[bytes, Workspace] = field(kw_only=True, repr=False)
     verified: _Verified = field(factory=dict, kw_only=True, repr=False)
 
+    def __attrs_post_init__(self) -> None:
+        """Build the indexes."""
+        object.__setattr__(self, "by_digest", self.keys)
+        by_prefix = {route.prefix: route for route in self.routes}
+        object.__setattr__(self, "by_prefix", by_prefix)
+
 
 def encode_configuration(
     configuration: Configuration, author: str
@@ -149,7 +156,7 @@
         services=services,
         routes=routes,
         workspaces=workspaces,
-        by_digest=keys,
+        keys=keys,
         verified=reader.verified,
     )
 
--- a/testing/test_configuration.py
+++ b/testing/test_configuration.py
@@ -1,4 +1,12 @@
-from lacewinglift.configuration import Configuration, Fleet, Route
+import attrs
+
+from lacewinglift.configuration import (
+    Configuration,
+    Fleet,
+    Route,
+    Workspace,
+    digest_key,
+)
 
 
 def make_configuration(*prefixes):
@@ -16,3 +24,12 @@
 def test_path_without_route_has_none():
     """Guards against a default route that no operator configured."""
     assert make_configuration("/a").route_for("/ab") is None
+
+
+def test_changed_copy_has_indexes_of_its_own():
+    """Guards against a withdrawn key that still works in a changed copy."""
+    workspace = Workspace("w", 1.0, 1, (digest_key("k"),))
+    before = attrs.evolve(make_configuration(), workspaces={"w": workspace})
+    after = attrs.evolve(before, workspaces={"w": Workspace("w", 1.0, 1)})
+    assert before.workspace_for_digest(digest_key("k")) == workspace
+    assert after.workspace_for_digest(digest_key("k")) is None
--- a/tools/measure_configuration.py
+++ b/tools/measure_configuration.py
@@ -157,10 +157,8 @@
         *configuration.routes[1:],
     )
     return {
-        "a workspace's rate": attrs.evolve(
-            configuration, workspaces=rate, by_digest=None
-        ),
-        "a withdrawn key": attrs.evolve(configuration, workspaces=key, by_digest=None),
+        "a workspace's rate": attrs.evolve(configuration, workspaces=rate),
+        "a withdrawn key": attrs.evolve(configuration, workspaces=key),
         "a leaving target": attrs.evolve(configuration, services=services),
         "an open route": attrs.evolve(configuration, routes=routes),
     }
