Fetch buckets behind index segments

Above 64 references a manifest refers to index segments. The previous configuration is handed to the decoder, so that only changed segments are decoded, and contents that were checked before go ahead of offered ones.

--- a/src/lacewinglift/distribution.py
+++ b/src/lacewinglift/distribution.py
@@ -9,7 +9,11 @@
 from lacewinglift.generated import fleet_pb2
 from lacewinglift.logs import log_info, log_warning
 from lacewinglift.peers import PeerCalls
-from lacewinglift.segments import decode_configuration, missing_segments
+from lacewinglift.segments import (
+    decode_configuration,
+    missing_segments,
+    referenced_segments,
+)
 from lacewinglift.store import Store
 
 FETCH_TIMEOUT_S = 2.0
@@ -79,7 +83,9 @@
                     f"configuration of fleet {manifest.fleet!r} offered to an "
                     f"instance of fleet {self.fleet!r}; check the store address"
                 )
-            available = {**self.segments, **segments}
+            # What was checked before goes first, so that a wrong content offered
+            # under a known hash does not spoil the whole offer.
+            available = {**segments, **self.segments}
             missing = missing_segments(manifest, available)
             if missing:
                 return missing
@@ -141,22 +147,21 @@
     async def _fetch_from_store(self, store: Store, value: bytes) -> bool:
         manifest = parse_manifest(value)
         fetched: dict[bytes, bytes] = {}
-        missing = await self.offer(manifest, fetched)
-        for sha256 in missing:
-            entry = await store.get(segment_key(self.fleet, sha256))
-            if entry is None:
-                return False
-            fetched[sha256] = entry.value
-        if missing:
-            missing = await self.offer(manifest, fetched)
-        return not missing
+        # Index segments come first; what they refer to is missing afterwards.
+        while missing := await self.offer(manifest, fetched):
+            for sha256 in missing:
+                entry = await store.get(segment_key(self.fleet, sha256))
+                if entry is None:
+                    return False
+                fetched[sha256] = entry.value
+        return True
 
     def _put_into_force(
         self, manifest: fleet_pb2.Manifest, available: Mapping[bytes, bytes]
     ) -> None:
-        needed = {reference.sha256 for reference in manifest.segments}
+        needed = referenced_segments(manifest, available)
         segments = {sha256: available[sha256] for sha256 in needed}
-        configuration = decode_configuration(manifest, segments)
+        configuration = decode_configuration(manifest, segments, self.configuration)
         self.segments = segments
         self.configuration = configuration
         self.manifest = manifest
