--- a/testing/test_commands.py
+++ b/testing/test_commands.py
@@ -119,3 +119,15 @@
     finally:
         stand_in.close()
     assert run(publish, base, "site-none.jsonc", *store) == 1
+
+
+@pytest.mark.parametrize("schema", ["configuration", "settings"])
+def test_every_name_is_documented(schema):
+    """Guards against a setting that operators cannot find."""
+    root = EXAMPLES.parent
+    text = (root / "docs" / "configuration.md").read_text()
+    found = json.loads((root / "schema" / f"{schema}.schema.json").read_text())
+    objects = [found, *found.get("definitions", {}).values()]
+    names = {name for each in objects for name in each.get("properties", {})}
+    assert len(names) > 10
+    assert [name for name in sorted(names) if f"`{name}`" not in text] == []
