--- a/src/lacewinglift/frontend.py
+++ b/src/lacewinglift/frontend.py
@@ -11,7 +11,7 @@
 from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
 
 from lacewinglift.bodies import CallerGoneError
-from lacewinglift.callers import CallerStream
+from lacewinglift.callers import HEAD_TIMEOUT_S, CallerStream
 from lacewinglift.exchanges import CancelReason
 from lacewinglift.handling import RequestHandler, RequestParts
 from lacewinglift.headers import MAX_HEAD_BYTES, BadRequestError
@@ -181,6 +181,9 @@
         try:
             conn.idle = True
             super().put_conn(conn)
+            if conn.rfile.incomplete:
+                # cheroot closes connections that were not used for `timeout`.
+                conn.last_used -= max(self.timeout - HEAD_TIMEOUT_S, 0.0)
         except (OSError, ValueError, KeyError):
             conn.idle = False
             conn.close()
--- a/testing/test_handling.py
+++ b/testing/test_handling.py
@@ -78,6 +78,14 @@
         sock.close()
 
 
+def test_unfinished_head_is_closed(half, monkeypatch):
+    """Guards against callers that keep connections open with half a head."""
+    monkeypatch.setattr("lacewinglift.frontend.HEAD_TIMEOUT_S", 0.2)
+    with half.connect() as sock:
+        sock.sendall(b"GET /cassa HTTP/1.1\r\n")
+        assert_that(sock.recv(100), Equals(b""))
+
+
 def test_limits_bound_services_and_workspaces():
     """Guards against a workspace or service that takes more than its part."""
     limits = ConcurrencyLimits(worker_threads=16)
