Keep the share of a holder reserved when it is fenced

Cause: the plan that fenced a holder also counted it among the members that have applied the present division, so its reserved part was lowered to the grant that the same plan had just taken away, and other members could be given the share while the holder was still using it, up to 6 s early. Found by test_fenced_instance_returns_as_a_new_incarnation_without_share, which failed in 1 of 5 runs; the others passed because a later version had been written meanwhile. Ruled out: the release after the wait, which was not reached. Conclusion: only members that are not fenced can settle.

--- a/src/lacewinglift/allocator.py
+++ b/src/lacewinglift/allocator.py
@@ -316,7 +316,10 @@
             for identity, view in situation.live.items()
             if identity in present
         }
-        return cls(active, live, _leaving(situation) & present, situation.settled())
+        leaving = _leaving(situation) & present
+        # A member fenced in this draft has applied the division before it, in which
+        # it was still granted what the fence takes away.
+        return cls(active, live, leaving, situation.settled() & present)
 
     def stuck_ppm(self, holdings: Holdings) -> int:
         """Return what silent and fenced members keep reserved."""
