--- a/testing/fleet/launcher.py
+++ b/testing/fleet/launcher.py
@@ -197,6 +197,12 @@
             total.update(call_control(control, "executions"))
         return {name: n for name, n in total.items() if n > 1}
 
+    def restart(self, instance: Instance) -> None:
+        """Start an instance again that has ended, with the same settings."""
+        instance.child = self.children.start(
+            instance.name, self._serve_arguments(instance.settings)
+        )
+
     def is_serving(self, instance: Instance) -> bool:
         """Return whether an instance knows all others and serves keyed requests."""
         try:
