Keep a share reserved in the version that fences its holder

The holder had applied the version before, so the share counted as given back in the version that wrote the fence, and the wait was skipped. Found by test_share_moves_only_after_the_holder_lost_standing[4.0] and [4.25]: red before, green after.

--- a/src/lacewinglift/allocator.py
+++ b/src/lacewinglift/allocator.py
@@ -316,7 +316,14 @@
             for identity, view in situation.live.items()
             if identity in present
         }
-        return cls(active, live, _leaving(situation) & present, situation.settled())
+        # What the fence of this version takes away, its holder has not applied.
+        newly_fenced = {
+            identity
+            for identity, member in draft.members.items()
+            if member.fenced_in_version == draft.version
+        }
+        settled = situation.settled() - newly_fenced
+        return cls(active, live, _leaving(situation) & present, settled)
 
     def stuck_ppm(self, holdings: Holdings) -> int:
         """Return what silent and fenced members keep reserved."""
