--- a/testing/standins/target.py
+++ b/testing/standins/target.py
@@ -60,6 +60,8 @@
     """Refuse requests, stating that they did not run."""
     error_fraction: float = 0.0
     """Fraction of requests that run and are answered with status 500."""
+    reset_fraction: float = 0.0
+    """Fraction of requests that run and end with a reset connection."""
     hang: bool = False
     """Run requests and never answer."""
     hang_before_run: bool = False
@@ -391,6 +393,8 @@
                 self._hang()
         finally:
             self.target.finish_request()
+        if random.random() < self.target.behaviour.reset_fraction:
+            self._reset()
         if not in_time:
             self._send_json(504, {"error": "deadline passed"})
             return
