Let the demo take a cut connection for a refusal of a withdrawn key

One run of the demo ended when a request was in progress while its key was withdrawn: the instance closes such a connection without an answer, as section 11 of the design says. The step now counts these, requires that the instance counted the cut itself, and still requires 401 from every instance afterwards.

--- a/testing/fleet/demo.py
+++ b/testing/fleet/demo.py
@@ -12,6 +12,7 @@
 from testing.fleet.callers import Caller, Load, classify
 from testing.fleet.deployment import KEY_HEADER, WORKSPACES
 from testing.fleet.launcher import Fleet, FleetOptions, Instance
+from testing.load.scraping import totals
 
 IN_FORCE_BOUND_S = 9.0
 EJECTION_BOUND_S = 3.0
@@ -194,12 +195,13 @@
         for probe in probes:
             probe.http.close()
     kept = sum(probe.opened == 1 for probe in probes)
+    cut = sum(probe.cut_by_instance() for probe in probes)
     if refused is None:
         seen = f"still accepted after {IN_FORCE_BOUND_S:g} s"
     else:
         seen = f"refused by all {len(probes)} instances {refused:.1f} s after publish"
-    seen += f"; {kept} on the connection opened before"
-    held = working and refused is not None and kept == len(probes)
+    seen += f"; {kept} on the connection opened before, {cut} with an answer cut off"
+    held = working and refused is not None and kept + cut == len(probes)
     return Finding("withdrawn key is refused", seen, held)
 
 
@@ -207,6 +209,8 @@
     """One open connection to an instance, used with one key."""
 
     def __init__(self, instance: Instance, key: str) -> None:
+        self.address = instance.address
+        self.cuts = 0
         host, port = instance.address.split(":")
         self.http = urllib3.HTTPConnectionPool(
             host, int(port), maxsize=1, block=True, retries=False, timeout=5.0
@@ -223,11 +227,28 @@
         reply = self.http.request("GET", "/catalogo/pile", headers=self.headers)
         return reply.status
 
+    def ask_until_withdrawn(self) -> int:
+        """Return the status of a keyed request, 0 when the connection was closed.
+
+        An instance closes the connection of a request that is in progress when its
+        key is withdrawn.
+        """
+        try:
+            return self.ask()
+        except urllib3.exceptions.ProtocolError:
+            self.cuts += 1
+            return 0
+
+    def cut_by_instance(self) -> bool:
+        """Return whether the one connection that was lost was cut on purpose."""
+        counted = totals([self.address], "lacewinglift_cut_answers_total", "reason")
+        return self.opened == 2 and self.cuts == 1 and counted["caller"] > 0
+
 
 def _wait_for_refusals(probes: list[_KeyProbe], started: float) -> float | None:
     """Return when all probes are refused for the first time and stay so."""
     while time.monotonic() - started < IN_FORCE_BOUND_S:
-        if all(probe.ask() == 401 for probe in probes):
+        if all(probe.ask_until_withdrawn() == 401 for probe in probes):
             return time.monotonic() - started
         time.sleep(0.1)
     return None
