Hold tests to the stated bound of a withdrawal and to a real silent holder

The test of a stopped instance continued it 3 s after the withdrawal and met a 200, seen in a trace: its echoes from before the pause support standing for 4 s, within the bound of 9 s. It now continues the instance when the bound has passed and expects no 200 at all from then on, also for requests that were waiting. The allocator test let a silent holder report the fence as applied, which rightly frees its share at once.

--- a/testing/test_allocator.py
+++ b/testing/test_allocator.py
@@ -1,4 +1,5 @@
 import pytest
+from attrs import evolve
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
@@ -11,6 +12,7 @@
 
 
 def make_views(version, now_s, silent=None):
+    """Return the views of a member that hears all others but `silent`."""
     promises = () if silent is None else (PromiseView(silent, 1, now_s + 30.0),)
     views = []
     for number, name in enumerate(NAMES):
@@ -21,7 +23,8 @@
                 incarnation=1,
                 state=fleet_pb2.LIVE,
                 data_centre=DATA_CENTRES[number % 3],
-                ledger_version=version,
+                # A silent holder has not applied what was written since.
+                ledger_version=version - 1 if name == silent else version,
                 heard_at_s=heard_s,
                 echoed_at_s=heard_s,
                 standing=True,
@@ -63,6 +66,7 @@
     """Guards against a fence that frees a share before its holder has stopped."""
     before = reserved_ppm(ledger, "i3")
     views = make_views(ledger.version, 130.0, silent="i3")
+    views[3] = evolve(views[3], ledger_version=ledger.version)
     fenced = allocator.plan(ledger, views, make_configuration(), 130.0)
     members = {member.instance: member for member in fenced.members}
     assert_that(members["i3"].fenced_in_version, Equals(fenced.version))
@@ -72,6 +76,7 @@
 def test_share_is_freed_only_after_the_wait(allocator, ledger):
     """Guards against a release before the holder's evidence has lapsed."""
     views = make_views(ledger.version, 130.0, silent="i3")
+    views[3] = evolve(views[3], ledger_version=ledger.version)
     fenced = allocator.plan(ledger, views, make_configuration(), 130.0)
     allocator.note_written(fenced.version, 130.0)
     freed_at_s = None
--- a/testing/test_processes.py
+++ b/testing/test_processes.py
@@ -217,7 +217,8 @@
     fleet.control_store("outage")
     publication.wait(60.0)
     waiting = [open_request(paused.address, key) for _ in range(10)]
-    time.sleep(2.0)
+    # Until then its evidence from before the pause may still hold.
+    time.sleep(max(started_s + CHANGE_BOUND_S - time.monotonic(), 0.0))
     signal_child(paused, signal.SIGCONT)
     # Requests that waited for the process meet it before it hears its peers.
     for connection in waiting:
