Say when an own publication may have been superseded

Cause: after a lost reply another operator may publish on top of the own generation before the manifest is read back; publish then reported that nothing of the own files was published. A manifest of the same generation excludes the own one, because only one write replaces the revision that was read; a later one does not, and the message now says so.

--- a/src/lacewinglift/commands/_files.py
+++ b/src/lacewinglift/commands/_files.py
@@ -51,7 +51,10 @@
             {"file": fault.file, "line": fault.line, "message": fault.message}
             for fault in error.faults
         ]
-        print_json({"ok": False, "error": error.code, "faults": faults})
+        message = str(error)
+        print_json(
+            {"ok": False, "error": error.code, "message": message, "faults": faults}
+        )
         return EXIT_FAULTS
     if not error.faults:
         print(f"lacewinglift: {error.code}: {error}", file=sys.stderr)
--- a/src/lacewinglift/errors.py
+++ b/src/lacewinglift/errors.py
@@ -72,7 +72,7 @@
 
 
 class PublishConflictError(LacewingliftError):
-    """Another operator published first; nothing of this publication is in force.
+    """Another operator published first; this publication is not in force.
 
     Parameters
     ----------
--- a/src/lacewinglift/publisher.py
+++ b/src/lacewinglift/publisher.py
@@ -286,7 +286,9 @@
         if _is_ours(found, manifest):
             return True
         changes = await self._changes_of_other(current, found)
-        raise _conflict(found, f"it changed {changes}")
+        # A later generation may have replaced the own one after its reply was lost.
+        superseded = found.generation > manifest.generation
+        raise _conflict(found, f"changed since you started: {changes}", superseded)
 
     async def _changes_of_other(self, current: _Current, found: Manifest) -> Changes:
         other = _Current(0, found)
@@ -316,16 +318,23 @@
     )
 
 
-def _conflict(found: Manifest, detail: str) -> PublishConflictError:
+def _conflict(
+    found: Manifest, detail: str, superseded: bool = False
+) -> PublishConflictError:
     if not found.generation:
         message = f"no configuration was published yet; {detail}"
         return PublishConflictError(message, 0)
     published_at = datetime.datetime.fromtimestamp(
         min(found.published_at_ms / 1000, 253_402_300_799), datetime.UTC
     )
+    outcome = (
+        "Yours may have been in force before, as an earlier generation"
+        if superseded
+        else "Nothing of yours was published"
+    )
     return PublishConflictError(
         f"{found.author!r} published generation {found.generation} at "
-        f"{published_at:%Y-%m-%d %H:%M:%S} UTC; {detail}. Nothing of yours was "
-        "published: bring those changes into your files, then publish again",
+        f"{published_at:%Y-%m-%d %H:%M:%S} UTC; {detail}. {outcome}: bring those "
+        "changes into your files, then publish again",
         found.generation,
     )
--- a/testing/test_publisher.py
+++ b/testing/test_publisher.py
@@ -4,6 +4,8 @@
 import attrs
 import pytest
 from grpclib.server import Server
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 
 from lacewinglift import publisher as publisher_module
 from lacewinglift import rollout as rollout_module
@@ -287,3 +289,99 @@
     report = run_with(instances, scenario)
     assert report.in_force == ["i1"]
     assert report.missing == ["127.0.0.1:2", "deaf", "gone"]
+
+
+@attrs.define(eq=False)
+class FaultyStore(MemoryStore):
+    """Store whose manifest writes fail as drawn; delayed ones arrive later."""
+
+    outcomes: list = attrs.field(factory=list)
+    delayed: list = attrs.field(factory=list)
+    history: list = attrs.field(factory=list)
+
+    async def get(self, key):
+        await asyncio.sleep(0)
+        await self.arrive()
+        if key == KEY and self.next_outcome() == "unread":
+            raise StoreUnavailableError("lost read")
+        return await super().get(key)
+
+    async def compare_and_swap(self, key, value, expected_revision):
+        await asyncio.sleep(0)
+        if key != KEY:
+            return await super().compare_and_swap(key, value, expected_revision)
+        outcome = self.next_outcome()
+        if outcome == "lost":
+            raise StoreUnavailableError("lost request")
+        if outcome == "delayed":
+            self.delayed.append((value, expected_revision))
+            raise StoreUnavailableError("late request")
+        written = await self.write(value, expected_revision)
+        await asyncio.sleep(0)
+        if outcome == "unanswered":
+            raise StoreUnavailableError("lost reply")
+        return written
+
+    async def write(self, value, expected_revision):
+        written = await super().compare_and_swap(KEY, value, expected_revision)
+        if written is not None:
+            self.history.append(parse_manifest(value))
+        return written
+
+    async def arrive(self):
+        if self.delayed and self.next_outcome() != "lost":
+            await self.write(*self.delayed.pop(0))
+
+    def next_outcome(self):
+        return self.outcomes.pop(0) if self.outcomes else "ok"
+
+
+OUTCOMES = st.sampled_from(["ok", "lost", "delayed", "unanswered", "unread"])
+
+
+@settings(
+    max_examples=200,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(
+    outcomes=st.lists(OUTCOMES, max_size=24),
+    rounds=st.lists(
+        st.lists(st.integers(0, 40), min_size=1, max_size=3), min_size=1, max_size=3
+    ),
+)
+def test_reports_agree_with_the_history_of_the_store(timers, outcomes, rounds):
+    """Guards against a report that calls a publication accepted, or not, wrongly."""
+    store = FaultyStore(outcomes=list(outcomes))
+    results = []
+
+    async def operate(author, rate, delay):
+        for _ in range(delay):
+            await asyncio.sleep(0)
+        try:
+            configuration = make_configuration(w1=rate)
+            report = await publish(store, timers, configuration, author)
+            results.append((author, report.generation))
+        except (PublishConflictError, StoreUnavailableError) as error:
+            results.append((author, str(error)))
+
+    async def scenario():
+        for number, delays in enumerate(rounds):
+            await asyncio.gather(
+                *(
+                    operate(f"{number}-{each}", 2.0 + 10 * number + each, delay)
+                    for each, delay in enumerate(delays)
+                )
+            )
+        while store.delayed:
+            await store.arrive()
+
+    asyncio.run(scenario())
+    generations = [manifest.generation for manifest in store.history]
+    assert generations == list(range(1, len(generations) + 1))
+    accepted = {each.author: each.generation for each in store.history}
+    for author, result in results:
+        if isinstance(result, int):
+            assert accepted.get(author) == result, (author, results)
+        elif "may have been" not in result:
+            assert author not in accepted, (author, result)
