Wait for starting instances after a publication

Before the first generation every instance is starting, so publish found no live one and returned at once, although three instances were running (seen in a trial with three processes). Instances that are heard and not leaving or suspected now count; the test failed for a starting instance before and passes now.

--- a/src/lacewinglift/rollout.py
+++ b/src/lacewinglift/rollout.py
@@ -10,7 +10,6 @@
 from lacewinglift.errors import PeerError, StoreError
 from lacewinglift.generated.fleet_pb2 import (
     LEAVING,
-    LIVE,
     GetStatusRequest,
     InstanceStatus,
     Manifest,
@@ -62,12 +61,11 @@
             self.addresses[status.instance] = status.peer_address
 
     def expected(self) -> set[str]:
-        """Return the live instances."""
-        heard = {
-            name
-            for name, status in self.statuses.items()
-            if status.state == LIVE and not status.suspected
-        }
+        """Return the live instances.
+
+        Starting ones count: before the first generation all are starting.
+        """
+        heard = {name for name, status in self.statuses.items() if not status.suspected}
         gone = self.leaving | {
             name for name, status in self.statuses.items() if status.state == LEAVING
         }
--- a/testing/test_publisher.py
+++ b/testing/test_publisher.py
@@ -20,6 +20,7 @@
 from lacewinglift.generated.fleet_pb2 import (
     LEAVING,
     LIVE,
+    STARTING,
     GetStatusReply,
     InstanceStatus,
     Manifest,
@@ -254,10 +255,12 @@
     store.put(f"platform/instances/{name}", json.dumps(value).encode())
 
 
-def test_publication_waits_until_all_instances_have_it(timers):
+@pytest.mark.parametrize("state", [STARTING, LIVE])
+def test_publication_waits_until_all_instances_have_it(timers, state):
     """Guards against a report before a withdrawn key is refused everywhere."""
     store = MemoryStore()
     instances = [Instance("i1", delay=3), Instance("i2", delay=1)]
+    instances[0].state = state
 
     async def scenario(addresses):
         list_instance(store, "i2", addresses[1])
--- a/testing/test_segments.py
+++ b/testing/test_segments.py
@@ -145,7 +145,9 @@
 
 
 @pytest.mark.parametrize(
-    "sha256", sorted(encode_configuration(make_configuration(), "ann").segments)
+    "sha256",
+    sorted(encode_configuration(make_configuration(), "ann").segments),
+    ids=bytes.hex,
 )
 def test_previous_result_does_not_excuse_a_wrong_or_missing_segment(sha256):
     """Guards against an offered segment that replaces a checked one unseen."""
@@ -257,7 +259,7 @@
     use(manifest, segments)
 
 
-@pytest.mark.parametrize("sha256", sorted(ENCODED.segments))
+@pytest.mark.parametrize("sha256", sorted(ENCODED.segments), ids=bytes.hex)
 def test_segment_with_another_hash_is_refused(sha256):
     """Guards against content that does not belong to the manifest."""
     segments = {**ENCODED.segments, sha256: b"other"}
