--- a/src/lacewinglift/allocator.py
+++ b/src/lacewinglift/allocator.py
@@ -316,10 +316,14 @@
             for identity, view in situation.live.items()
             if identity in present
         }
-        leaving = _leaving(situation) & present
-        # A member fenced in this draft has applied the division before it, in which
-        # it was still granted what the fence takes away.
-        return cls(active, live, leaving, situation.settled() & present)
+        # What the fence of this version takes away, its holder has not applied.
+        newly_fenced = {
+            identity
+            for identity, member in draft.members.items()
+            if member.fenced_in_version == draft.version
+        }
+        settled = situation.settled() - newly_fenced
+        return cls(active, live, _leaving(situation) & present, settled)
 
     def stuck_ppm(self, holdings: Holdings) -> int:
         """Return what silent and fenced members keep reserved."""
