--- a/src/lacewinglift/addresses.py
+++ b/src/lacewinglift/addresses.py
@@ -2,31 +2,17 @@
 
 import json
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from lacewinglift.configuration import Configuration
 from lacewinglift.generated import fleet_pb2
 from lacewinglift.refusals import refuse
-from lacewinglift.rendezvous import rank
+from lacewinglift.rendezvous import home_instances
 from lacewinglift.views import MemberView
 
 ADDRESSES_PATH = "/.lacewinglift/addresses"
 
 
-def home_instances(
-    workspace: str, members: Iterable[MemberView], per_data_centre: int
-) -> set[str]:
-    """Return the names of the instances that are homes of a workspace."""
-    by_data_centre: dict[str, list[str]] = {}
-    for member in members:
-        by_data_centre.setdefault(member.data_centre, []).append(member.instance)
-    return {
-        name
-        for names in by_data_centre.values()
-        for name in rank(workspace, names)[:per_data_centre]
-    }
-
-
 class AddressBook:
     """Gives address answers.
 
@@ -85,7 +71,8 @@
         if not members:
             raise refuse("starting", "no live instance is known yet", retry_after_s=1)
         if workspace is not None:
-            homes = home_instances(workspace, members, fleet.homes_per_data_centre)
+            centres = {member.instance: member.data_centre for member in members}
+            homes = home_instances(workspace, centres, fleet.homes_per_data_centre)
             members = [member for member in members if member.instance in homes]
         near = data_centre or self.data_centre
         self.shuffle(members)
