--- a/src/lacewinglift/handling.py
+++ b/src/lacewinglift/handling.py
@@ -272,7 +272,7 @@
         code = decision.code or "over_limit"
         why = _REFUSED_BY_ADMISSION.get(code, "cannot be admitted now")
         message = f"{workspace.name} {why}"
-        raise refuse(code, message, retry_after_s=decision.retry_after_s)
+        raise refuse(code, message, retry_after_s=decision.retry_after_s or None)
 
     @contextlib.contextmanager
     def _watched(self, access: Access) -> Iterator[Exchange]:
