--- a/testing/test_frontend.py
+++ b/testing/test_frontend.py
@@ -2,12 +2,15 @@
 import time
 
 import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, Not, StartsWith
 
 from lacewinglift.outcomes import OutcomeKind
 from testing.standins.request_half import (
     KEY,
+    KEYED,
     call,
     exchange,
     receive_all,
@@ -158,3 +161,52 @@
             }
         ),
     )
+
+
+REQUEST = st.tuples(
+    st.sampled_from(["none", "length", "chunked", "continue"]),
+    st.binary(max_size=300),
+    st.integers(1, 400),
+)
+SMUGGLED = b"GET /cassa HTTP/1.1\r\nHost: h\r\nX-Id: smuggled\r\n\r\n"
+
+
+def encode_request(number, framing, body, piece):
+    head = f"POST /cassa HTTP/1.1\r\nHost: h\r\n{KEYED}\r\nX-Id: {number}\r\n"
+    if framing == "none":
+        return head.encode() + b"\r\n", b""
+    body += SMUGGLED
+    if framing == "chunked":
+        pieces = [body[at : at + piece] for at in range(0, len(body), piece)]
+        chunks = b"".join(b"%x\r\n%b\r\n" % (len(each), each) for each in pieces)
+        head += "Transfer-Encoding: chunked\r\n\r\n"
+        return head.encode() + chunks + b"0\r\n\r\n", body
+    if framing == "continue":
+        head += "Expect: 100-continue\r\n"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body, body
+
+
+@settings(
+    max_examples=40,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(st.lists(REQUEST, min_size=1, max_size=5), st.integers(1, 900), st.booleans())
+def test_target_sees_the_requests_that_were_sent(half, target, requests, cut, bad):
+    """Guards against bodies that are taken for requests, on either connection."""
+    target.received.clear()
+    encoded = [encode_request(index, *each) for index, each in enumerate(requests)]
+    data = b"".join(each for each, _ in encoded)
+    if bad:
+        data += b"POST /cassa HTTP/1.1\r\nHost: h\r\nX_A: 1\r\n\r\n" + SMUGGLED
+    else:
+        data += request_bytes("GET", "/nowhere", "Connection: close")
+    with half.connect() as sock:
+        for start in range(0, len(data), cut):
+            sock.sendall(data[start : start + cut])
+        received = receive_all(sock)
+    seen = [(each.values("x-id"), each.body) for each in target.received]
+    sent = [([str(index)], body) for index, (_, body) in enumerate(encoded)]
+    assert_that(seen, Equals(sent))
+    assert_that(received.count(b"HTTP/1.1 200"), Equals(len(sent)))
+    assert_that(received.count(b"HTTP/1.1 400"), Equals(int(bad)))
--- a/testing/test_shutdown.py
+++ b/testing/test_shutdown.py
@@ -111,3 +111,39 @@
         thread.join(5)
         assert_that(time.monotonic() - started, LessThan(2.0))
         assert_that(reports[0].cut_requests, Equals(1))
+
+
+def test_busy_callers_lose_no_request_during_a_stop(half):
+    """Guards against a request that is accepted and then cut by the stop."""
+    lost, answered, ended = [], [], []
+
+    def run(caller):
+        number = 0
+        while True:
+            try:
+                sock = half.connect()
+            except ConnectionRefusedError:
+                ended.append(caller)
+                return
+            with sock:
+                while True:
+                    number += 1
+                    sock.sendall(request_bytes("POST", body=b"x" * 100))
+                    received = sock.recv(65536)
+                    if not received.endswith(b"sold"):
+                        lost.append((caller, number, received))
+                        return
+                    answered.append(number)
+                    if b"Connection: close" in received:
+                        break
+
+    threads = [threading.Thread(target=run, args=(caller,)) for caller in range(3)]
+    for thread in threads:
+        thread.start()
+    assert wait_until(lambda: len(answered) > 50)
+    stopping, reports = start_stop(half)
+    for thread in [*threads, stopping]:
+        thread.join(10)
+    assert_that(lost, Equals([]))
+    assert_that(len(ended), Equals(3))
+    assert_that((reports[0].cut_requests, reports[0].open_connections), Equals((0, 0)))
