--- a/testing/test_shutdown.py
+++ b/testing/test_shutdown.py
@@ -3,7 +3,7 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, EndsWith, Equals, LessThan, StartsWith
+from testtools.matchers import Contains, EndsWith, Equals, LessThan, Not, StartsWith
 
 from lacewinglift.shutdown import ShutdownState
 from testing.standins.request_half import (
@@ -58,7 +58,10 @@
         thread, reports = start_stop(half)
         assert half.left.wait(2)
         # Callers use the address for as long as their address answer is valid.
+        time.sleep(0.1)
         assert_that(call(half), EndsWith(b"sold"))
+        idle.sendall(request_bytes())
+        assert_that(idle.recv(65536), Not(Contains(b"Connection: close")))
         assert in_state(half, ShutdownState.FINISHING)
         idle.sendall(request_bytes())
         assert_that(receive_all(idle), Contains(b"Connection: close"))
@@ -108,3 +111,39 @@
         thread.join(5)
         assert_that(time.monotonic() - started, LessThan(2.0))
         assert_that(reports[0].cut_requests, Equals(1))
+
+
+def test_busy_callers_lose_no_request_during_a_stop(half):
+    """Guards against a request that is accepted and then cut by the stop."""
+    lost, answered, ended = [], [], []
+
+    def run(caller):
+        number = 0
+        while True:
+            try:
+                sock = half.connect()
+            except ConnectionRefusedError:
+                ended.append(caller)
+                return
+            with sock:
+                while True:
+                    number += 1
+                    sock.sendall(request_bytes("POST", body=b"x" * 100))
+                    received = sock.recv(65536)
+                    if not received.endswith(b"sold"):
+                        lost.append((caller, number, received))
+                        return
+                    answered.append(number)
+                    if b"Connection: close" in received:
+                        break
+
+    threads = [threading.Thread(target=run, args=(caller,)) for caller in range(3)]
+    for thread in threads:
+        thread.start()
+    assert wait_until(lambda: len(answered) > 50)
+    stopping, reports = start_stop(half)
+    for thread in [*threads, stopping]:
+        thread.join(10)
+    assert_that(lost, Equals([]))
+    assert_that(len(ended), Equals(3))
+    assert_that((reports[0].cut_requests, reports[0].open_connections), Equals((0, 0)))
