--- a/src/lacewinglift/detection.py
+++ b/src/lacewinglift/detection.py
@@ -271,9 +271,7 @@
     began_s: float = 0.0
     run: list[float] = field(factory=list)
 
-    def record(
-        self, sample: Sample, service: ServiceLatency, margin: float, judged: bool
-    ) -> None:
+    def record(self, sample: Sample, service: ServiceLatency, margin: float) -> None:
         """Add one answer; `margin` is the allowance for a cold target."""
         value = sample.log_latency
         if self.samples:
@@ -285,7 +283,7 @@
         self.level += (value - self.level) * max(LEVEL_GAIN, 1.0 / self.samples)
         gain = max(CHOICE_LEVEL_GAIN, 1.0 / self.samples)
         self.choice_level += (value - self.choice_level) * gain
-        if judged and self.reference is not None:
+        if self.reference is not None:
             self._judge(sample, service, margin)
         if not self.run:
             gain = max(OWN_LEVEL_GAIN, 1.0 / self.samples)
--- a/src/lacewinglift/targets.py
+++ b/src/lacewinglift/targets.py
@@ -214,7 +214,6 @@
         self.latency = ServiceLatency()
         self.peers = PeerReports()
         self.turn = 0
-        self.attempts = 0
         self.required = 0
 
     # ---- configuration ----
@@ -281,7 +280,6 @@
                 return None
             self.turn += 1
             state = self.table.choose(candidates, self.table.random, self.turn)
-            self.attempts += 1
             attempt = Attempt(state.target, now, state, self)
             state.in_flight += 1
             state.unanswered[id(attempt)] = attempt
@@ -383,7 +381,7 @@
         sample = Sample(
             state.name, attempt.started_s, math.log(max(latency_s, LATENCY_MIN_S))
         )
-        state.latency.record(sample, self.latency, self._margin(state, now_s), True)
+        state.latency.record(sample, self.latency, self._margin(state, now_s))
         if state.hang_nats:
             state.hang_nats = self._hang_nats(state, now_s)
 
--- a/testing/test_targets.py
+++ b/testing/test_targets.py
@@ -1,11 +1,15 @@
+from concurrent.futures import ThreadPoolExecutor
+from random import Random
+
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, Is, LessThan, Not
+from testtools.matchers import Contains, Equals, GreaterThan, Is, LessThan, Not
 
 from lacewinglift.configuration import Configuration, Fleet, Service, Target
+from lacewinglift.detection import HOLD_OFF_MAX_S, HoldOff
 from lacewinglift.generated.fleet_pb2 import Suspicion
 from lacewinglift.targets import Outcome, OutcomeKind, TargetTable
-from lacewinglift.timers import ManualTimers
+from lacewinglift.timers import ManualTimers, ThreadTimers
 
 CENTRES = ("milano", "torino", "verona")
 OK = OutcomeKind.SUCCESS
@@ -164,3 +168,58 @@
         state.shedding_until_s = timers.now() + 600.0
     fail_alone(table, timers, "t4")
     assert_that(state_of(table, "t4"), Equals("suspected"))
+
+
+def test_hold_off_grows_with_each_ejection():
+    """Guards against a flapping target that harms callers at a constant rate."""
+    hold_off = HoldOff()
+    random = Random(1)
+    now = 1000.0
+    durations = []
+    for _ in range(10):
+        hold_off.start(now, random)
+        durations.append(hold_off.duration_s)
+        now = hold_off.until_s
+        while not hold_off.probe_passed(now):
+            now += 1.0
+    assert_that(durations[1], GreaterThan(durations[0]))
+    assert_that(durations[4], GreaterThan(8 * durations[0]))
+    assert_that(max(durations), LessThan(1.25 * HOLD_OFF_MAX_S + 1.0))
+    hold_off.start(now + 3600.0, random)
+    assert_that(hold_off.duration_s, LessThan(10.0))
+
+
+def test_pause_of_the_process_is_no_evidence(table, timers):
+    """Guards against ejections when this process stood still, not the targets."""
+    send(table, timers, 300)
+    waiting = [table.acquire("cassa", ()) for _ in range(4)]
+    timers.pause(3.0)
+    for attempt in waiting[:2]:
+        attempt.finish(Outcome(OK, 3.0))
+    timers.advance(0.05)
+    assert_that(table.suspicions(), Equals([]))
+
+
+def test_request_threads_share_a_table():
+    """Guards against counts that get lost between threads."""
+    timers = ThreadTimers()
+    table = TargetTable(timers, "milano", seed=1)
+    table.apply(make_configuration(make_service(9)))
+
+    def work(number):
+        for turn in range(300):
+            attempt = table.acquire("cassa", ())
+            if attempt is not None:
+                kind = list(OutcomeKind)[(number + turn) % len(OutcomeKind)]
+                attempt.finish(Outcome(kind, 0.001 * turn))
+            if turn % 50 == 0:
+                table.apply(make_configuration(make_service(6 + turn % 3), turn))
+
+    try:
+        with ThreadPoolExecutor(8) as executor:
+            for future in [executor.submit(work, n) for n in range(8)]:
+                future.result()
+    finally:
+        timers.stop()
+    targets = table.dump()["cassa"]["targets"].values()
+    assert_that({target["in_flight"] for target in targets}, Equals({0}))
