--- a/src/lacewinglift/targets.py
+++ b/src/lacewinglift/targets.py
@@ -21,6 +21,7 @@
     COLD_NATS_FACTOR,
     EJECT_NATS,
     OTHERS_ANSWERED_MIN,
+    OTHERS_ANSWERED_MIN_ERRORS,
     OWN_NATS_MIN,
     PROBE_NATS,
     SHARE_NATS,
@@ -149,7 +150,7 @@
     @property
     def own_nats(self) -> float:
         """Return this instance's own evidence against the target."""
-        return max(self.errors.nats, self.latency.nats + self.hang_nats)
+        return max(self.errors.proven_nats, self.latency.nats + self.hang_nats)
 
     def is_healthy(self, now_s: float) -> bool:
         """Return whether the target counts towards the floor."""
@@ -193,7 +194,6 @@
         self.latency = ServiceLatency()
         self.peers = PeerReports()
         self.turn = 0
-        self.attempts = 0
         self.required = 0
 
     # ---- configuration ----
@@ -260,7 +260,6 @@
                 return None
             self.turn += 1
             state = self.table.choose(candidates, self.table.random, self.turn)
-            self.attempts += 1
             attempt = Attempt(state.target, now, state, self)
             state.in_flight += 1
             state.unanswered[id(attempt)] = attempt
@@ -362,7 +361,7 @@
         sample = Sample(
             state.name, attempt.started_s, math.log(max(latency_s, LATENCY_MIN_S))
         )
-        state.latency.record(sample, self.latency, self._margin(state, now_s), True)
+        state.latency.record(sample, self.latency, self._margin(state, now_s))
         if state.hang_nats:
             state.hang_nats = self._hang_nats(state, now_s)
 
@@ -440,8 +439,10 @@
             self._eject(state, now_s)
 
     def _is_confirmed(self, state: TargetState, threshold: float, now_s: float) -> bool:
-        if state.errors.nats >= threshold:
-            return state.errors.others_answered(self.errors) >= OTHERS_ANSWERED_MIN
+        if state.errors.proven_nats >= threshold:
+            others = state.errors.others_answered(self.errors)
+            if others >= OTHERS_ANSWERED_MIN_ERRORS:
+                return True
         return self._is_latency_confirmed(state, threshold, now_s)
 
     def _is_latency_confirmed(
@@ -463,7 +464,8 @@
         others += self._waiting_elsewhere(state, began_s, now_s)
         others.sort()
         reference = state.latency.reference
-        current = median(others)
+        # Few answers tell the median only up to this error.
+        current = median(others) + self.latency.sigma / math.sqrt(len(others))
         if reference is None or current <= reference:
             return True
         # The service as a whole became slower: restate the evidence against that.
