--- a/testing/test_frontend.py
+++ b/testing/test_frontend.py
@@ -76,6 +76,9 @@
         target.received[0].values("x-lacewinglift-workspace"), Equals(["kiosk"])
     )
     assert_that(target.received[0].values("host"), Equals(["fleet.example"]))
+    # Nothing of the fleet replaces the header on an open route.
+    call(half, "GET", "/open", "X-Lacewinglift-Workspace: vip", key=None)
+    assert_that(target.received[1].values("x-lacewinglift-workspace"), Equals([]))
 
 
 REFUSED_KEYS = [
