Know the instances before a generation is accepted

Cause: publish read the platform's list after acceptance.

The list and the members of the ledgers are read before the manifest is written. Members are asked and offered the generation, but only count as missing when they are heard. If nothing can be asked, that is reported as not in force.

--- a/src/lacewinglift/publisher.py
+++ b/src/lacewinglift/publisher.py
@@ -129,6 +129,8 @@
             raise _conflict(current.manifest, f"expected {expected_generation}")
         encoded = encode_configuration(configuration, author)
         changes = await self._changes(current, encoded)
+        await self.rollout.read_list()
+        await self.rollout.read_ledgers(self.fleet, configuration.fleet.cells)
         unchanged = _same_segments(current.manifest, encoded.manifest)
         if unchanged:
             encoded.manifest.CopyFrom(current.manifest)
--- a/src/lacewinglift/rollout.py
+++ b/src/lacewinglift/rollout.py
@@ -6,18 +6,21 @@
 from collections.abc import Mapping, Sequence
 
 from attrs import define, field, frozen
+from google.protobuf.message import DecodeError
 
 from lacewinglift.errors import PeerError, StoreError
 from lacewinglift.generated.fleet_pb2 import (
     LEAVING,
     GetStatusRequest,
     InstanceStatus,
+    Ledger,
     Manifest,
     OfferConfigurationRequest,
 )
 from lacewinglift.logs import log_info
 from lacewinglift.peers import PeerCalls
 from lacewinglift.store import Store
+from lacewinglift.store_duty import ledger_key
 from lacewinglift.timers import Timers
 
 INSTANCES_PREFIX = "platform/instances/"
@@ -29,6 +32,7 @@
 MAX_OFFERED_BYTES = 1024 * 1024
 """Above this only the manifest is offered, and instances fetch the segments."""
 MAX_CALLS_AT_ONCE = 16
+UNKNOWN_INSTANCES = "instances of the platform's list, which cannot be read"
 
 
 @frozen
@@ -51,6 +55,9 @@
     statuses: dict[str, InstanceStatus] = field(factory=dict)
     silent: set[str] = field(factory=set)
     """Given addresses that did not answer."""
+    list_read: bool = False
+    members: set[str] = field(factory=set)
+    """Members of the ledgers: asked, because the list lags, but not expected."""
 
     def note(self, status: InstanceStatus) -> None:
         """Keep the newest report on an instance."""
@@ -81,6 +88,8 @@
 
     def missing(self, generation: int) -> set[str]:
         """Return the live instances that did not, and addresses without answer."""
+        if not self.list_read and not self.statuses:
+            return self.silent | {UNKNOWN_INSTANCES}
         known = set(self.addresses.values())
         return (self.expected() - self.in_force(generation)) | (self.silent - known)
 
@@ -108,6 +117,7 @@
         self.store = store
         self.peer_addresses = list(peer_addresses)
         self.timers = timers
+        self.view = _View()
         self.calls = PeerCalls()
         self.slots = asyncio.Semaphore(MAX_CALLS_AT_ONCE)
 
@@ -115,10 +125,9 @@
         self, manifest: Manifest, segments: Mapping[bytes, bytes], wait_s: float
     ) -> tuple[list[str], list[str]]:
         """Offer a manifest and return the instances that have it and that lack it."""
-        view = _View()
+        view = self.view
         deadline = self.timers.now() + wait_s
         try:
-            await self._read_list(view)
             await self._offer(view, manifest, segments)
             await self._wait(view, manifest.generation, deadline)
         finally:
@@ -126,13 +135,19 @@
         generation = manifest.generation
         return sorted(view.in_force(generation)), sorted(view.missing(generation))
 
-    async def _read_list(self, view: _View) -> None:
-        """Read the platform's list; without it the instances' reports decide."""
+    async def read_list(self) -> None:
+        """Read the platform's list; without it the instances' reports decide.
+
+        It is read before a generation is accepted, so that the instances are known
+        if the store fails right afterwards.
+        """
+        view = self.view
         try:
             entries = await self.store.list_prefix(INSTANCES_PREFIX)
         except StoreError as error:
             log_info("instance_list_unavailable", reason=error)
             return
+        view.list_read = True
         view.listed.clear()
         view.leaving.clear()
         for entry in entries:
@@ -142,6 +157,19 @@
             if address:
                 view.addresses[name] = address
 
+    async def read_ledgers(self, fleet: str, cells: Sequence[str]) -> None:
+        """Read which instances hold quotas; the platform's list may lag."""
+        for cell in cells:
+            try:
+                entry = await self.store.get(ledger_key(fleet, cell))
+                ledger = Ledger.FromString(entry.value if entry else b"")
+            except (StoreError, DecodeError) as error:
+                log_info("ledger_unavailable", cell=cell, reason=error)
+                continue
+            for member in ledger.members:
+                self.view.members.add(member.instance)
+                self.view.addresses.setdefault(member.instance, member.peer_address)
+
     async def _offer(
         self, view: _View, manifest: Manifest, segments: Mapping[bytes, bytes]
     ) -> None:
@@ -152,7 +180,7 @@
         listed = sorted(
             address
             for name, address in view.addresses.items()
-            if name in view.listed and address not in self.peer_addresses
+            if name in view.listed | view.members and address not in self.peer_addresses
         )
         if len(listed) > MAX_OFFERS:
             listed = random.sample(listed, MAX_OFFERS)
@@ -170,7 +198,7 @@
             await asyncio.sleep(POLL_INTERVAL_S)
             if self.timers.now() >= next_list:
                 next_list = self.timers.now() + LIST_INTERVAL_S
-                await self._read_list(view)
+                await self.read_list()
 
     async def _poll(self, view: _View, generation: int) -> None:
         """Ask instances until each that lacks the generation was reported on.
@@ -184,7 +212,8 @@
         )
         asked = set(self.peer_addresses)
         while True:
-            lacking = view.missing(generation) - covered
+            lacking = view.missing(generation) | view.members
+            lacking -= covered | view.in_force(generation)
             addresses = [view.addresses.get(name, "") for name in sorted(lacking)]
             chosen = [each for each in addresses if each and each not in asked]
             if not chosen:
--- a/testing/memory_store.py
+++ b/testing/memory_store.py
@@ -8,7 +8,7 @@
 from lacewinglift.store import Entry
 
 
-@define(eq=False)
+@define(eq=False, slots=False)
 class MemoryStore:
     """Has the calls of `Store` that publishing uses.
 
@@ -26,6 +26,7 @@
     lost_requests: int = 0
     """Manifest writes that neither take effect nor are answered."""
     down_after_lost_reply: bool = False
+    down_after_write: bool = False
     before_write: Callable[[str], Awaitable[None]] | None = None
     writes: list[str] = field(factory=list)
 
@@ -53,6 +54,7 @@
         if (known.revision if known else 0) != expected_revision:
             return None
         self.put(key, value)
+        self.down = self.down or (is_manifest and self.down_after_write)
         if is_manifest and self.lost_replies:
             self.lost_replies -= 1
             self.down = self.down_after_lost_reply
--- a/testing/test_publisher.py
+++ b/testing/test_publisher.py
@@ -23,6 +23,7 @@
     STARTING,
     GetStatusReply,
     InstanceStatus,
+    Ledger,
     Manifest,
     OfferConfigurationReply,
 )
@@ -273,6 +274,49 @@
     assert report.missing == []
 
 
+def test_store_that_fails_after_acceptance_hides_no_instance(timers):
+    """Guards against success reported because the list cannot be read."""
+    store = MemoryStore()
+    deaf, good = Instance("deaf", delay=1000), Instance("good")
+
+    async def scenario(addresses):
+        list_instance(store, "deaf", addresses[0])
+        list_instance(store, "good", addresses[1])
+        store.down_after_write = True
+        return await publish(store, timers, make_configuration(), wait_s=0.2)
+
+    report = run_with([deaf, good], scenario)
+    assert (report.in_force, report.missing) == (["good"], ["deaf"])
+
+
+def test_list_that_was_never_read_is_no_success(timers):
+    """Guards against success reported when no instance could be asked."""
+    store = MemoryStore()
+
+    async def list_prefix(prefix):
+        raise StoreUnavailableError("down")
+
+    store.list_prefix = list_prefix
+    report = asyncio.run(publish(store, timers, make_configuration()))
+    assert report.missing == [rollout_module.UNKNOWN_INSTANCES]
+
+
+def test_members_of_the_ledger_are_asked_while_the_list_lags(timers):
+    """Guards against success reported before the platform lists a new fleet."""
+    store = MemoryStore()
+    deaf = Instance("deaf", delay=1000)
+
+    async def scenario(addresses):
+        ledger = Ledger(version=1)
+        ledger.members.add(instance="deaf", peer_address=addresses[0])
+        ledger.members.add(instance="gone", peer_address="127.0.0.1:1")
+        store.put("/lacewinglift/f/cells/main/ledger", ledger.SerializeToString())
+        return await publish(store, timers, make_configuration(), wait_s=0.2)
+
+    report = run_with([deaf], scenario)
+    assert (report.in_force, report.missing) == ([], ["deaf"])
+
+
 def test_missing_instances_are_named(timers):
     """Guards against an instance with old keys that nobody is told of."""
     store = MemoryStore()
