--- /dev/null
+++ b/testing/test_admission.py
@@ -0,0 +1,107 @@
+import pytest
+
+from lacewinglift.admission import SWEEP_INTERVAL_S, Admission
+from lacewinglift.configuration import Workspace
+from lacewinglift.errors import LedgerError
+from lacewinglift.generated.fleet_pb2 import (
+    Ledger,
+    Member,
+    Roster,
+    Share,
+    WorkspaceShares,
+)
+from lacewinglift.identity import Identity
+from lacewinglift.ledger import LedgerHolder
+from lacewinglift.timers import ManualTimers
+
+WORKSPACE = Workspace("w", 10.0, 20)
+
+
+def make_ledger(version, own_ppm, other_ppm):
+    return Ledger(
+        version=version,
+        members=[
+            Member(instance="a", incarnation=1),
+            Member(instance="b", incarnation=1),
+        ],
+        workspaces=[
+            WorkspaceShares(
+                workspace="w",
+                shares=[
+                    Share(member=0, granted_ppm=own_ppm, reserved_ppm=own_ppm),
+                    Share(member=1, granted_ppm=other_ppm, reserved_ppm=other_ppm),
+                ],
+            )
+        ],
+        rosters=[Roster(version=1, instances=["a", "b"])],
+    )
+
+
+class Setup:
+    def __init__(self):
+        self.timers = ManualTimers()
+        self.refusal = None
+        self.lend = lambda: 0
+        identity = Identity("a", "f", "main", "dc", "", "", 1)
+        self.holder = LedgerHolder(identity, self.timers)
+        self.admission = Admission(
+            self.holder, self.timers, lambda: self.refusal, lambda *_: self.lend()
+        )
+        self.admission.workspaces = {"w": WORKSPACE}
+
+
+@pytest.fixture
+def setup():
+    return Setup()
+
+
+def test_nothing_is_admitted_when_standing_ends_during_a_borrow(setup):
+    """Guards against an admission on a loan that arrives after a partition."""
+
+    def lend():
+        setup.refusal = "isolated"
+        return 1
+
+    setup.lend = lend
+    setup.holder.apply(make_ledger(1, 0, 1_000_000))
+    decision = setup.admission.admit(WORKSPACE)
+    assert (decision.admitted, decision.code) == (False, "isolated")
+
+
+def test_full_unused_bucket_is_dropped_and_comes_back_full(setup):
+    """Guards against memory that grows with all workspaces ever used."""
+    setup.holder.apply(make_ledger(1, 500_000, 500_000))
+    assert not setup.admission.admit(WORKSPACE).admitted
+    setup.timers.advance(60.0 + SWEEP_INTERVAL_S)
+    assert setup.admission.dump() == {}
+    admitted = [setup.admission.admit(WORKSPACE).admitted for _ in range(11)]
+    assert admitted == [True] * 10 + [False]
+
+
+def test_ledger_that_reserves_more_than_the_whole_is_refused(setup):
+    """Guards against a corrupt record that would exceed the quota."""
+    with pytest.raises(LedgerError):
+        setup.holder.apply(make_ledger(1, 600_000, 500_000))
+    assert setup.holder.granted_ppm("w") == 0
+
+
+def test_removed_incarnation_counts_as_fenced(setup):
+    """Guards against a share that is kept after the ledger dropped its holder."""
+    setup.holder.apply(make_ledger(1, 500_000, 500_000))
+    ledger = Ledger(version=2, members=[Member(instance="b", incarnation=1)])
+    ledger.rosters.add(version=2, instances=["b"])
+    setup.holder.apply(ledger)
+    assert setup.holder.is_fenced()
+    assert setup.holder.granted_ppm("w") == 0
+
+
+def test_version_is_reported_once_loans_of_the_earlier_division_ended(setup):
+    """Guards against a share given to others while lent tokens are unused."""
+    setup.holder.apply(make_ledger(1, 1_000_000, 0))
+    setup.timers.advance(5.0)
+    usage = setup.admission._usage(WORKSPACE)
+    assert usage.bucket.lend(20, 0.3) == 20
+    setup.holder.apply(make_ledger(2, 0, 0))
+    assert setup.holder.version() == 1
+    setup.timers.advance(0.31)
+    assert setup.holder.version() == 2
--- /dev/null
+++ b/testing/test_division.py
@@ -0,0 +1,26 @@
+import hypothesis.strategies as st
+from hypothesis import given
+
+from lacewinglift._division import Quota, holding_homes, target_shares
+from lacewinglift.ledger import WHOLE_PPM
+
+NAMES = [f"i{number}" for number in range(8)]
+DEMANDS = st.dictionaries(st.sampled_from(NAMES), st.floats(0, 1000), max_size=8)
+
+
+@given(DEMANDS, st.integers(1, 500), st.integers(1, 6), st.floats(0.5, 1000))
+def test_targets_are_a_division(demands, burst, homes, rate):
+    """Guards against shares that exceed the whole or hold no token."""
+    quota = Quota(rate, burst, tuple(NAMES[:homes]), demands)
+    targets = target_shares(quota)
+    assert sum(targets.values()) <= WHOLE_PPM
+    assert all(part * burst >= WHOLE_PPM for part in targets.values())
+    assert set(holding_homes(quota)) <= set(targets)
+
+
+def test_home_within_its_part_keeps_its_demand():
+    """Guards against an overloaded instance that takes from the others."""
+    demands = {"i0": 1000.0, "i1": 24.0, "i2": 25.0}
+    targets = target_shares(Quota(100.0, 200, ("i0", "i1", "i2", "i3"), demands))
+    assert targets["i1"] >= 239_999
+    assert targets["i2"] >= 249_999
