--- a/src/lacewinglift/_division.py
+++ b/src/lacewinglift/_division.py
@@ -11,6 +11,9 @@
 
 Holder = TypeVar("Holder", bound=Hashable)
 
+# Fewer holders than tokens, since parts of a token that are spread over holders
+# serve nobody, and a full bucket at one holder wastes what another lacks.
+MIN_HOLDER_TOKENS = 16
 # A home without demand keeps this part of an equal share, for its next request and
 # for loans to others.
 HOME_MINIMUM_PART = 0.125
@@ -51,7 +54,8 @@
 
     def max_holders(self) -> int:
         """Return how many holders can have a whole token each."""
-        return self.whole_ppm // self.token_ppm()
+        by_tokens = self.whole_ppm // self.token_ppm()
+        return min(by_tokens, max(self.burst // MIN_HOLDER_TOKENS, 1))
 
 
 def holding_homes(quota: Quota) -> tuple[str, ...]:
