--- a/src/lacewinglift/_division.py
+++ b/src/lacewinglift/_division.py
@@ -24,6 +24,9 @@
 # as more than the share; with fewer, the division follows noise.
 SHORTAGE_DEVIATIONS = 3.0
 SHORTAGE_PPM = 10_000
+# What is on its way from one holder to another serves nobody for a second or two,
+# and loans cover the need meanwhile.
+MOVED_PPM_PER_VERSION = 50_000
 FREE_PPM = 1_000  # smaller remainders are left where they are
 
 
@@ -130,6 +133,7 @@
     targets: Mapping[Holder, int],
     settled: Collection[Holder],
     lowered: Collection[Holder],
+    leaving: Collection[Holder] = (),
 ) -> dict[Holder, Holding]:
     """Return the holdings of the next version, one safe step towards the targets.
 
@@ -146,15 +150,26 @@
         granted any more is free.
 
     lowered : collection of holders
-        Those whose share is lowered if it is above their target.
+        Those whose share is lowered, in small steps, if it is above their target.
+
+    leaving : collection of holders
+        Those who lose their share at once.
     """
+    excess = {
+        holder: max(holdings[holder].granted_ppm - targets.get(holder, 0), 0)
+        for holder in holdings
+        if holder in lowered
+    }
+    part = min(1.0, MOVED_PPM_PER_VERSION / max(sum(excess.values()), 1))
     result = {}
     for holder, holding in holdings.items():
         granted, reserved = holding.granted_ppm, holding.reserved_ppm
         if holder in settled:
             reserved = granted
-        if holder in lowered:
-            granted = min(granted, targets.get(holder, 0))
+        if holder in leaving:
+            granted = 0
+        else:
+            granted -= math.ceil(excess.get(holder, 0) * part)
         result[holder] = Holding(granted, reserved)
     _raise(result, targets)
     return {
--- a/src/lacewinglift/allocator.py
+++ b/src/lacewinglift/allocator.py
@@ -431,9 +431,10 @@
     lose their share, as do all if there is no quota any more.
     """
     targets: dict[MemberId, int] = {}
-    lowered = parties.leaving
+    lowered: set[MemberId] = set()
+    leaving = parties.leaving
     if quota is None:
-        lowered = lowered | parties.live.keys()
+        leaving = leaving | parties.live.keys()
     else:
         quota = evolve(quota, whole_ppm=WHOLE_PPM - parties.stuck_ppm(holdings))
         granted = parties.granted_by_name(holdings)
@@ -443,5 +444,5 @@
         parts = target_shares(quota)
         targets = {parties.active[name]: part for name, part in parts.items()}
         if short and is_worth_moving(quota, granted, parts):
-            lowered = lowered | parties.live.keys()
-    return next_holdings(holdings, targets, parties.settled, lowered)
+            lowered = set(parties.live)
+    return next_holdings(holdings, targets, parties.settled, lowered, leaving)
