--- a/testing/standins/quota_cell.py
+++ b/testing/standins/quota_cell.py
@@ -194,8 +194,7 @@
         self.apply_ledger(ledger)
 
     def is_allocator(self):
-        view = self.members.allocator()
-        return view is not None and view.instance == self.name
+        return self.members.is_allocator()
 
     def allocate(self):
         now = self.cell.timers.now()
