--- a/src/lacewinglift/headers.py
+++ b/src/lacewinglift/headers.py
@@ -101,11 +101,13 @@
         return [value for key, value in self.headers if key.lower() == name]
 
     def bearer_key(self) -> str | None:
-        """Return the caller's key."""
+        """Return the caller's key, which may stand without the word Bearer."""
         values = self.values("authorization")
         if not values:
             return None
-        scheme, _, key = values[0].partition(" ")
+        scheme, _, key = values[0].strip().partition(" ")
+        if not key:
+            return scheme or None
         return key.strip() if scheme.lower() == "bearer" else None
 
     def timeout_s(self) -> float | None:
