--- a/testing/load/__main__.py
+++ b/testing/load/__main__.py
@@ -11,6 +11,7 @@
 
 from testing.fleet.__main__ import InterruptedRunError, raise_on_signals
 from testing.fleet.processes import FleetError
+from testing.load.control import measure_control, print_control
 from testing.load.experiments import (
     DIRECT,
     PROXIED,
@@ -107,6 +108,17 @@
     return 0
 
 
+def run_control(options: argparse.Namespace) -> int:
+    """Measure and print what control costs by size of the fleet."""
+    reports = [
+        measure_control(size, options.settle_s, options.duration_s)
+        for size in options.sizes
+    ]
+    print_control(reports)
+    print(f"load average: {os.getloadavg()[0]:.1f} on {os.cpu_count()} cores")
+    return 0
+
+
 def parse_sizes(text: str) -> list[int]:
     """Return the sizes in a text such as `10,20,40`."""
     return [int(part) for part in text.split(",")]
@@ -126,6 +138,11 @@
     latency.add_argument("--seed", type=int, default=1)
     latency.add_argument("--plot", type=pathlib.Path)
     latency.set_defaults(run=run_latency)
+    control = commands.add_parser("control", help="cost of control, with slopes")
+    control.add_argument("--sizes", type=parse_sizes, default=[10, 20, 30, 40])
+    control.add_argument("--settle-s", type=float, default=12.0)
+    control.add_argument("--duration-s", type=float, default=20.0)
+    control.set_defaults(run=run_control)
     for name, sizes, text in (
         ("idle", "6", "processor time and memory without requests"),
         ("store-calls", "10,20,40", "calls to the store by size of the fleet"),
