Send a lookup elsewhere when its target is ejected

Ruled out: a shorter timeout, which would end slow but good answers. An attempt now tells its exchange when the target is ejected before the head of the answer; only idempotent requests give the target up, within the retry budget, and what was given up is no further evidence. The forwarder also reports the head of an answer to the target table, so that a long body does not count as unanswered. Sales still wait: they may have run.

--- a/src/lacewinglift/exchanges.py
+++ b/src/lacewinglift/exchanges.py
@@ -59,7 +59,11 @@
         self.deadline_s: float | None = None
         self.reason: CancelReason | None = None
         self.checked_at_s = timers.now()
+        self.abandoned = False
+        """Whether the present target was given up before it answered."""
         self._target: socket.socket | None = None
+        self._waiting = False
+        """Whether the present target has not begun its answer."""
         self._done = False
         self._lock = threading.Lock()
 
@@ -71,8 +75,29 @@
             # A descriptor of its own: the worker thread may close `target` at any
             # time, and its number may then belong to another connection.
             self._target = target.dup()
+            self.abandoned = False
+            self._waiting = True
             return True
 
+    def abandoner(self) -> Callable[[], None]:
+        """Return a function that gives up the present target, and no later one."""
+        target = self._target
+
+        def abandon() -> None:
+            with self._lock:
+                if not self._waiting or self._target is not target or self.reason:
+                    return
+                self.abandoned = True
+                _shut(target, socket.SHUT_RDWR)
+
+        return abandon
+
+    def note_answer(self) -> bool:
+        """Keep the target, whose answer has begun; return False if given up."""
+        with self._lock:
+            self._waiting = False
+            return not self.abandoned
+
     def detach(self) -> None:
         """Forget the connection to the target."""
         with self._lock:
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -25,7 +25,12 @@
     TargetResponse,
 )
 from lacewinglift.refusals import RefusalError, refuse
-from lacewinglift.retries import MAX_ATTEMPTS, RetryBudget, may_resend
+from lacewinglift.retries import (
+    IDEMPOTENT_METHODS,
+    MAX_ATTEMPTS,
+    RetryBudget,
+    may_resend,
+)
 from lacewinglift.timers import Timers
 from lacewinglift.verdicts import Verdict
 
@@ -40,6 +45,11 @@
     """A target chosen for one attempt."""
 
     target: Target
+    on_ejected: Callable[[], None] | None
+
+    def mark_answered(self, latency_s: float) -> None:
+        """Report that the head of the answer has arrived."""
+        ...
 
     def finish(self, outcome: Outcome) -> None:
         """Report how the attempt ended."""
@@ -421,6 +431,8 @@
 
     def _evidence(self, kind: OutcomeKind) -> OutcomeKind:
         """Return the kind to report for a failed attempt."""
+        if self.exchange.abandoned:
+            return OutcomeKind.CANCELLED
         least_s = self.service.request_timeout_s * TIMEOUT_EVIDENCE_PART
         if kind is OutcomeKind.CONNECT_FAILED and self._remaining_s() > 0:
             return kind
@@ -450,6 +462,9 @@
                 raise self._failed(OutcomeKind.CONNECT_FAILED, message) from error
         if not self.exchange.attach(connection.sock):
             raise self._broken(None)
+        if self.request.method in IDEMPOTENT_METHODS:
+            # The request need not wait for a target that is known to be faulty.
+            self.call.attempt.on_ejected = self.exchange.abandoner()
 
     def _exchange(self) -> Answer:
         connection = self.call.connection
@@ -475,7 +490,10 @@
         self._arm_deadline(streaming=False)
         response, raw = self._read_head(connection)
         latency_s = self.call.elapsed_s()
+        if not self.exchange.note_answer():
+            raise self._broken(None)
         self._check_shed(response)
+        self.call.attempt.mark_answered(latency_s)
         self.exchange.deadline_s = None
         if self.exchange.reason is not None:
             raise self._broken(None)
@@ -566,6 +584,9 @@
         reason = self.exchange.reason
         if reason not in (None, CancelReason.DEADLINE):
             return self._cancelled()
+        if self.exchange.abandoned and reason is None:
+            message = "a target was ejected before it answered"
+            return self._failed(OutcomeKind.TIMEOUT, message)
         timed_out = reason is CancelReason.DEADLINE or isinstance(error, TimeoutError)
         if timed_out:
             return self._failed(OutcomeKind.TIMEOUT, "a target did not answer in time")
--- a/src/lacewinglift/targets.py
+++ b/src/lacewinglift/targets.py
@@ -4,7 +4,7 @@
 import math
 import threading
 import uuid
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from random import Random
 
 from attrs import define, field, frozen
@@ -103,6 +103,8 @@
     service: "ServiceState"
     answered: bool = False
     finished: bool = False
+    on_ejected: Callable[[], None] | None = None
+    """Called when the target is ejected before it answered; must not block."""
 
     def mark_answered(self, latency_s: float) -> None:
         """Record that the head of the answer arrived; a long body may follow."""
@@ -511,9 +513,13 @@
             prior_nats=state.prior_nats,
             hold_off_s=state.hold_off.duration_s,
         )
+        waiting = list(state.unanswered.values())
         state.clear_evidence(now_s)
         state.probe_next_s = state.hold_off.until_s
         state.probe_sent_s = None
+        for attempt in waiting:
+            if attempt.on_ejected is not None:
+                attempt.on_ejected()
 
     def _readmit(self, state: TargetState, now_s: float) -> None:
         state.ejected = False
--- a/testing/standins/request_half.py
+++ b/testing/standins/request_half.py
@@ -37,6 +37,11 @@
 class FixedAttempt:
     target: Target
     outcomes: list
+    on_ejected: object = None
+    answered: bool = False
+
+    def mark_answered(self, latency_s):
+        self.answered = True
 
     def finish(self, outcome):
         self.outcomes.append((self.target.name, outcome))
@@ -48,11 +53,13 @@
 
     targets: list
     outcomes: list = field(factory=list)
+    attempts: list = field(factory=list)
 
     def acquire(self, service_name, exclude):
         for target in self.targets:
             if target.name not in exclude:
-                return FixedAttempt(target, self.outcomes)
+                self.attempts.append(FixedAttempt(target, self.outcomes))
+                return self.attempts[-1]
         return None
 
     def kinds(self):
--- a/testing/test_forwarder.py
+++ b/testing/test_forwarder.py
@@ -3,6 +3,7 @@
 import resource
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from testtools.assertions import assert_that
@@ -429,3 +430,53 @@
         half.table.targets[0] = half.table.targets[1]
         assert_that(call(half, "PUT", body=body), EndsWith(b"sold"))
         assert_that(target.received[0].body, Equals(body))
+
+
+def test_lookup_leaves_an_ejected_target():
+    """Guards against a lookup that waits for a target known to hang."""
+    with (
+        halves(hang, SOLD, request_timeout_s=3.0) as (half, first, _),
+        ThreadPoolExecutor() as pool,
+    ):
+        reply = pool.submit(call, half, "GET")
+        assert wait_until(lambda: first.received)
+        half.table.attempts[0].on_ejected()
+        assert_that(reply.result(1.0), EndsWith(b"sold"))
+        # What was given up is no further evidence against the target.
+        kinds = [OutcomeKind.CANCELLED, OutcomeKind.SUCCESS]
+        assert_that(half.table.kinds(), Equals(kinds))
+
+
+def test_sale_waits_for_an_ejected_target():
+    """Guards against a sale that is sent twice because its target was ejected."""
+    with (
+        halves(hang, SOLD, request_timeout_s=0.5) as (half, first, second),
+        ThreadPoolExecutor() as pool,
+    ):
+        reply = pool.submit(call, half, "POST", body=b"x")
+        assert wait_until(lambda: first.received)
+        assert half.table.attempts[0].on_ejected is None
+        refused = refusal(reply.result(3.0))
+        assert_that(refused, Equals(("target_timeout", "may_have_run")))
+        assert_that(second.received, Equals([]))
+
+
+def test_answer_that_has_begun_survives_an_ejection():
+    """Guards against a whole answer that is cut because its target was ejected."""
+    started = threading.Event()
+    gate = threading.Event()
+
+    def answer_in_two(target, sock, stream):
+        read_head(stream)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf")
+        started.set()
+        gate.wait(5.0)
+        sock.sendall(b"half")
+
+    with halves(answer_in_two) as (half, _), ThreadPoolExecutor() as pool:
+        reply = pool.submit(call, half, "GET")
+        assert started.wait(5.0)
+        assert wait_until(lambda: half.table.attempts[0].answered)
+        half.table.attempts[0].on_ejected()
+        gate.set()
+        assert_that(reply.result(3.0), EndsWith(b"halfhalf"))
