Send a workspace's callers to the instances that hold its shares

Cause: address answers named six homes whatever the burst, while a small quota is divided among few holders, so most requests of a small workspace needed a loan; in the latency experiment with 4 instances, whose callers used all of them, small workspaces had a p50 of 11 to 14 ms against 10.4 ms and 13 of 13,888 requests were refused as over the limit at half their rate. Ruled out: dividing small quotas further, since parts of a token serve nobody. The latency experiment has a series without decisions now.

--- a/src/lacewinglift/_division.py
+++ b/src/lacewinglift/_division.py
@@ -7,13 +7,11 @@
 from attrs import define, frozen
 
 from lacewinglift.admission import DEMAND_AVERAGE_S
+from lacewinglift.homes import share_limit
 from lacewinglift.ledger import WHOLE_PPM
 
 Holder = TypeVar("Holder", bound=Hashable)
 
-# Fewer holders than tokens, since parts of a token that are spread over holders
-# serve nobody, and a full bucket at one holder wastes what another lacks.
-MIN_HOLDER_TOKENS = 16
 # A home without demand keeps this part of an equal share, for its next request and
 # for loans to others.
 HOME_MINIMUM_PART = 0.125
@@ -58,7 +56,7 @@
     def max_holders(self) -> int:
         """Return how many holders can have a whole token each."""
         by_tokens = self.whole_ppm // self.token_ppm()
-        return min(by_tokens, max(self.burst // MIN_HOLDER_TOKENS, 1))
+        return min(by_tokens, share_limit(self.burst))
 
 
 def holding_homes(quota: Quota) -> tuple[str, ...]:
--- a/src/lacewinglift/addresses.py
+++ b/src/lacewinglift/addresses.py
@@ -6,8 +6,8 @@
 
 from lacewinglift.configuration import Configuration
 from lacewinglift.generated import fleet_pb2
+from lacewinglift.homes import home_instances, home_limit
 from lacewinglift.refusals import refuse
-from lacewinglift.rendezvous import home_instances
 from lacewinglift.views import MemberView
 
 ADDRESSES_PATH = "/.lacewinglift/addresses"
@@ -71,8 +71,7 @@
         if not members:
             raise refuse("starting", "no live instance is known yet", retry_after_s=1)
         if workspace is not None:
-            centres = {member.instance: member.data_centre for member in members}
-            homes = home_instances(workspace, centres, fleet.homes_per_data_centre)
+            homes = _homes(configuration, workspace, members)
             members = [member for member in members if member.instance in homes]
         near = data_centre or self.data_centre
         self.shuffle(members)
@@ -87,3 +86,12 @@
             ],
         }
         return json.dumps(fields).encode()
+
+
+def _homes(
+    configuration: Configuration, workspace: str, members: list[MemberView]
+) -> list[str]:
+    centres = {member.instance: member.data_centre for member in members}
+    per_data_centre = configuration.fleet.homes_per_data_centre
+    homes = home_instances(workspace, centres, per_data_centre)
+    return homes[: home_limit(configuration.workspaces[workspace].burst)]
--- a/src/lacewinglift/allocator.py
+++ b/src/lacewinglift/allocator.py
@@ -23,9 +23,10 @@
     Share,
     WorkspaceShares,
 )
+from lacewinglift.homes import home_instances
 from lacewinglift.ledger import WHOLE_PPM, member_id
 from lacewinglift.logs import log_info
-from lacewinglift.rendezvous import home_instances, rank_candidates
+from lacewinglift.rendezvous import rank_candidates
 from lacewinglift.views import MemberId, MemberView
 
 WRITE_INTERVAL_S = 1.0
--- a/testing/load/experiments.py
+++ b/testing/load/experiments.py
@@ -25,6 +25,7 @@
 PATH = "/catalogo/pile"
 PROXIED = "proxied"
 DIRECT = "direct"
+UNDECIDED = "without decisions"
 
 
 @frozen
@@ -84,7 +85,9 @@
     start_s = time.monotonic() + GENERATOR_START_S
     groups = [_direct_streams(fleet, options)]
     for instance in fleet.instances:
-        groups.append(_proxied_streams(fleet, instance.address, options))
+        groups.append(_proxied_streams(fleet, PROXIED, instance.address, options))
+    baseline = _start_baseline(fleet)
+    groups.append(_proxied_streams(fleet, UNDECIDED, baseline, options))
     children = []
     for number, streams in enumerate(groups):
         plan = LoadPlan(
@@ -109,13 +112,22 @@
     return child
 
 
+def _start_baseline(fleet: Fleet) -> str:
+    command = python_command(
+        "testing.load.undecided",
+        fleet.configuration.base,
+        fleet.configuration.overlay,
+    )
+    return fleet.children.start("undecided", command, True).read_ready_line()["address"]
+
+
 def _proxied_streams(
-    fleet: Fleet, address: str, options: LatencyOptions
+    fleet: Fleet, series: str, address: str, options: LatencyOptions
 ) -> list[StreamPlan]:
     total = sum(plan.rate_per_s for plan in WORKSPACES.values())
     return [
         StreamPlan(
-            name=f"{PROXIED}/{workspace}/{address}",
+            name=f"{series}/{workspace}/{address}",
             rate_per_s=options.rate_per_instance * plan.rate_per_s / total,
             addresses=[address],
             path=PATH,
@@ -146,17 +158,27 @@
     refusals: Counter[str],
 ) -> LatencyReport:
     streams = {name: value for result in results for name, value in result.items()}
-    proxied = {name: value for name, value in streams.items() if name != DIRECT}
+    proxied = _of_series(streams, PROXIED)
     by_workspace = {
         workspace: merge(
             value for name, value in proxied.items() if name.split("/")[1] == workspace
         )
         for workspace in WORKSPACES
     }
-    series = {PROXIED: merge(proxied.values()), DIRECT: merge([streams[DIRECT]])}
+    series = {
+        PROXIED: merge(proxied.values()),
+        UNDECIDED: merge(_of_series(streams, UNDECIDED).values()),
+        DIRECT: merge([streams[DIRECT]]),
+    }
     return LatencyReport(series, by_workspace, cpu, memory, refusals)
 
 
+def _of_series(streams: dict[str, Any], series: str) -> dict[str, Any]:
+    return {
+        name: value for name, value in streams.items() if name.startswith(f"{series}/")
+    }
+
+
 @frozen
 class IdleReport:
     """What a fleet uses without requests."""
--- a/testing/test_handling.py
+++ b/testing/test_handling.py
@@ -11,8 +11,8 @@
 from lacewinglift.concurrency import ConcurrencyLimits
 from lacewinglift.configuration import Route, Service, Workspace
 from lacewinglift.generated import fleet_pb2
+from lacewinglift.homes import home_instances
 from lacewinglift.refusals import RefusalError
-from lacewinglift.rendezvous import home_instances
 from testing.standins.request_half import (
     call,
     make_configuration,
--- a/tools/measure_quota.py
+++ b/tools/measure_quota.py
@@ -20,7 +20,7 @@
 sys.path[:0] = [str(ROOT), str(ROOT / "src")]
 
 from lacewinglift.buckets import TokenBucket  # noqa: E402
-from lacewinglift.rendezvous import home_instances  # noqa: E402
+from lacewinglift.homes import home_instances, home_limit  # noqa: E402
 from lacewinglift.timers import ManualTimers  # noqa: E402
 from testing.standins.quota_cell import QuotaCell, centres_of  # noqa: E402
 
@@ -153,7 +153,7 @@
             for instance in self.cell.instances.values()
             if instance.alive and instance.leaving_since_s is None
         }
-        return home_instances(name, live, 2)
+        return home_instances(name, live, 2)[: home_limit(LIMITS[name][1])]
 
     def pick(self, name, skew):
         homes = self.homes(name)
