--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -246,6 +246,70 @@
         "def _may_resend(",
         "testing/test_processes.py -k at_most_once",
     ),
+    Mutation(
+        "floor-ignored",
+        "floor",
+        "targets.py",
+        "return healthy - state.is_healthy(now_s) >= self.required",
+        "return True",
+        "testing/test_floor.py testing/test_targets.py",
+    ),
+    Mutation(
+        "shedding-counted-as-healthy",
+        "floor",
+        "targets.py",
+        "self.ejected or self.target.leaving or now_s < self.shedding_until_s",
+        "self.ejected or self.target.leaving",
+        "testing/test_floor.py testing/test_targets.py",
+    ),
+    Mutation(
+        "leaving-target-used",
+        "leaving-target",
+        "targets.py",
+        "self.ejected or self.target.leaving or now_s < self.shedding_until_s",
+        "self.ejected or now_s < self.shedding_until_s",
+        "testing/test_floor.py testing/test_targets.py",
+    ),
+    Mutation(
+        "raise-brings-tokens",
+        "quota",
+        "buckets.py",
+        "            level.units = min(level.units, level.ceiling())\n",
+        "            level.units = level.ceiling()\n",
+        "testing/test_quota_proof.py -k brings_no_tokens",
+    ),
+    Mutation(
+        "lender-refills-at-once",
+        "quota",
+        "buckets.py",
+        "        self.lent += loan.units\n",
+        "        self.lent += 0\n",
+        "testing/test_quota_proof.py -k flow_in_twice",
+    ),
+    Mutation(
+        "promises-not-needed",
+        "quota",
+        "_fencing.py",
+        "            if _in_all(names, self.rosters_of(ledger, identity)):\n",
+        "            if names:\n",
+        "testing/test_quota_proof.py -k minority",
+    ),
+    Mutation(
+        "resend-when-ejected",
+        "at-most-once",
+        "forwarder.py",
+        "        if self.request.method in IDEMPOTENT_METHODS:\n",
+        "        if True:\n",
+        "testing/test_forwarder.py -k sale_waits",
+    ),
+    Mutation(
+        "begun-answer-given-up",
+        "own-answer",
+        "exchanges.py",
+        "            self._waiting = False\n",
+        "",
+        "testing/test_forwarder.py -k survives_an_ejection",
+    ),
 )
 
 
@@ -276,7 +340,8 @@
 
 def _arguments(tests: str) -> list[str]:
     path, _, keyword = tests.partition(" -k ")
-    return [path, "-k", keyword] if keyword else [path]
+    files = path.split()
+    return [*files, "-k", keyword] if keyword else files
 
 
 def check(mutation: Mutation) -> bool:
