Close the watch of an instance that stops watching the store

Cause: the task that reads the watch was cancelled while it took an entry in, and an iterator that is left at that point keeps its connection open. Ruled out: members that see different live lists, since all 40 instances saw all others. The new test fails without the change. A deleted manifest is logged and the generation in force stays.

--- a/src/lacewinglift/store_duty.py
+++ b/src/lacewinglift/store_duty.py
@@ -1,6 +1,7 @@
 """Reading of the store: contact, ledger, manifest and the platform's list."""
 
 import asyncio
+import contextlib
 import json
 from collections.abc import Callable
 
@@ -11,7 +12,7 @@
 from lacewinglift.logs import log_exception, log_info, log_warning
 from lacewinglift.members import Members
 from lacewinglift.standing import Standing
-from lacewinglift.store import Store
+from lacewinglift.store import Entry, Store
 from lacewinglift.timers import Timers
 
 POLL_INTERVAL_S = 1.0
@@ -131,12 +132,21 @@
         key = manifest_key(self.identity.fleet)
         while True:
             try:
-                async for entry in self.store.watch(key):
-                    await self._take_manifest(entry.value)
+                # A cancellation may come while an entry is being taken in; the
+                # watch would then stay open.
+                async with contextlib.aclosing(self.store.watch(key)) as watch:
+                    async for entry in watch:
+                        await self._take_entry(entry)
             except StoreError as error:
                 log_warning("manifest_watch_failed", reason=error)
             await asyncio.sleep(WATCH_RETRY_S)
 
+    async def _take_entry(self, entry: Entry) -> None:
+        if entry.deleted:
+            log_warning("manifest_deleted", generation=self.distribution.generation())
+            return
+        await self._take_manifest(entry.value)
+
     async def _take_manifest(self, value: bytes) -> None:
         while not await self.distribution.fetch_from_store(self.store, value):
             await asyncio.sleep(WATCH_RETRY_S)
--- a/testing/test_control.py
+++ b/testing/test_control.py
@@ -148,3 +148,22 @@
     cell.wait(lambda: cell.generations() == [2, 2, 2, 1])
     seconds = elapsed_until(cell, lambda: node.refusal() == "isolated")
     assert_that(seconds, LessThan(CUT_OFF_BOUND_S))
+
+
+def test_instance_that_stops_watching_closes_its_watch(cell):
+    """Guards against watches that stay open and grow with the fleet."""
+    duty = cell.nodes["i3"].control.store_duty
+    control = cell.nodes["i3"].control
+    before = cell.store.calls()["waiting_watches"]
+    fetched = asyncio.Event()
+
+    async def hold(*arguments):
+        fetched.set()
+        await asyncio.sleep(60.0)
+
+    # The watch is given up while an entry of it is being taken in.
+    control.distribution.fetch_from_store = hold
+    cell.put(make_configuration(generation=2))
+    cell.wait(fetched.is_set)
+    duty.is_watcher = lambda: False
+    cell.wait(lambda: cell.store.calls()["waiting_watches"] < before)
