--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -252,7 +252,7 @@
         "targets.py",
         "return healthy - state.is_healthy(now_s) >= self.required",
         "return True",
-        "testing/test_floor.py testing/test_targets.py",
+        "testing/test_targets.py testing/test_floor.py",
     ),
     Mutation(
         "shedding-counted-as-healthy",
@@ -260,7 +260,7 @@
         "targets.py",
         "self.ejected or self.target.leaving or now_s < self.shedding_until_s",
         "self.ejected or self.target.leaving",
-        "testing/test_floor.py testing/test_targets.py",
+        "testing/test_targets.py testing/test_floor.py",
     ),
     Mutation(
         "leaving-target-used",
@@ -268,7 +268,7 @@
         "targets.py",
         "self.ejected or self.target.leaving or now_s < self.shedding_until_s",
         "self.ejected or now_s < self.shedding_until_s",
-        "testing/test_floor.py testing/test_targets.py",
+        "testing/test_targets.py testing/test_floor.py",
     ),
     Mutation(
         "raise-brings-tokens",
