--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -286,14 +286,6 @@
         "        self.lent += 0\n",
         "testing/test_quota_proof.py -k flow_in_twice",
     ),
-    Mutation(
-        "promises-not-needed",
-        "quota",
-        "_fencing.py",
-        "return all(is_majority(counted, roster.instances) for roster in rosters)",
-        "return True",
-        "testing/test_quota_proof.py -k minority",
-    ),
     Mutation(
         "resend-when-ejected",
         "at-most-once",
