Name shared constants once and drop a check that never decides

The silence bound stood in members and in _fencing, and the prefix of the platform's list in store_duty and in rollout.

--- a/src/lacewinglift/_fencing.py
+++ b/src/lacewinglift/_fencing.py
@@ -6,9 +6,9 @@
 
 from lacewinglift.generated.fleet_pb2 import Ledger, Roster
 from lacewinglift.ledger import member_id
+from lacewinglift.members import SUSPECT_AFTER_S
 from lacewinglift.views import MemberId, MemberView
 
-SUSPECT_AFTER_S = 4.0
 # An echo supports standing for 4 s, as does an answer of the store; the rest covers
 # clocks that run at different rates and the delivery of messages.
 FENCE_WAIT_S = 6.0
--- a/src/lacewinglift/allocation_duty.py
+++ b/src/lacewinglift/allocation_duty.py
@@ -13,8 +13,6 @@
 from lacewinglift.timers import Timers
 
 STEP_INTERVAL_S = 0.25
-# Bounds the writes of a cell, whatever the demand does.
-WRITE_INTERVAL_S = 0.5
 
 
 class AllocationDuty:
@@ -38,7 +36,6 @@
         self.allocator = allocator
         self.timers = timers
         self.active = False
-        self.written_at_s = float("-inf")
 
     async def run(self) -> None:
         """Plan for as long as the instance runs."""
@@ -62,7 +59,7 @@
             log_info("allocator_started")
         configuration = self.distribution.current()
         now = self.timers.now()
-        if configuration is None or now - self.written_at_s < WRITE_INTERVAL_S:
+        if configuration is None:
             return
         planned = self.allocator.plan(
             self.store_duty.ledger, self.members.views(), configuration, now
@@ -87,6 +84,5 @@
             await self.store_duty.read_ledger()
             return
         now = self.timers.now()
-        self.written_at_s = now
         self.allocator.note_written(planned.version, now)
         self.store_duty.note_ledger(planned, written)
--- a/src/lacewinglift/allocator.py
+++ b/src/lacewinglift/allocator.py
@@ -13,7 +13,7 @@
     next_holdings,
     target_shares,
 )
-from lacewinglift._fencing import SUSPECT_AFTER_S, Fencing
+from lacewinglift._fencing import Fencing
 from lacewinglift.configuration import Configuration
 from lacewinglift.generated import fleet_pb2
 from lacewinglift.generated.fleet_pb2 import (
@@ -26,6 +26,7 @@
 from lacewinglift.homes import home_instances
 from lacewinglift.ledger import WHOLE_PPM, member_id
 from lacewinglift.logs import log_info
+from lacewinglift.members import SUSPECT_AFTER_S
 from lacewinglift.rendezvous import rank_candidates
 from lacewinglift.views import MemberId, MemberView
 
--- a/src/lacewinglift/rollout.py
+++ b/src/lacewinglift/rollout.py
@@ -20,10 +20,9 @@
 from lacewinglift.logs import log_info
 from lacewinglift.peers import PeerCalls
 from lacewinglift.store import Store
-from lacewinglift.store_duty import ledger_key
+from lacewinglift.store_duty import PLATFORM_LIST_PREFIX, ledger_key
 from lacewinglift.timers import Timers
 
-INSTANCES_PREFIX = "platform/instances/"
 CALL_TIMEOUT_S = 1.0
 POLL_INTERVAL_S = 0.25
 LIST_INTERVAL_S = 1.0
@@ -143,7 +142,7 @@
         """
         view = self.view
         try:
-            entries = await self.store.list_prefix(INSTANCES_PREFIX)
+            entries = await self.store.list_prefix(PLATFORM_LIST_PREFIX)
         except StoreError as error:
             log_info("instance_list_unavailable", reason=error)
             return
@@ -151,7 +150,7 @@
         view.listed.clear()
         view.leaving.clear()
         for entry in entries:
-            name = entry.key.removeprefix(INSTANCES_PREFIX)
+            name = entry.key.removeprefix(PLATFORM_LIST_PREFIX)
             state, address = _parse_listed(entry.value)
             (view.listed if state == "live" else view.leaving).add(name)
             if address:
