--- a/src/lacewinglift/frontend.py
+++ b/src/lacewinglift/frontend.py
@@ -16,7 +16,7 @@
 from lacewinglift.handling import RequestHandler, RequestParts
 from lacewinglift.headers import MAX_HEAD_BYTES, BadRequestError
 from lacewinglift.logs import log_exception, log_warning
-from lacewinglift.pools import split_address
+from lacewinglift.socket_addresses import split_address
 
 LISTEN_BACKLOG = 1024
 MAX_CONNECTIONS = 4096
--- a/src/lacewinglift/peers.py
+++ b/src/lacewinglift/peers.py
@@ -16,6 +16,7 @@
 from lacewinglift.identity import Identity
 from lacewinglift.logs import log_exception, log_info
 from lacewinglift.members import SUSPECT_AFTER_S, Members
+from lacewinglift.socket_addresses import split_address
 from lacewinglift.timers import Timers
 
 CALL_TIMEOUT_S = 1.0
@@ -34,12 +35,6 @@
 )
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of ``host:port``."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 class PeerHandler(Protocol):
     """What an instance does with calls from other instances."""
 
--- a/src/lacewinglift/pools.py
+++ b/src/lacewinglift/pools.py
@@ -10,6 +10,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
 
+from lacewinglift.socket_addresses import split_address
 from lacewinglift.timers import Timers
 
 # A connection can go silent for good while it is idle; a new one takes 1 ms.
@@ -220,12 +221,6 @@
         return self.timers.now() - connection.used_at_s > REUSE_WITHIN_S
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of an address."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 class TargetPools:
     """One pool for each target address."""
 
