--- a/src/lacewinglift/access.py
+++ b/src/lacewinglift/access.py
@@ -1,5 +1,6 @@
 """Which service a request leads to, and whether its caller may use it."""
 
+from random import Random
 from typing import Protocol
 
 from attrs import frozen
@@ -14,6 +15,8 @@
 from lacewinglift.headers import RequestHead, routing_paths
 from lacewinglift.refusals import RefusalError, refuse
 
+_random = Random()
+
 
 class Distribution(Protocol):
     """The part of the distribution that requests use."""
@@ -56,12 +59,14 @@
 
 
 def _find_route(configuration: Configuration, head: RequestHead) -> Route:
-    routes = {configuration.route_for(path) for path in routing_paths(head.path)}
+    paths = routing_paths(head.path)
+    routes = {configuration.route_for(path, head.host) for path in paths}
     if len(routes) > 1:
         message = "the path leads to another route without its ; parameters"
         raise refuse("bad_request", message)
     route = routes.pop()
-    if route is None or route.service not in configuration.services:
+    known = configuration.services
+    if route is None or not all(name in known for name in route.services()):
         raise refuse("no_route", f"no route leads to {head.path}")
     return route
 
@@ -75,7 +80,7 @@
         If the path has no route, or the key does not allow it.
     """
     route = _find_route(configuration, head)
-    service = configuration.services[route.service]
+    service = configuration.services[route.pick_service(_random)]
     if route.open:
         return Access(configuration, route, service, None, None)
     workspace = find_workspace(configuration, head)
--- a/src/lacewinglift/configuration.py
+++ b/src/lacewinglift/configuration.py
@@ -1,7 +1,8 @@
 """Model of what a fleet serves: services, targets, routes and workspaces."""
 
 import hashlib
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from random import Random
 
 from attrs import field, frozen
 
@@ -39,9 +40,21 @@
     slow_start_s: float = 10.0
 
 
+@frozen
+class ServiceWeight:
+    """Part of a route's requests that a service gets."""
+
+    service: str
+    weight: float
+
+
 @frozen
 class Route:
-    """A path prefix that leads to a service."""
+    """A path prefix that leads to a service.
+
+    A prefix that ends with a slash needs that slash in the path; any other matches
+    whole segments.
+    """
 
     prefix: str
     service: str
@@ -49,6 +62,35 @@
     """Whether the route needs no key."""
     workspaces: tuple[str, ...] = ()
     """Workspaces that may use the route; empty allows all."""
+    host: str | None = None
+    """Host of the route, in lower case; None stands for any."""
+    idempotent: bool | None = None
+    """Whether requests may run more than once; None judges by the method."""
+    max_attempts: int = 3
+    """Targets to which one request may be sent."""
+    free_refusals: int = 0
+    """Targets that may refuse to run a request before attempts are charged."""
+    timeout_s: float | None = None
+    """Time for the answer; None takes that of the service."""
+    objective_s: float | None = None
+    """Time within which an answer is worth most to the caller."""
+    priority: int = 0
+    """Rank under load; 0 is served first."""
+    split: tuple[ServiceWeight, ...] = ()
+    """Services among which the requests are divided, in place of `service`."""
+
+    def services(self) -> tuple[str, ...]:
+        """Return the names of all services that the route leads to."""
+        if not self.split:
+            return (self.service,)
+        return tuple(part.service for part in self.split)
+
+    def pick_service(self, random: Random) -> str:
+        """Return the service for one request."""
+        if not self.split:
+            return self.service
+        weights = [part.weight for part in self.split]
+        return random.choices(self.split, weights)[0].service
 
     def allows(self, workspace: str) -> bool:
         """Return whether `workspace` may use this route."""
@@ -65,6 +107,8 @@
     key_digests: tuple[bytes, ...] = ()
     max_concurrent: int = 32
     """Requests in progress at one instance."""
+    priority: int | None = None
+    """Rank under load in place of the route's."""
 
 
 @frozen
@@ -90,8 +134,21 @@
     }
 
 
-def _routes_by_prefix(configuration: "Configuration") -> dict[str, Route]:
-    return {route.prefix: route for route in configuration.routes}
+def _routes_by_prefix(
+    configuration: "Configuration",
+) -> dict[tuple[str | None, str], Route]:
+    return {(route.host, route.prefix): route for route in configuration.routes}
+
+
+def _prefixes(path: str) -> Iterator[str]:
+    """Yield the prefixes of a path that end with a segment, longest first."""
+    end = len(path)
+    while end > 0:
+        yield path[:end]
+        if path[end - 1] == "/":
+            end -= 1
+        else:
+            end = path.rfind("/", 0, end) + 1
 
 
 @frozen(eq=False)
@@ -110,7 +167,9 @@
     digest_index: Mapping[bytes, Workspace] | None = field(default=None, repr=False)
     """Index to use in place of one built from `workspaces`."""
     by_digest: Mapping[bytes, Workspace] = field(init=False, repr=False)
-    by_prefix: dict[str, Route] = field(init=False, repr=False)
+    by_prefix: dict[tuple[str | None, str], Route] = field(init=False, repr=False)
+    idle_timeout_s: float | None = None
+    """Time that callers may leave a connection idle; None takes the default."""
 
     def __attrs_post_init__(self) -> None:
         """Build the indexes that were not given."""
@@ -120,16 +179,14 @@
         object.__setattr__(self, "by_digest", by_digest)
         object.__setattr__(self, "by_prefix", _routes_by_prefix(self))
 
-    def route_for(self, path: str) -> Route | None:
-        """Return the route with the longest prefix of whole segments of `path`."""
-        prefix = path.split("?", 1)[0].rstrip("/") or "/"
-        while True:
-            route = self.by_prefix.get(prefix)
-            if route is not None:
-                return route
-            if prefix == "/":
-                return None
-            prefix = prefix.rsplit("/", 1)[0] or "/"
+    def route_for(self, path: str, host: str = "") -> Route | None:
+        """Return the route of a host with the longest prefix of `path`."""
+        for prefix in _prefixes(path.split("?", 1)[0]):
+            for key in ((host, prefix), (None, prefix)):
+                route = self.by_prefix.get(key)
+                if route is not None:
+                    return route
+        return None
 
     def workspace_for_digest(self, digest: bytes) -> Workspace | None:
         """Return the workspace that a key digest belongs to."""
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -1,6 +1,7 @@
 """Target side of a request: attempts, verdicts and the streamed answer."""
 
 import http.client
+import itertools
 import socket
 import threading
 from collections.abc import Callable, Iterator
@@ -15,6 +16,7 @@
 
 from lacewinglift.bodies import PIECE_BYTES, CallerGoneError, RequestBody
 from lacewinglift.configuration import Service, Target
+from lacewinglift.dialects import OWN_DIALECT, Dialect
 from lacewinglift.exchanges import CancelReason, Exchange
 from lacewinglift.headers import BadRequestError, Headers, headers_to_caller
 from lacewinglift.outcomes import Outcome, OutcomeKind
@@ -34,11 +36,14 @@
 from lacewinglift.timers import Timers
 from lacewinglift.verdicts import Verdict
 
-NOT_RUN_HEADER = "x-lacewinglift-not-run"
 PEEK_BYTES = 4096
 # A wait shorter than this part of the service's timeout says more about the
 # caller's deadline than about the target.
 TIMEOUT_EVIDENCE_PART = 0.1
+# An answer up to this size that may be asked for again is read to its end before
+# it is passed on, so that a cut answer can be replaced by another target's.
+PRELOAD_BYTES = 1024 * 1024
+WRONG_TARGET_STATUS = 421
 
 
 class Attempt(Protocol):
@@ -59,8 +64,25 @@
 class Table(Protocol):
     """The part of the target table that the forwarder uses."""
 
-    def acquire(self, service_name: str, exclude: set[str]) -> Attempt | None:
-        """Return a target whose name is not in `exclude`, or None."""
+    def acquire(
+        self, service_name: str, exclude: set[str], repeatable: bool = False
+    ) -> Attempt | None:
+        """Return a target whose name is not in `exclude`, or None.
+
+        `repeatable` tells whether the request can go elsewhere if the target fails.
+        """
+        ...
+
+
+class Budget(Protocol):
+    """Limits resends of the requests of one service."""
+
+    def note_request(self) -> None:
+        """Count a first attempt."""
+        ...
+
+    def take(self) -> bool:
+        """Return whether one more request may be resent now, and count it."""
         ...
 
 
@@ -97,6 +119,20 @@
     exchange: Exchange
     fixed_deadline: bool = False
     """Whether the time for the answer also covers the upload of a large body."""
+    idempotent: bool | None = None
+    """Whether the request may run more than once; None judges by the method."""
+    max_attempts: int = MAX_ATTEMPTS
+    free_refusals: int = 0
+    """Attempts that may end as not run before `max_attempts` is charged."""
+    request_id: str | None = None
+    """Value that the target echoes in its answer."""
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether the request may run more than once."""
+        if self.idempotent is None:
+            return self.method in IDEMPOTENT_METHODS
+        return self.idempotent
 
 
 @define
@@ -135,9 +171,30 @@
         self._response = response
         self._raw = raw
         self._latency_s = latency_s
+        self._preloaded: Iterator[bytes] | None = None
+
+    @property
+    def failed(self) -> bool:
+        """Return whether the target says that it failed."""
+        return self.status >= 500
+
+    def preload(self) -> None:
+        """Read the body to its end unless it is long; raise AnswerCutError if cut."""
+        source = self.chunks()
+        pieces = []
+        size = 0
+        for piece in source:
+            pieces.append(piece)
+            size += len(piece)
+            if size > PRELOAD_BYTES:
+                break
+        self._preloaded = itertools.chain(pieces, source)
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the pieces of the body; raise AnswerCutError if it is cut off."""
+        if self._preloaded is not None:
+            yield from self._preloaded
+            return
         if self.bodiless:
             self._end()
             return
@@ -163,8 +220,7 @@
             self._fail(OutcomeKind.CUT, None)
         if self._call.exchange.reason is not None:
             self._fail(OutcomeKind.CANCELLED, None)
-        failed = self.status >= 500
-        kind = OutcomeKind.ERROR if failed else OutcomeKind.SUCCESS
+        kind = OutcomeKind.ERROR if self.failed else OutcomeKind.SUCCESS
         self._call.finish(kind, self._latency_s)
         self._call.release(self._raw, self.upload_finished)
 
@@ -270,6 +326,10 @@
         Told the service and the outcome of each attempt.
     on_retry : callable, default=None
         Told the service of each resent request.
+    dialect : Dialect
+        Names of the headers that targets understand.
+    new_budget : callable, default=None
+        Returns the retry budget of a service; None limits this instance alone.
     """
 
     def __init__(
@@ -278,13 +338,17 @@
         timers: Timers,
         on_attempt: Callable[[str, OutcomeKind], None] | None = None,
         on_retry: Callable[[str], None] | None = None,
+        dialect: Dialect = OWN_DIALECT,
+        new_budget: Callable[[str], Budget] | None = None,
     ) -> None:
         self.table = table
         self.timers = timers
         self.on_attempt = on_attempt
         self.on_retry = on_retry
+        self.dialect = dialect
+        self.new_budget = new_budget or (lambda service: RetryBudget(timers))
         self.pools = TargetPools(timers)
-        self.budgets: dict[str, RetryBudget] = {}
+        self.budgets: dict[str, Budget] = {}
         self._lock = threading.Lock()
 
     def close(self) -> None:
@@ -328,12 +392,12 @@
         run = _Run(self, request, service, workspace_name, deadline_s)
         return run.forward()
 
-    def budget(self, service_name: str) -> RetryBudget:
+    def budget(self, service_name: str) -> Budget:
         """Return the retry budget of a service."""
         with self._lock:
             budget = self.budgets.get(service_name)
             if budget is None:
-                budget = self.budgets[service_name] = RetryBudget(self.timers)
+                budget = self.budgets[service_name] = self.new_budget(service_name)
             return budget
 
 
@@ -352,10 +416,12 @@
         self.timers = forwarder.timers
         self.request = request
         self.exchange = request.exchange
+        self.dialect = forwarder.dialect
         self.service = service
         self.workspace_name = workspace_name
         self.deadline_s = deadline_s
         self.verdict = Verdict.NOT_RUN
+        self.refused = 0
         self.call: _Call
 
     def forward(self) -> Answer:
@@ -366,27 +432,62 @@
         while True:
             if self._remaining_s() <= 0:
                 raise self._refusal(failure or self._too_late())
-            attempt = self.forwarder.table.acquire(self.service.name, tried)
+            last_attempt = self.request.max_attempts - 1
+            charged = self._charged(len(tried))
+            repeatable = self.request.repeatable and charged < last_attempt
+            attempt = self.forwarder.table.acquire(self.service.name, tried, repeatable)
             if attempt is None:
                 raise self._refusal(failure)
             tried.add(attempt.target.name)
             if failure is not None and self.forwarder.on_retry is not None:
                 self.forwarder.on_retry(self.service.name)
+            answer = None
             try:
-                return self._attempt(attempt)
+                answer = self._attempt(attempt)
+                last = self._answer_failure(answer)
             except _AttemptFailedError as error:
-                last = error
+                answer, last = None, error
+            if last is None:
+                return answer
             if failure is None or failure.verdict is Verdict.NOT_RUN:
                 # The refusal names the attempt that may have run, if there is one.
                 failure = last
-            if not self._may_resend(last, len(tried)) or not budget.take():
+            if last.verdict is Verdict.NOT_RUN:
+                self.refused += 1
+            charged = self._charged(len(tried))
+            if not self._may_resend(last, charged) or not budget.take():
+                if answer is not None:
+                    return answer
                 raise self._refusal(failure)
+            if answer is not None:
+                answer.close()
+
+    def _charged(self, attempts: int) -> int:
+        return attempts - min(self.refused, self.request.free_refusals)
+
+    def _answer_failure(self, answer: Answer) -> _AttemptFailedError | None:
+        """Return why an answer should be replaced by that of another target."""
+        if not self.request.idempotent:
+            return None
+        try:
+            answer.preload()
+        except AnswerCutError as error:
+            self.verdict = Verdict.MAY_HAVE_RUN
+            raise self._broken(error) from error
+        self.exchange.deadline_s = None
+        if not answer.failed:
+            return None
+        message = f"a target failed with status {answer.status}"
+        return _AttemptFailedError(OutcomeKind.ERROR, Verdict.MAY_HAVE_RUN, message)
 
     def _may_resend(self, failure: _AttemptFailedError, attempts: int) -> bool:
-        if attempts >= MAX_ATTEMPTS or self._remaining_s() <= 0:
+        if attempts >= self.request.max_attempts or self._remaining_s() <= 0:
             return False
-        replayable = self.request.body.replayable
-        return may_resend(self.request.method, failure.verdict, replayable)
+        replayable = self.request.body.replayable and self._body_kept()
+        return may_resend(self.request.repeatable, failure.verdict, replayable)
+
+    def _body_kept(self) -> bool:
+        return not self.request.body.present or not self.request.body.released
 
     def _too_late(self) -> _AttemptFailedError:
         message = "the deadline passed before a target was chosen"
@@ -398,7 +499,7 @@
     def _refusal(self, failure: _AttemptFailedError | None) -> RefusalError:
         if failure is None:
             return refuse("no_target", f"{self.service.name} has no usable target")
-        if failure.kind is OutcomeKind.SHED:
+        if failure.kind in (OutcomeKind.SHED, OutcomeKind.WRONG_TARGET):
             code = "no_target"
         elif failure.kind is OutcomeKind.TIMEOUT:
             code = "target_timeout"
@@ -462,7 +563,7 @@
                 raise self._failed(OutcomeKind.CONNECT_FAILED, message) from error
         if not self.exchange.attach(connection.sock):
             raise self._broken(None)
-        if self.request.method in IDEMPOTENT_METHODS:
+        if self.request.repeatable:
             # The request need not wait for a target that is known to be faulty.
             self.call.attempt.on_ejected = self.exchange.abandoner()
 
@@ -494,11 +595,13 @@
             raise self._broken(None)
         self._check_shed(response)
         self.call.attempt.mark_answered(latency_s)
-        self.exchange.deadline_s = None
+        if not self.request.idempotent:
+            self.exchange.deadline_s = None
         if self.exchange.reason is not None:
             raise self._broken(None)
         sock.settimeout(self.service.request_timeout_s)
-        body.release()
+        if not self.request.idempotent:
+            body.release()
         return Answer(self.call, response, raw, latency_s, upload_finished)
 
     def _arm_deadline(self, streaming: bool) -> None:
@@ -541,9 +644,12 @@
         elif body.length is not None:
             headers["Content-Length"] = str(body.length)
         if self.workspace_name is not None:
-            headers["X-Lacewinglift-Workspace"] = self.workspace_name
+            headers[self.dialect.workspace_header] = self.workspace_name
         remaining_ms = max(int(self._remaining_s() * 1000), 0)
-        headers["X-Lacewinglift-Deadline-Ms"] = str(remaining_ms)
+        headers[self.dialect.deadline_header] = str(remaining_ms)
+        if self.dialect.expected_target_header is not None:
+            expected = self.call.attempt.target.name
+            headers[self.dialect.expected_target_header] = expected
         return headers
 
     def _pieces(self, connection: TargetConnection) -> Iterator[bytes]:
@@ -561,6 +667,10 @@
         self, connection: TargetConnection
     ) -> tuple[HTTPResponse, TargetResponse]:
         connection.timeout = max(self._remaining_s(), 0.001)
+        connection.expected_id = None
+        if self.dialect.request_id_header and self.request.request_id:
+            header = self.dialect.request_id_header
+            connection.expected_id = (header, self.request.request_id)
         try:
             response = connection.getresponse()
         except (HTTPError, http.client.HTTPException, OSError, ValueError) as error:
@@ -568,7 +678,19 @@
         return response, connection.answer
 
     def _check_shed(self, response: HTTPResponse) -> None:
-        if response.status != 503 or response.headers.get(NOT_RUN_HEADER) != "1":
+        said = response.headers.get(self.dialect.not_run_header) == "1"
+        said = said and response.status >= 400
+        wrong_target = (
+            response.status == WRONG_TARGET_STATUS
+            and self.dialect.expected_target_header is not None
+        )
+        if wrong_target:
+            raise _AttemptFailedError(
+                OutcomeKind.WRONG_TARGET,
+                Verdict.NOT_RUN,
+                "another target answers at this address",
+            )
+        if not said:
             return
         retry_after = response.headers.get("retry-after", "")
         retry_after_s = float(retry_after) if retry_after.isdigit() else None
--- a/src/lacewinglift/handling.py
+++ b/src/lacewinglift/handling.py
@@ -23,6 +23,7 @@
 from lacewinglift.callers import CALLER_IDLE_TIMEOUT_S, AnswerWriter, CallerStream
 from lacewinglift.concurrency import ConcurrencyLimits
 from lacewinglift.configuration import Configuration, Workspace
+from lacewinglift.dialects import OWN_DIALECT, Dialect
 from lacewinglift.exchanges import Exchange, ExchangeWatch
 from lacewinglift.forwarder import (
     AnswerCutError,
@@ -85,6 +86,7 @@
     watch: ExchangeWatch
     operator_networks: Iterable[str] = ("127.0.0.0/8", "::1/128")
     metrics: Metrics = field(factory=Metrics)
+    dialect: Dialect = OWN_DIALECT
 
 
 class RequestHandler:
@@ -121,7 +123,9 @@
 
     def _write_refusal(self, writer: AnswerWriter, refusal: Refusal) -> None:
         self.parts.metrics.refusals.labels(refusal.code, refusal.verdict.value).inc()
-        _write_own(writer, refusal.status, refusal.headers(), refusal.body())
+        dialect = self.parts.dialect
+        status, headers = refusal.status(dialect), refusal.headers(dialect)
+        _write_own(writer, status, headers, refusal.body())
 
 
 def _write_own(
@@ -217,17 +221,22 @@
         if self.parts.shutdown.stopped():
             raise refuse("stopping", "this instance has stopped; use another address")
         path = self.head.path
-        if path == METRICS_PATH and self.handler.is_operator(self.stream.address):
+        own_paths = self.parts.dialect.own_paths
+        if (
+            own_paths
+            and path == METRICS_PATH
+            and self.handler.is_operator(self.stream.address)
+        ):
             self._write_metrics()
             return
         configuration = self.parts.distribution.current()
         if configuration is None:
             message = "this instance has no configuration yet; use another address"
             raise refuse("starting", message, retry_after_s=1)
-        if path == ADDRESSES_PATH:
+        if own_paths and path == ADDRESSES_PATH:
             self._write_addresses(configuration)
             return
-        if path == METRICS_PATH or path.startswith(OWN_PREFIX):
+        if own_paths and (path == METRICS_PATH or path.startswith(OWN_PREFIX)):
             raise refuse("no_route", f"no route leads to {path}")
         self._forward(authorize(configuration, self.head))
 
@@ -288,8 +297,10 @@
             self.stream.cancelled = bool
 
     def _exchange(self, access: Access, exchange: Exchange, started_s: float) -> str:
-        timeout_s = access.service.request_timeout_s
-        given_s = self.head.timeout_s()
+        dialect = self.parts.dialect
+        route = access.route
+        timeout_s = route.timeout_s or access.service.request_timeout_s
+        given_s = self.head.timeout_s(dialect.timeout_header)
         if given_s is not None:
             timeout_s = min(timeout_s, given_s)
         deadline_s = started_s + timeout_s
@@ -298,10 +309,14 @@
         request = ForwardRequest(
             self.head.method,
             self.head.target,
-            headers_to_target(self.head.headers),
+            headers_to_target(self.head.headers, dialect.reserved_headers()),
             self.body,
             exchange,
             fixed_deadline=given_s is not None,
+            idempotent=route.idempotent,
+            max_attempts=route.max_attempts,
+            free_refusals=route.free_refusals,
+            request_id=self.head.value(dialect.request_id_header or ""),
         )
         name = None if access.workspace is None else access.workspace.name
         answer = self.parts.forwarder.forward(request, access.service, name, deadline_s)
--- a/src/lacewinglift/headers.py
+++ b/src/lacewinglift/headers.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from lacewinglift.dialects import OWN_DIALECT
 from lacewinglift.errors import LacewingliftError
 
 Headers = list[tuple[str, str]]
@@ -13,7 +14,7 @@
 MAX_HEAD_BYTES = 16 * 1024
 MAX_HEADERS = 100
 TRUSTED_PREFIX = "x-lacewinglift-"
-TIMEOUT_HEADER = "x-request-timeout-ms"
+TIMEOUT_HEADER = OWN_DIALECT.timeout_header
 
 _REQUEST_LINE = re.compile(
     rb"([!#$%&'*+.^`|~0-9A-Za-z_-]+) ([\x21-\x7e]+) HTTP/1\.([01])"
@@ -110,10 +111,24 @@
             return scheme or None
         return key.strip() if scheme.lower() == "bearer" else None
 
-    def timeout_s(self) -> float | None:
+    @property
+    def host(self) -> str:
+        """Return the host that is asked for, in lower case and without its port."""
+        values = self.values("host")
+        if not values:
+            return ""
+        return re.sub(r":[0-9]*$", "", values[0]).lower()
+
+    def timeout_s(self, name: str = TIMEOUT_HEADER) -> float | None:
         """Return the time that the caller gives to the request."""
-        values = self.values(TIMEOUT_HEADER)
-        return int(values[0]) / 1000 if values else None
+        values = self.values(name)
+        if not values or not _TIMEOUT_MS.fullmatch(values[0]):
+            return None
+        return int(values[0]) / 1000
+
+    def value(self, name: str) -> str | None:
+        """Return the first value of a header with this lower-case name."""
+        return next(iter(self.values(name)), None)
 
 
 def parse_head(block: bytes) -> RequestHead:
@@ -266,9 +281,19 @@
     ]
 
 
-def headers_to_target(headers: Iterable[tuple[str, str]]) -> Headers:
-    """Return the caller's headers that a target may see, in order."""
-    return _filtered(headers, _NOT_TO_TARGET)
+def headers_to_target(
+    headers: Iterable[tuple[str, str]], reserved: frozenset[str] = frozenset()
+) -> Headers:
+    """Return the caller's headers that a target may see, in order.
+
+    Parameters
+    ----------
+    headers : iterable of (str, str)
+        Headers of the caller.
+    reserved : frozenset of str
+        Lower-case names that only this proxy may send to a target.
+    """
+    return _filtered(headers, _NOT_TO_TARGET | reserved)
 
 
 def headers_to_caller(headers: Iterable[tuple[str, str]]) -> Headers:
--- /dev/null
+++ b/src/lacewinglift/mesh/beats.py
@@ -0,0 +1,162 @@
+"""Datagrams between instances.
+
+Datagrams need no connection that could go silent, and a lost one is made good by the
+next: counts are cumulative and events are repeated.
+"""
+
+import contextlib
+import socket
+import threading
+from collections.abc import Callable
+from typing import Protocol
+
+from google.protobuf.message import DecodeError
+
+from lacewinglift.generated import beats_pb2
+from lacewinglift.logs import log_info, log_warning
+from lacewinglift.socket_addresses import split_address
+from lacewinglift.timers import Timers
+
+# Interval of datagrams while there is nothing to tell.
+IDLE_INTERVAL_S = 0.5
+# Interval of datagrams while requests are admitted.
+BUSY_INTERVAL_S = 0.1
+# Time that evidence waits for more of it.
+URGENT_DELAY_S = 0.005
+RECEIVE_TIMEOUT_S = 0.5
+MAX_DATAGRAM_BYTES = 60_000
+# Peers named in one datagram, so that its size does not grow with the fleet.
+PEERS_NAMED = 8
+
+
+class BeatSource(Protocol):
+    """What datagrams are made of, and who takes them in."""
+
+    def make_beat(self) -> beats_pb2.Beat:
+        """Return the next datagram of this instance."""
+        ...
+
+    def take_beat(self, beat: beats_pb2.Beat) -> None:
+        """Take in a datagram of another instance."""
+        ...
+
+    def beat_addresses(self) -> list[str]:
+        """Return the addresses that datagrams go to."""
+        ...
+
+
+class BeatExchange:
+    """Sends and receives datagrams on two threads.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` that datagrams come to.
+    source : BeatSource
+        Makes and takes in datagrams.
+    timers : Timers
+        Clock.
+    """
+
+    def __init__(self, address: str, source: BeatSource, timers: Timers) -> None:
+        self.address = address
+        self.source = source
+        self.timers = timers
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.condition = threading.Condition()
+        self.stopped = False
+        self.due_s = 0.0
+        self.unsent: dict[str, str] = {}
+        """Addresses that the last datagram could not be sent to, and why."""
+        self.threads: list[threading.Thread] = []
+
+    def start(self) -> None:
+        """Listen; raises OSError for an address in use."""
+        self.socket.bind(split_address(self.address))
+        self.socket.settimeout(RECEIVE_TIMEOUT_S)
+        loops: list[tuple[str, Callable[[], None]]] = [
+            ("beat-sender", self._send_loop),
+            ("beat-receiver", self._receive_loop),
+        ]
+        for name, loop in loops:
+            thread = threading.Thread(target=loop, name=name, daemon=True)
+            thread.start()
+            self.threads.append(thread)
+
+    def stop(self) -> None:
+        """Send a last datagram and end both threads."""
+        with self.condition:
+            self.stopped = True
+            self.condition.notify()
+        for thread in self.threads:
+            thread.join()
+        self.socket.close()
+
+    def send_soon(self, delay_s: float = URGENT_DELAY_S) -> None:
+        """Send the next datagram after `delay_s` at the latest."""
+        due_s = self.timers.now() + delay_s
+        with self.condition:
+            if due_s < self.due_s:
+                self.due_s = due_s
+                self.condition.notify()
+
+    def note_use(self) -> None:
+        """Tell the others of requests in progress within the busy interval."""
+        self.send_soon(BUSY_INTERVAL_S)
+
+    def _send_loop(self) -> None:
+        while True:
+            with self.condition:
+                while not self.stopped and self.timers.now() < self.due_s:
+                    self.condition.wait(max(self.due_s - self.timers.now(), 0.0))
+                self.due_s = self.timers.now() + IDLE_INTERVAL_S
+                stopped = self.stopped
+            self._send()
+            if stopped:
+                return
+
+    def _send(self) -> None:
+        data = self.source.make_beat().SerializeToString()
+        if len(data) > MAX_DATAGRAM_BYTES:
+            log_warning("beat_too_long", bytes=len(data))
+            return
+        for address in self.source.beat_addresses():
+            try:
+                self.socket.sendto(data, split_address(address))
+            except OSError as error:
+                self._note_unsent(address, error)
+            else:
+                self.unsent.pop(address, None)
+
+    def _note_unsent(self, address: str, error: OSError) -> None:
+        reason = str(error)
+        if self.unsent.get(address) != reason:
+            self.unsent[address] = reason
+            log_info("beat_unsent", peer=address, reason=reason)
+
+    def _receive_loop(self) -> None:
+        while not self.stopped:
+            data = None
+            with contextlib.suppress(TimeoutError):
+                data = self._receive()
+            if data is not None:
+                self._take(data)
+
+    def _receive(self) -> bytes | None:
+        try:
+            return self.socket.recv(MAX_DATAGRAM_BYTES + 1)
+        except TimeoutError:
+            return None
+        except OSError as error:
+            # A datagram to a port that nobody listens on is reported here.
+            log_info("beat_receive_failed", reason=error)
+            return None
+
+    def _take(self, data: bytes) -> None:
+        try:
+            beat = beats_pb2.Beat.FromString(data)
+        except DecodeError as error:
+            log_warning("beat_invalid", reason=error)
+            return
+        if beat.instance:
+            self.source.take_beat(beat)
--- /dev/null
+++ b/src/lacewinglift/mesh/instance.py
@@ -0,0 +1,322 @@
+"""Builds, starts and stops the parts of an instance of a mesh."""
+
+import threading
+
+from lacewinglift.addresses import AddressBook
+from lacewinglift.concurrency import ConcurrencyLimits
+from lacewinglift.configuration import Configuration
+from lacewinglift.dialects import Dialect
+from lacewinglift.errors import SettingsError
+from lacewinglift.exchanges import ExchangeWatch
+from lacewinglift.forwarder import Forwarder
+from lacewinglift.frontend import Frontend
+from lacewinglift.generated import beats_pb2
+from lacewinglift.handling import RequestParts
+from lacewinglift.kv import STORE_DRIVERS
+from lacewinglift.logs import log_info
+from lacewinglift.mesh.beats import BeatExchange
+from lacewinglift.mesh.directory import Directory
+from lacewinglift.mesh.members import MemberTable
+from lacewinglift.mesh.observers import Codec, Observer, try_read_configuration
+from lacewinglift.mesh.pooled_targets import PooledTargets
+from lacewinglift.mesh.registry import TargetRegistry, from_message
+from lacewinglift.mesh.settings import MeshSettings
+from lacewinglift.mesh.snapshots import SnapshotExchange, SnapshotService
+from lacewinglift.mesh.usage import FleetQuota, FleetRetryBudgets, QuotaDecision
+from lacewinglift.metrics import Metrics
+from lacewinglift.shutdown import Shutdown, ShutdownState, StopReport
+from lacewinglift.timers import ThreadTimers
+
+HOUSEKEEPING_INTERVAL_S = 0.25
+MAX_STORE_AGE_MS = 2**31
+
+
+class ConfigurationHolder:
+    """The configuration in force; its generation never goes back."""
+
+    def __init__(self) -> None:
+        self.configuration: Configuration | None = None
+        self.value = b""
+        self.lock = threading.Lock()
+
+    def current(self) -> Configuration | None:
+        """Return the configuration in force."""
+        return self.configuration
+
+    def generation(self) -> int:
+        """Return the generation in force; 0 before the first."""
+        configuration = self.configuration
+        return 0 if configuration is None else configuration.generation
+
+    def replace(self, configuration: Configuration, value: bytes) -> bool:
+        """Put a configuration into force if it is newer."""
+        with self.lock:
+            if configuration.generation <= self.generation():
+                return False
+            self.value = value
+            self.configuration = configuration
+            return True
+
+
+class AlwaysStanding:
+    """Lets an instance serve keyed routes while it is cut off from the fleet."""
+
+    def refusal(self) -> str | None:
+        """Return None."""
+        return None
+
+
+class MeshInstance:
+    """One instance; `start`, then `stop` once.
+
+    Parameters
+    ----------
+    settings : MeshSettings
+        Settings.
+    codec : Codec
+        Reads the values of the store.
+    dialect : Dialect
+        Header names of callers and targets.
+
+    Raises
+    ------
+    SettingsError
+        If no store driver has the name that the settings give.
+    """
+
+    def __init__(self, settings: MeshSettings, codec: Codec, dialect: Dialect) -> None:
+        self.settings = settings
+        self.codec = codec
+        self.timers = ThreadTimers()
+        self.incarnation = self.timers.wall_ms()
+        self.sequence = 0
+        self.metrics = Metrics()
+        self.holder = ConfigurationHolder()
+        self.members = MemberTable(settings.instance, self.timers)
+        self.beats = BeatExchange(settings.beat_address, self, self.timers)
+        self.targets = PooledTargets(
+            self.timers,
+            settings.instance,
+            settings.data_centre,
+            on_event=self.beats.send_soon,
+        )
+        self.registry = TargetRegistry(self.timers, self._registry_changed)
+        self.quota = FleetQuota(self.timers, self.members.heard_part)
+        self.retries = FleetRetryBudgets(
+            self.timers, settings.retry_limits, self.members.heard_part
+        )
+        self.addresses: set[str] = set(settings.seeds) - {settings.beat_address}
+        self.observer = self._make_observer()
+        self.snapshots = SnapshotExchange(
+            settings.fetch_address,
+            SnapshotService(self.make_snapshot),
+            self.take_snapshot,
+        )
+        self.shutdown = Shutdown(
+            self.timers,
+            lambda: settings.leave_s,
+            self.beats.send_soon,
+            settings.stop_bound_s,
+            close_while_leaving=True,
+        )
+        self.directory = Directory(
+            settings,
+            self.members,
+            self.is_ready,
+            self.observer.on_duty.is_set,
+            self.retries.request_rate_per_s,
+        )
+        self.frontend = Frontend(settings, self._make_parts(dialect))
+
+    def _make_observer(self) -> Observer:
+        settings = self.settings
+        driver = STORE_DRIVERS.get(settings.store_driver)
+        if driver is None:
+            known = ", ".join(sorted(STORE_DRIVERS))
+            raise SettingsError(
+                f"store_driver {settings.store_driver!r} is not known; use one of "
+                f"{known}"
+            )
+        return Observer(
+            driver(settings.store_address),
+            self.codec,
+            self.registry,
+            self.members,
+            self.take_configuration,
+            self.note_addresses,
+            settings.beat_address,
+            settings.data_centre,
+            self.timers,
+        )
+
+    def _make_parts(self, dialect: Dialect) -> RequestParts:
+        settings = self.settings
+        forwarder = Forwarder(
+            self.targets,
+            self.timers,
+            on_attempt=self.metrics.note_attempt,
+            on_retry=self.metrics.note_retry,
+            dialect=dialect,
+            new_budget=self.retries.of,
+        )
+        return RequestParts(
+            timers=self.timers,
+            distribution=self.holder,
+            standing=AlwaysStanding(),
+            admission=self,
+            forwarder=forwarder,
+            addresses=AddressBook(settings.data_centre, list),
+            shutdown=self.shutdown,
+            limits=ConcurrencyLimits(settings.worker_threads),
+            watch=ExchangeWatch(self.timers),
+            metrics=self.metrics,
+            dialect=dialect,
+        )
+
+    def start(self) -> None:
+        """Listen for callers and instances; raises OSError for an address in use."""
+        self.snapshots.start()
+        self.beats.start()
+        self.frontend.start()
+        self.observer.start()
+        self.timers.subscribe(HOUSEKEEPING_INTERVAL_S, self._keep_house)
+        log_info(
+            "instance_started",
+            instance=self.settings.instance,
+            incarnation=self.incarnation,
+            callers=self.settings.caller_address,
+        )
+
+    def stop(self) -> StopReport:
+        """Stop gracefully and return what was cut."""
+        report = self.shutdown.run(self.frontend)
+        self.observer.stop()
+        self.beats.stop()
+        self.snapshots.stop()
+        self.timers.stop()
+        return report
+
+    def is_ready(self) -> bool:
+        """Return whether callers should be sent to this instance."""
+        serving = self.shutdown.state is ShutdownState.SERVING
+        return serving and self.holder.current() is not None and self.registry.ready
+
+    def admit(self, workspace: object) -> QuotaDecision:
+        """Return whether one more request of a workspace may run now."""
+        self.beats.note_use()
+        return self.quota.admit(workspace)
+
+    # ---- configuration and registry ----
+
+    def take_configuration(self, value: bytes) -> None:
+        """Put a configuration into force if it can be read and is newer."""
+        configuration = try_read_configuration(self.codec, value)
+        if configuration is None or not self.holder.replace(configuration, value):
+            return
+        self.quota.apply(configuration)
+        if configuration.idle_timeout_s is not None:
+            self.frontend.server.timeout = configuration.idle_timeout_s
+        log_info(
+            "configuration_in_force",
+            generation=configuration.generation,
+            routes=len(configuration.routes),
+            workspaces=len(configuration.workspaces),
+        )
+        self.beats.send_soon()
+
+    def _registry_changed(self) -> None:
+        self.targets.apply(list(self.registry.targets.values()))
+        self.beats.send_soon()
+
+    def make_snapshot(self, request: beats_pb2.SnapshotRequest) -> beats_pb2.Snapshot:
+        """Return the registry, and the configuration if the caller's is older."""
+        snapshot = self.registry.snapshot()
+        snapshot.configuration_version = self.holder.generation()
+        if request.configuration_version < snapshot.configuration_version:
+            snapshot.configuration = self.holder.value
+        return snapshot
+
+    def take_snapshot(self, snapshot: beats_pb2.Snapshot, address: str) -> None:
+        """Take in what another instance knows."""
+        if snapshot.configuration:
+            self.take_configuration(snapshot.configuration)
+        if snapshot.registry_revision:
+            targets = [from_message(each) for each in snapshot.targets]
+            self.registry.adopt(targets, snapshot.registry_revision)
+
+    # ---- datagrams ----
+
+    def make_beat(self) -> beats_pb2.Beat:
+        """Return the next datagram of this instance."""
+        settings = self.settings
+        self.sequence += 1
+        store_age_s = self.observer.contact.age_s()
+        heard = self.members.heard()
+        named = heard[self.sequence % max(len(heard), 1) :][:8]
+        return beats_pb2.Beat(
+            instance=settings.instance,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            state=self._serving_state(),
+            data_centre=settings.data_centre,
+            caller_address=settings.caller_address,
+            beat_address=settings.beat_address,
+            fetch_address=settings.fetch_address,
+            configuration_version=self.holder.generation(),
+            registry_digest=self.registry.digest,
+            registry_revision=self.registry.revision,
+            store_age_ms=min(int(min(store_age_s, 1e6) * 1000), MAX_STORE_AGE_MS),
+            observer=self.observer.on_duty.is_set(),
+            evidence=self.targets.evidence(),
+            usages=self.quota.usages(),
+            resends=self.retries.counts(),
+            loads=self.targets.loads(),
+            peers=[member.beat.beat_address for member in named],
+        )
+
+    def _serving_state(self) -> int:
+        if self.shutdown.state is not ShutdownState.SERVING:
+            return beats_pb2.DRAINING
+        return beats_pb2.SERVING if self.is_ready() else beats_pb2.BOOTING
+
+    def beat_addresses(self) -> list[str]:
+        """Return the addresses that datagrams go to."""
+        known = {member.beat.beat_address for member in self.members.known()}
+        return sorted((known | self.addresses) - {self.settings.beat_address})
+
+    def note_addresses(self, addresses: list[str]) -> None:
+        """Learn addresses of other instances."""
+        self.addresses.update(address for address in addresses if ":" in address)
+
+    def take_beat(self, beat: beats_pb2.Beat) -> None:
+        """Take in a datagram of another instance."""
+        member = self.members.note(beat)
+        if member is None:
+            return
+        if member.beat.sequence and beat.beat_address not in self.addresses:
+            self.addresses.add(beat.beat_address)
+        self.note_addresses(list(beat.peers))
+        self.quota.note_peer(beat)
+        self.retries.note_peer(beat)
+        member.evidence_seen = self.targets.note_peer(beat, member.evidence_seen)
+        self._follow(beat)
+
+    def _follow(self, beat: beats_pb2.Beat) -> None:
+        """Fetch what another instance knows better."""
+        older = beat.configuration_version > self.holder.generation()
+        if beat.registry_revision >= self.registry.revision:
+            if beat.registry_digest == self.registry.digest:
+                self.registry.note_agreement(beat.registry_revision)
+            elif not self.observer.on_duty.is_set() or not self.registry.ready:
+                older = older or beat.registry_revision > 0
+        if not older:
+            return
+        request = beats_pb2.SnapshotRequest(
+            configuration_version=self.holder.generation(),
+            registry_digest=self.registry.digest,
+        )
+        self.snapshots.fetch(beat.fetch_address, request)
+
+    def _keep_house(self) -> None:
+        self.members.forget_silent()
+        self.registry.expire()
--- /dev/null
+++ b/src/lacewinglift/mesh/members.py
@@ -0,0 +1,126 @@
+"""Other instances, as their datagrams describe them."""
+
+import threading
+from collections.abc import Callable
+
+from attrs import define, field
+
+from lacewinglift.generated import beats_pb2
+from lacewinglift.logs import log_info
+from lacewinglift.rendezvous import rank_candidates
+from lacewinglift.timers import Timers
+
+# An instance that was silent for this long is given no callers and no duties.
+HEARD_WITHIN_S = 1.6
+# A silent instance may still admit requests; its part of the quotas stays reserved
+# for this long.
+FORGET_AFTER_S = 20.0
+# An answer of the store counts as contact for this long.
+STORE_CONTACT_S = 3.0
+
+
+@define(eq=False)
+class Member:
+    """One incarnation of another instance."""
+
+    beat: beats_pb2.Beat
+    heard_at_s: float
+    evidence_seen: int = 0
+    """Number of the last event of this incarnation that was taken in."""
+
+    @property
+    def name(self) -> str:
+        """Return the name of the instance."""
+        return self.beat.instance
+
+
+@define(eq=False)
+class MemberTable:
+    """All instances that were heard, without this one."""
+
+    name: str
+    timers: Timers
+    members: dict[str, Member] = field(factory=dict)
+    left: dict[str, int] = field(factory=dict)
+    """Incarnations of instances that said that they leave."""
+    lock: threading.RLock = field(factory=threading.RLock)
+
+    def note(self, beat: beats_pb2.Beat) -> Member | None:
+        """Take in a datagram; return None if it is older than what is known."""
+        if beat.instance == self.name:
+            return None
+        with self.lock:
+            known = self.members.get(beat.instance)
+            if known is not None and not _is_newer(beat, known.beat):
+                return None
+            now = self.timers.now()
+            if known is None or known.beat.incarnation != beat.incarnation:
+                known = self.members[beat.instance] = Member(beat, now)
+                log_info(
+                    "member_joined", member=beat.instance, incarnation=beat.incarnation
+                )
+            if known.beat.state != beat.state:
+                state = beats_pb2.ServingState.Name(beat.state)
+                log_info("member_state", member=beat.instance, state=state)
+            known.beat = beat
+            known.heard_at_s = now
+            return known
+
+    def forget_silent(self) -> None:
+        """Drop instances that left or have been silent for long."""
+        with self.lock:
+            now = self.timers.now()
+            for name, member in list(self.members.items()):
+                silent_s = now - member.heard_at_s
+                leaving = member.beat.state == beats_pb2.DRAINING
+                if silent_s > (HEARD_WITHIN_S if leaving else FORGET_AFTER_S):
+                    del self.members[name]
+                    log_info("member_forgotten", member=name, silent_s=silent_s)
+
+    def known(self) -> list[Member]:
+        """Return all members that are not forgotten."""
+        with self.lock:
+            return list(self.members.values())
+
+    def heard(self) -> list[Member]:
+        """Return the members that were heard lately."""
+        now = self.timers.now()
+        return [m for m in self.known() if now - m.heard_at_s <= HEARD_WITHIN_S]
+
+    def heard_part(self) -> float:
+        """Return the part of the fleet that this instance hears, with itself."""
+        known = len(self.known()) + 1
+        return (len(self.heard()) + 1) / known
+
+
+def _is_newer(beat: beats_pb2.Beat, known: beats_pb2.Beat) -> bool:
+    return (beat.incarnation, beat.sequence) > (known.incarnation, known.sequence)
+
+
+def spread_ranked(
+    key: str, names: list[str], data_centre_of: Callable[[str], str], count: int
+) -> list[str]:
+    """Return `count` names by rank for a key, evenly from the data centres.
+
+    Parameters
+    ----------
+    key : str
+        What the names are ranked for.
+    names : list of str
+        Candidates.
+    data_centre_of : callable
+        Returns the data centre of a name.
+    count : int
+        Number of names to return; fewer where there are not so many.
+    """
+    by_data_centre: dict[str, list[str]] = {}
+    for name in rank_candidates(key, names):
+        by_data_centre.setdefault(data_centre_of(name), []).append(name)
+    chosen: list[str] = []
+    queues = [by_data_centre[key] for key in sorted(by_data_centre)]
+    while queues and len(chosen) < count:
+        for queue in queues:
+            if len(chosen) < count:
+                chosen.append(queue.pop(0))
+        queues = [queue for queue in queues if queue]
+    return chosen
--- /dev/null
+++ b/src/lacewinglift/mesh/observers.py
@@ -0,0 +1,288 @@
+"""The few instances that watch the store for all others."""
+
+import threading
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from attrs import define
+
+from lacewinglift.configuration import Configuration
+from lacewinglift.errors import ConfigurationError, StoreError
+from lacewinglift.kv import Changes, HistoryLostError, KeyValueStore
+from lacewinglift.logs import log_exception, log_info, log_warning
+from lacewinglift.mesh.members import STORE_CONTACT_S, MemberTable, spread_ranked
+from lacewinglift.mesh.registry import RegisteredTarget, TargetRegistry
+from lacewinglift.timers import Timers
+
+# Observers in each data centre.
+OBSERVERS_PER_DATA_CENTRE = 1
+# Time between two watch calls on targets, which report many times a second.
+TARGETS_PAUSE_S = 0.4
+TARGETS_WAIT_S = 1.0
+CONFIGURATION_WAIT_S = 10.0
+# Pause after a failed call: the first retry comes soon, as bounds run from then.
+RETRY_FIRST_S = 0.1
+RETRY_MAX_S = 1.0
+# Time after the start in which an instance listens for others before it reads the
+# store itself.
+LISTEN_FIRST_S = 0.6
+DUTY_CHECK_INTERVAL_S = 0.2
+# Lease of the address under which new instances find an observer.
+ADDRESS_TTL_S = 60.0
+ADDRESS_RENEW_S = 20.0
+# Observers look for instances that they do not know at this interval.
+LOOK_AROUND_S = 15.0
+
+
+class Codec(Protocol):
+    """Reads the values that operators and targets write to the store."""
+
+    configuration_key: str
+    targets_prefix: str
+    instances_prefix: str
+
+    def read_configuration(self, value: bytes) -> Configuration:
+        """Return a configuration; raises ConfigurationError."""
+        ...
+
+    def read_target(self, name: str, value: bytes) -> RegisteredTarget | None:
+        """Return what a target says of itself; None where it cannot be read."""
+        ...
+
+
+@define(eq=False)
+class StoreContact:
+    """When the store last answered this instance."""
+
+    timers: Timers
+    answered_at_s: float = float("-inf")
+    failing: bool = False
+
+    def note_answer(self) -> None:
+        """Record an answer."""
+        self.answered_at_s = self.timers.now()
+        if self.failing:
+            self.failing = False
+            log_info("store_regained")
+
+    def note_failure(self, error: StoreError) -> None:
+        """Record a call without a useful answer."""
+        if not self.failing:
+            self.failing = True
+            log_warning("store_lost", code=error.code, reason=error)
+
+    def age_s(self) -> float:
+        """Return the time since the last answer."""
+        return self.timers.now() - self.answered_at_s
+
+
+class Observer:
+    """Watches the store while it is this instance's turn.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        The store.
+    codec : Codec
+        Reads its values.
+    registry : TargetRegistry
+        Takes in the targets.
+    members : MemberTable
+        The other instances.
+    take_configuration : callable
+        Takes in the value of the configuration key.
+    note_addresses : callable
+        Takes in beat addresses of other instances that the store lists.
+    beat_address : str
+        Address that is listed for this instance.
+    data_centre : str
+        Data centre of this instance.
+    timers : Timers
+        Clock.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        codec: Codec,
+        registry: TargetRegistry,
+        members: MemberTable,
+        take_configuration: Callable[[bytes], None],
+        note_addresses: Callable[[list[str]], None],
+        beat_address: str,
+        data_centre: str,
+        timers: Timers,
+    ) -> None:
+        self.store = store
+        self.codec = codec
+        self.registry = registry
+        self.members = members
+        self.take_configuration = take_configuration
+        self.note_addresses = note_addresses
+        self.beat_address = beat_address
+        self.data_centre = data_centre
+        self.timers = timers
+        self.contact = StoreContact(timers)
+        self.started_at_s = timers.now()
+        self.on_duty = threading.Event()
+        self.stopped = False
+        self.lease: str | None = None
+
+    def start(self) -> None:
+        """Start the threads and the checks."""
+        self.started_at_s = self.timers.now()
+        self.timers.subscribe(DUTY_CHECK_INTERVAL_S, self.check_duty)
+        for name, loop in (
+            ("watch-targets", self._watch_targets),
+            ("watch-configuration", self._watch_configuration),
+            ("announce", self._announce),
+        ):
+            threading.Thread(
+                target=self._run, args=(loop,), name=name, daemon=True
+            ).start()
+
+    def stop(self) -> None:
+        """End the threads after their present calls."""
+        self.stopped = True
+        self.on_duty.set()
+        self.store.close()
+
+    def check_duty(self) -> None:
+        """Begin or end to watch the store."""
+        due = self._is_due()
+        if due == self.on_duty.is_set():
+            return
+        log_info("observer_duty", on=due, heard=len(self.members.heard()))
+        if due:
+            self.on_duty.set()
+        else:
+            self.on_duty.clear()
+
+    def _is_due(self) -> bool:
+        if self.timers.now() - self.started_at_s < LISTEN_FIRST_S:
+            return False
+        heard = {
+            member.name: member.beat.data_centre
+            for member in self.members.heard()
+            if not member.beat.observer
+            or member.beat.store_age_ms <= STORE_CONTACT_S * 1000
+        }
+        heard[self.members.name] = self.data_centre
+        count = OBSERVERS_PER_DATA_CENTRE * len(set(heard.values()))
+        chosen = spread_ranked("observer", list(heard), heard.__getitem__, count)
+        if self.members.name in chosen:
+            return True
+        # The chosen ones may be unable to reach the store.
+        return not any(
+            member.beat.observer and member.beat.store_age_ms <= STORE_CONTACT_S * 1000
+            for member in self.members.heard()
+        )
+
+    # ---- threads ----
+
+    def _run(self, loop: Callable[[], None]) -> None:
+        """Run one turn after another while on duty."""
+        failures = 0
+        while not self.stopped:
+            self.on_duty.wait()
+            try:
+                loop()
+                failures = 0
+            except StoreError as error:
+                if self.stopped:
+                    return
+                self.contact.note_failure(error)
+                self.registry.note_outage()
+                time.sleep(min(RETRY_FIRST_S * 2**failures, RETRY_MAX_S))
+                failures += 1
+            except Exception:
+                log_exception("observer_failed")
+                time.sleep(RETRY_MAX_S)
+
+    def _on_duty(self) -> bool:
+        return self.on_duty.is_set() and not self.stopped
+
+    def _watch_targets(self) -> None:
+        prefix = self.codec.targets_prefix
+        listing = self.store.list(prefix)
+        self.contact.note_answer()
+        targets = [self._read(item.key, item.value) for item in listing.items]
+        readable = [target for target in targets if target is not None]
+        self.registry.reset(readable, listing.revision)
+        revision = listing.revision
+        while self._on_duty():
+            time.sleep(TARGETS_PAUSE_S)
+            try:
+                found = self.store.watch(prefix, revision, TARGETS_WAIT_S)
+            except HistoryLostError as error:
+                log_info("store_history_lost", prefix=prefix, reason=error)
+                return
+            self.contact.note_answer()
+            self._take_targets(found)
+            revision = found.revision
+
+    def _watch_configuration(self) -> None:
+        key = self.codec.configuration_key
+        listing = self.store.list(key)
+        self.contact.note_answer()
+        for item in listing.items:
+            if item.key == key:
+                self.take_configuration(item.value)
+        revision = listing.revision
+        while self._on_duty():
+            try:
+                found = self.store.watch(key, revision, CONFIGURATION_WAIT_S)
+            except HistoryLostError as error:
+                log_info("store_history_lost", prefix=key, reason=error)
+                return
+            self.contact.note_answer()
+            for change in found.changes:
+                if change.key == key and change.value is not None:
+                    self.take_configuration(change.value)
+            revision = found.revision
+
+    def _announce(self) -> None:
+        prefix = self.codec.instances_prefix
+        if self.lease is None or not self.store.renew(self.lease):
+            self.lease = self.store.put_leased(
+                prefix + self.members.name, self.beat_address.encode(), ADDRESS_TTL_S
+            )
+        listing = self.store.list(prefix, stale=True)
+        self.contact.note_answer()
+        self.note_addresses(
+            [item.value.decode(errors="replace") for item in listing.items]
+        )
+        self._pause(LOOK_AROUND_S)
+
+    def _pause(self, duration_s: float) -> None:
+        until_s = self.timers.now() + duration_s
+        while self._on_duty() and self.timers.now() < until_s:
+            time.sleep(DUTY_CHECK_INTERVAL_S)
+
+    def _take_targets(self, found: Changes) -> None:
+        written = []
+        removed = []
+        for change in found.changes:
+            if change.value is None:
+                removed.append(self._name(change.key))
+            else:
+                target = self._read(change.key, change.value)
+                if target is not None:
+                    written.append(target)
+        self.registry.apply(written, removed, found.revision)
+
+    def _name(self, key: str) -> str:
+        return key.removeprefix(self.codec.targets_prefix)
+
+    def _read(self, key: str, value: bytes) -> RegisteredTarget | None:
+        return self.codec.read_target(self._name(key), value)
+
+
+def try_read_configuration(codec: Codec, value: bytes) -> Configuration | None:
+    """Return a configuration, or None with a log line where it cannot be read."""
+    try:
+        return codec.read_configuration(value)
+    except ConfigurationError as error:
+        log_warning("configuration_unreadable", reason=error)
+        return None
--- /dev/null
+++ b/src/lacewinglift/mesh/pooled_targets.py
@@ -0,0 +1,395 @@
+"""Choice of a target by evidence that all instances share.
+
+A target that fails gray fails most of its requests for some seconds and few
+otherwise, so one failure says nearly all. What a target itself answered is taken from
+any instance; a broken connection may be the fault of one path, and counts elsewhere
+only once two instances have seen one.
+"""
+
+import itertools
+import threading
+from collections import deque
+from collections.abc import Callable, Collection, Iterable
+from random import Random
+
+from attrs import define, field
+
+from lacewinglift.configuration import Target
+from lacewinglift.generated import beats_pb2
+from lacewinglift.generated.beats_pb2 import FAILED, SERVED, UNREACHED
+from lacewinglift.logs import log_info
+from lacewinglift.mesh.registry import RegisteredTarget
+from lacewinglift.outcomes import Outcome, OutcomeKind
+from lacewinglift.timers import Timers
+
+# Time after a failure in which no request that cannot be repeated is sent.
+HOLD_OFF_S = 3.0
+# Time after a failure until a request that can be repeated tries the target again.
+TRIAL_AFTER_S = 1.0
+# Time for which a path that broke is avoided by the instance that saw it.
+PATH_HOLD_OFF_S = 3.0
+# Reports of broken connections by several instances count together within this.
+UNREACHED_WINDOW_S = 2.0
+UNREACHED_INSTANCES = 2
+SHED_FIRST_S = 0.05
+SHED_MAX_S = 1.0
+# Load of other instances counts for this long after it was heard.
+LOAD_MEMORY_S = 1.5
+# Requests in flight for each slot up to which a target is used at all.
+MAX_LOAD = 3.0
+# Load that the distance to another data centre counts for.
+FAR_PENALTY = 0.25
+# Load that a slow start counts for.
+WARMUP_PENALTY = 0.5
+# Events are repeated in datagrams for this long, since datagrams can be lost.
+EVENT_REPEAT_S = 1.0
+# Share of requests beyond which a loss of many paths is this instance's own.
+OWN_FAULT_PART = 0.5
+
+_FAILED_KINDS = {OutcomeKind.ERROR}
+_UNREACHED_KINDS = {OutcomeKind.TIMEOUT, OutcomeKind.CONNECT_FAILED, OutcomeKind.CUT}
+
+
+@define(eq=False)
+class PooledAttempt:
+    """One request on its way to a target."""
+
+    target: Target
+    started_s: float
+    state: "_State"
+    table: "PooledTargets"
+    finished: bool = False
+    on_ejected: Callable[[], None] | None = None
+
+    def mark_answered(self, latency_s: float) -> None:
+        """Record that the head of the answer arrived."""
+
+    def finish(self, outcome: Outcome) -> None:
+        """Record the end of the attempt; later calls have no effect."""
+        self.table.finish(self, outcome)
+
+
+@define
+class Event:
+    """Evidence about a target that this instance tells the others."""
+
+    target: str
+    kind: int
+    at_s: float
+    number: int
+
+
+@define(eq=False)
+class _State:
+    """What is known about one incarnation of a target."""
+
+    registered: RegisteredTarget
+    target: Target
+    near: bool
+    warm_at_s: float
+    in_flight: int = 0
+    peer_loads: dict[str, tuple[int, float]] = field(factory=dict)
+    failed_at_s: float | None = None
+    """Time of the last failure; None while nothing speaks against the target."""
+    trial_at_s: float = 0.0
+    path_until_s: float = 0.0
+    unreached: dict[str, float] = field(factory=dict)
+    shed_until_s: float = 0.0
+    shed_in_a_row: int = 0
+    pending: set = field(factory=set)
+
+    def load(self, now_s: float) -> float:
+        """Return requests in flight for each slot, over all instances."""
+        total = self.in_flight
+        for count, heard_at_s in self.peer_loads.values():
+            if now_s - heard_at_s <= LOAD_MEMORY_S:
+                total += count
+        return total / max(self.registered.slots, 1)
+
+    def doubted(self) -> bool:
+        """Return whether the target failed and has served nothing since."""
+        return self.failed_at_s is not None
+
+
+class PooledTargets:
+    """Registered targets with shared evidence; the `Table` of a forwarder.
+
+    Parameters
+    ----------
+    timers : Timers
+        Clock.
+    instance : str
+        Name of this instance.
+    data_centre : str
+        Data centre of this instance.
+    on_event : callable
+        Told that there is evidence for the other instances.
+    random : random.Random
+        Source of ties.
+    """
+
+    def __init__(
+        self,
+        timers: Timers,
+        instance: str,
+        data_centre: str,
+        on_event: Callable[[], None] = lambda: None,
+        random: Random | None = None,
+    ) -> None:
+        self.timers = timers
+        self.instance = instance
+        self.data_centre = data_centre
+        self.on_event = on_event
+        self.random = random or Random()
+        self.states: dict[str, _State] = {}
+        self.by_service: dict[str, list[_State]] = {}
+        self.events: deque[Event] = deque()
+        self.numbers = itertools.count(1)
+        self.lock = threading.RLock()
+
+    def apply(self, targets: Iterable[RegisteredTarget]) -> None:
+        """Take over the registered targets; known incarnations keep their state."""
+        with self.lock:
+            before = self.states
+            self.states = {}
+            self.by_service = {}
+            for registered in targets:
+                state = self._adopt(before.get(registered.name), registered)
+                self.states[registered.name] = state
+                self.by_service.setdefault(registered.service, []).append(state)
+            for name, state in before.items():
+                if self.states.get(name) is not state:
+                    self._abandon(state)
+
+    def _adopt(self, known: _State | None, registered: RegisteredTarget) -> _State:
+        target = Target(
+            registered.name,
+            registered.address,
+            registered.data_centre,
+            registered.slots,
+            connections=0,
+            leaving=registered.leaving,
+        )
+        warm_at_s = self.timers.now() + registered.warmup_s
+        same = known is not None and known.registered.born_ms == registered.born_ms
+        if same and known.registered.address == registered.address:
+            known.registered = registered
+            known.target = target
+            return known
+        near = registered.data_centre == self.data_centre
+        return _State(registered, target, near, warm_at_s)
+
+    # ---- choice ----
+
+    def acquire(
+        self,
+        service_name: str,
+        exclude: Collection[str] = (),
+        repeatable: bool = False,
+    ) -> PooledAttempt | None:
+        """Choose a target that is not in `exclude`, or None."""
+        now = self.timers.now()
+        with self.lock:
+            usable = [
+                state
+                for state in self.by_service.get(service_name, [])
+                if not state.registered.leaving
+                and state.target.name not in exclude
+                and state.load(now) < MAX_LOAD
+            ]
+            state = self._choose(usable, repeatable, now)
+            if state is None:
+                return None
+            attempt = PooledAttempt(state.target, now, state, self)
+            state.in_flight += 1
+            state.pending.add(attempt)
+            return attempt
+
+    def _choose(
+        self, usable: list[_State], repeatable: bool, now_s: float
+    ) -> _State | None:
+        if not usable:
+            return None
+        if repeatable:
+            due = [s for s in usable if s.doubted() and now_s >= s.trial_at_s]
+            if due:
+                state = min(due, key=lambda s: s.trial_at_s)
+                state.trial_at_s = now_s + TRIAL_AFTER_S
+                return state
+        trusted = [s for s in usable if self._trusted(s, now_s)]
+        if trusted:
+            return self._least_loaded(trusted, now_s)
+        # Nothing is trusted: the target that failed longest ago is the likeliest
+        # to have recovered.
+        return min(usable, key=lambda s: (s.shed_until_s > now_s, self._blame_s(s)))
+
+    def _trusted(self, state: _State, now_s: float) -> bool:
+        if now_s < state.path_until_s or now_s < state.shed_until_s:
+            return False
+        return state.failed_at_s is None or now_s - state.failed_at_s >= HOLD_OFF_S
+
+    def _blame_s(self, state: _State) -> float:
+        failed_at_s = state.failed_at_s or 0.0
+        return max(failed_at_s, state.path_until_s - PATH_HOLD_OFF_S)
+
+    def _least_loaded(self, states: list[_State], now_s: float) -> _State:
+        def cost(state: _State) -> tuple[float, float]:
+            load = state.load(now_s)
+            if not state.near:
+                load += FAR_PENALTY
+            if now_s < state.warm_at_s:
+                load += WARMUP_PENALTY
+            return load, self.random.random()
+
+        return min(states, key=cost)
+
+    # ---- outcomes ----
+
+    def finish(self, attempt: PooledAttempt, outcome: Outcome) -> None:
+        """Record the end of an attempt."""
+        with self.lock:
+            if attempt.finished:
+                return
+            attempt.finished = True
+            state = attempt.state
+            state.in_flight -= 1
+            state.pending.discard(attempt)
+            self._judge(attempt, state, outcome)
+
+    def _judge(self, attempt: PooledAttempt, state: _State, outcome: Outcome) -> None:
+        now = self.timers.now()
+        if outcome.kind is OutcomeKind.SHED:
+            self._note_shed(state, now)
+        elif outcome.kind in _FAILED_KINDS:
+            self._doubt(state, now)
+            self._tell(state, FAILED, now)
+        elif outcome.kind in _UNREACHED_KINDS:
+            state.path_until_s = now + PATH_HOLD_OFF_S
+            self._note_unreached(state, self.instance, now)
+            self._tell(state, UNREACHED, now)
+        elif outcome.kind is OutcomeKind.WRONG_TARGET:
+            state.path_until_s = now + PATH_HOLD_OFF_S
+        elif outcome.kind is OutcomeKind.SUCCESS:
+            self._note_served(attempt, state, now)
+
+    def _note_shed(self, state: _State, now_s: float) -> None:
+        wait_s = min(SHED_MAX_S, SHED_FIRST_S * 2.0 ** min(state.shed_in_a_row, 8))
+        state.shed_in_a_row += 1
+        state.shed_until_s = now_s + wait_s * self.random.uniform(0.5, 1.5)
+
+    def _note_served(self, attempt: PooledAttempt, state: _State, now_s: float) -> None:
+        state.shed_in_a_row = 0
+        state.path_until_s = 0.0
+        if state.doubted() and attempt.started_s > state.failed_at_s:
+            self._trust(state, "own")
+            self._tell(state, SERVED, now_s)
+
+    def _doubt(self, state: _State, at_s: float) -> None:
+        if state.failed_at_s is None:
+            log_info("target_doubted", target=state.target.name)
+        state.failed_at_s = max(at_s, state.failed_at_s or 0.0)
+        state.trial_at_s = state.failed_at_s + TRIAL_AFTER_S
+
+    def _trust(self, state: _State, source: str) -> None:
+        doubted_s = self.timers.now() - (state.failed_at_s or 0.0)
+        log_info(
+            "target_trusted",
+            target=state.target.name,
+            source=source,
+            since_failure_s=doubted_s,
+        )
+        state.failed_at_s = None
+        state.unreached.clear()
+
+    def _note_unreached(self, state: _State, instance: str, at_s: float) -> None:
+        state.unreached[instance] = at_s
+        recent = [
+            name
+            for name, seen_s in state.unreached.items()
+            if at_s - seen_s <= UNREACHED_WINDOW_S
+        ]
+        if len(recent) >= UNREACHED_INSTANCES:
+            self._doubt(state, at_s)
+            self._abandon(state)
+
+    def _abandon(self, state: _State) -> None:
+        """Let requests that may be repeated leave a target that does not answer."""
+        for attempt in list(state.pending):
+            if attempt.on_ejected is not None:
+                attempt.on_ejected()
+
+    # ---- other instances ----
+
+    def _tell(self, state: _State, kind: int, at_s: float) -> None:
+        number = next(self.numbers)
+        self.events.append(Event(state.target.name, kind, at_s, number))
+        self.on_event()
+
+    def evidence(self) -> list[beats_pb2.Evidence]:
+        """Return the recent events for other instances."""
+        now = self.timers.now()
+        with self.lock:
+            while self.events and now - self.events[0].at_s > EVENT_REPEAT_S:
+                self.events.popleft()
+            return [
+                beats_pb2.Evidence(
+                    target=event.target,
+                    kind=event.kind,
+                    age_ms=int((now - event.at_s) * 1000),
+                    number=event.number,
+                )
+                for event in self.events
+            ]
+
+    def loads(self) -> list[beats_pb2.TargetLoad]:
+        """Return this instance's requests in flight, for other instances."""
+        with self.lock:
+            return [
+                beats_pb2.TargetLoad(target=name, in_flight=state.in_flight)
+                for name, state in self.states.items()
+                if state.in_flight
+            ]
+
+    def note_peer(self, beat: beats_pb2.Beat, seen: int) -> int:
+        """Take in the evidence and load of another instance.
+
+        Parameters
+        ----------
+        beat : Beat
+            Datagram of the instance.
+        seen : int
+            Number of the last event that was taken in.
+
+        Returns
+        -------
+        int
+            Number of the last event that is taken in now.
+        """
+        now = self.timers.now()
+        with self.lock:
+            for evidence in beat.evidence:
+                if evidence.number > seen:
+                    seen = evidence.number
+                    at_s = now - evidence.age_ms / 1000
+                    self._take_evidence(beat.instance, evidence, at_s)
+            loads = {load.target: load.in_flight for load in beat.loads}
+            for name, state in self.states.items():
+                count = loads.get(name, 0)
+                if count:
+                    state.peer_loads[beat.instance] = (count, now)
+                else:
+                    state.peer_loads.pop(beat.instance, None)
+        return seen
+
+    def _take_evidence(
+        self, instance: str, evidence: beats_pb2.Evidence, at_s: float
+    ) -> None:
+        state = self.states.get(evidence.target)
+        if state is None:
+            return
+        if evidence.kind == FAILED:
+            self._doubt(state, at_s)
+        elif evidence.kind == UNREACHED:
+            self._note_unreached(state, instance, at_s)
+        elif state.doubted() and at_s > state.failed_at_s:
+            self._trust(state, instance)
--- /dev/null
+++ b/src/lacewinglift/mesh/registry.py
@@ -0,0 +1,235 @@
+"""Targets that register themselves in the key-value service."""
+
+import hashlib
+import threading
+from collections.abc import Callable, Iterable
+
+from attrs import define, evolve, field, frozen
+
+from lacewinglift.generated import beats_pb2
+from lacewinglift.logs import log_info
+from lacewinglift.timers import Timers
+
+# Entries that lapsed during an outage of the store are written again within this
+# time of its return if their target lives.
+LAPSE_GRACE_S = 2.0
+# Entries that vanish this soon after a failed call may have lapsed in the outage.
+OUTAGE_MEMORY_S = 1.0
+# A delayed write of an ended target can arrive for this long after its removal.
+TOMBSTONE_S = 60.0
+
+
+@frozen
+class RegisteredTarget:
+    """What a target said of itself last."""
+
+    name: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    born_ms: int
+    """Time of day of the target's start; another value is another process."""
+    sequence: int
+    """Number of the report, counted from the target's start."""
+    leaving: bool = False
+    warmup_s: float = 0.0
+    """Time for which the target is still slow after its start."""
+
+    def age_rank(self) -> tuple[int, int]:
+        """Return a rank by which later reports are greater."""
+        return self.born_ms, self.sequence
+
+    def to_message(self) -> beats_pb2.RegisteredTarget:
+        """Return the message for other instances."""
+        return beats_pb2.RegisteredTarget(
+            name=self.name,
+            service=self.service,
+            address=self.address,
+            data_centre=self.data_centre,
+            slots=self.slots,
+            born_ms=self.born_ms,
+            sequence=self.sequence,
+            leaving=self.leaving,
+            warmup_ms=int(self.warmup_s * 1000),
+        )
+
+
+def from_message(message: beats_pb2.RegisteredTarget) -> RegisteredTarget:
+    """Return the target that another instance described."""
+    return RegisteredTarget(
+        message.name,
+        message.service,
+        message.address,
+        message.data_centre,
+        message.slots,
+        message.born_ms,
+        message.sequence,
+        message.leaving,
+        message.warmup_ms / 1000,
+    )
+
+
+@define
+class _Tombstone:
+    rank: tuple[int, int]
+    removed_at_s: float
+
+
+@define(eq=False)
+class TargetRegistry:
+    """Registered targets, as new as one revision of the store.
+
+    Reports of one target are ordered by its start and its own count, since a write
+    that was given up may take effect seconds later.
+    """
+
+    timers: Timers
+    on_change: Callable[[], None] = lambda: None
+    targets: dict[str, RegisteredTarget] = field(factory=dict)
+    revision: int = 0
+    digest: int = 0
+    ready: bool = False
+    """Whether the targets have been read or fetched once."""
+    tombstones: dict[str, _Tombstone] = field(factory=dict)
+    missing_since_s: dict[str, float] = field(factory=dict)
+    """Targets whose entry vanished around an outage of the store."""
+    outage_at_s: float = float("-inf")
+    lock: threading.RLock = field(factory=threading.RLock)
+
+    def note_outage(self) -> None:
+        """Record that the store did not answer now."""
+        self.outage_at_s = self.timers.now()
+
+    def reset(self, targets: Iterable[RegisteredTarget], revision: int) -> None:
+        """Take over a complete listing of the store."""
+        with self.lock:
+            listed = {target.name: target for target in targets}
+            for target in listed.values():
+                self._accept(target)
+            for name in [name for name in self.targets if name not in listed]:
+                self._remove(name)
+            self.revision = max(self.revision, revision)
+            self._finish()
+
+    def apply(
+        self,
+        written: Iterable[RegisteredTarget],
+        removed: Iterable[str],
+        revision: int,
+    ) -> None:
+        """Take over changes of the store."""
+        with self.lock:
+            for target in written:
+                self._accept(target)
+            for name in removed:
+                if name in self.targets:
+                    self._remove(name)
+            self.revision = max(self.revision, revision)
+            self._finish()
+
+    def adopt(self, targets: Iterable[RegisteredTarget], revision: int) -> bool:
+        """Take over the state of another instance if it is newer."""
+        with self.lock:
+            if revision < self.revision and self.ready:
+                return False
+            listed = {target.name: target for target in targets}
+            for name in [name for name in self.targets if name not in listed]:
+                self._bury(name)
+            for target in listed.values():
+                self._accept(target)
+            self.revision = max(self.revision, revision)
+            self._finish()
+            return True
+
+    def note_agreement(self, revision: int) -> None:
+        """Record that the same targets were registered at a later revision."""
+        with self.lock:
+            self.revision = max(self.revision, revision)
+
+    def expire(self) -> None:
+        """Drop targets whose entry did not come back after an outage."""
+        with self.lock:
+            now = self.timers.now()
+            due = [
+                name
+                for name, since_s in self.missing_since_s.items()
+                if now - max(since_s, self.outage_at_s) >= LAPSE_GRACE_S
+            ]
+            for name in due:
+                self._bury(name)
+            for name, tombstone in list(self.tombstones.items()):
+                if now - tombstone.removed_at_s > TOMBSTONE_S:
+                    del self.tombstones[name]
+            if due:
+                self._finish()
+
+    def snapshot(self) -> beats_pb2.Snapshot:
+        """Return the state for another instance."""
+        with self.lock:
+            return beats_pb2.Snapshot(
+                registry_revision=self.revision,
+                registry_digest=self.digest,
+                targets=[target.to_message() for target in self.targets.values()],
+            )
+
+    def of_service(self) -> dict[str, list[RegisteredTarget]]:
+        """Return the targets by service."""
+        with self.lock:
+            by_service: dict[str, list[RegisteredTarget]] = {}
+            for target in self.targets.values():
+                by_service.setdefault(target.service, []).append(target)
+            return by_service
+
+    def _accept(self, target: RegisteredTarget) -> None:
+        tombstone = self.tombstones.get(target.name)
+        if tombstone is not None and target.age_rank() <= tombstone.rank:
+            return
+        known = self.targets.get(target.name)
+        if known is not None and target.age_rank() < known.age_rank():
+            return
+        if known is not None and known.born_ms == target.born_ms and known.leaving:
+            target = evolve(target, leaving=True)
+        self.tombstones.pop(target.name, None)
+        self.missing_since_s.pop(target.name, None)
+        self.targets[target.name] = target
+
+    def _remove(self, name: str) -> None:
+        now = self.timers.now()
+        if now - self.outage_at_s <= OUTAGE_MEMORY_S + LAPSE_GRACE_S:
+            self.missing_since_s.setdefault(name, now)
+            return
+        self._bury(name)
+
+    def _bury(self, name: str) -> None:
+        self.missing_since_s.pop(name, None)
+        target = self.targets.pop(name, None)
+        if target is None:
+            return
+        rank = target.age_rank()
+        self.tombstones[name] = _Tombstone(rank, self.timers.now())
+
+    def _finish(self) -> None:
+        digest = _digest(self.targets.values())
+        changed = digest != self.digest or not self.ready
+        self.digest = digest
+        self.ready = True
+        if changed:
+            log_info(
+                "registry_changed",
+                revision=self.revision,
+                targets=len(self.targets),
+                leaving=sum(target.leaving for target in self.targets.values()),
+                missing=len(self.missing_since_s),
+            )
+            self.on_change()
+
+
+def _digest(targets: Iterable[RegisteredTarget]) -> int:
+    """Return a digest of what decides on the use of the targets."""
+    lines = sorted(
+        f"{t.name} {t.service} {t.address} {t.born_ms} {t.leaving} {t.slots}"
+        for t in targets
+    )
+    text = "\n".join(lines).encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest())
--- /dev/null
+++ b/src/lacewinglift/mesh/snapshots.py
@@ -0,0 +1,130 @@
+"""Configuration and registry that instances fetch from each other."""
+
+import asyncio
+import threading
+from collections.abc import Callable
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from lacewinglift.generated import beats_pb2
+from lacewinglift.generated.beats_grpc import SnapshotsBase, SnapshotsStub
+from lacewinglift.logs import log_exception, log_info
+from lacewinglift.socket_addresses import split_address
+
+FETCH_TIMEOUT_S = 1.0
+_FETCH_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
+
+
+class SnapshotService(SnapshotsBase):
+    """Answers fetches of other instances.
+
+    Parameters
+    ----------
+    make_snapshot : callable
+        Returns what the caller of a fetch lacks.
+    """
+
+    def __init__(
+        self,
+        make_snapshot: Callable[[beats_pb2.SnapshotRequest], beats_pb2.Snapshot],
+    ) -> None:
+        self.make_snapshot = make_snapshot
+
+    async def Fetch(self, stream: Stream) -> None:
+        """Return the configuration and the registry as this instance knows them."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(self.make_snapshot(request))
+
+
+async def fetch_snapshot(
+    address: str, request: beats_pb2.SnapshotRequest
+) -> beats_pb2.Snapshot:
+    """Fetch from one instance; raises one of `_FETCH_ERRORS`."""
+    host, port = split_address(address)
+    channel = Channel(host, port)
+    try:
+        return await SnapshotsStub(channel).Fetch(request, timeout=FETCH_TIMEOUT_S)
+    finally:
+        channel.close()
+
+
+class SnapshotExchange:
+    """Serves and makes fetches on an asyncio loop of its own thread.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` that other instances fetch from.
+    service : SnapshotService
+        Answers them.
+    on_snapshot : callable
+        Takes in what was fetched, with the address that it came from.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        service: SnapshotService,
+        on_snapshot: Callable[[beats_pb2.Snapshot, str], None],
+    ) -> None:
+        self.address = address
+        self.service = service
+        self.on_snapshot = on_snapshot
+        self.loop = asyncio.new_event_loop()
+        self.fetching = False
+        self.lock = threading.Lock()
+        self.started = threading.Event()
+        self.failure: OSError | None = None
+        self.thread = threading.Thread(target=self._run, name="snapshots", daemon=True)
+
+    def start(self) -> None:
+        """Listen; raises OSError for an address in use."""
+        self.thread.start()
+        self.started.wait()
+        if self.failure is not None:
+            raise self.failure
+
+    def stop(self) -> None:
+        """End the loop."""
+        if self.thread.is_alive():
+            self.loop.call_soon_threadsafe(self.loop.stop)
+            self.thread.join()
+
+    def fetch(self, address: str, request: beats_pb2.SnapshotRequest) -> None:
+        """Fetch in the background, unless a fetch is under way."""
+        with self.lock:
+            if self.fetching:
+                return
+            self.fetching = True
+        asyncio.run_coroutine_threadsafe(self._fetch(address, request), self.loop)
+
+    async def _fetch(self, address: str, request: beats_pb2.SnapshotRequest) -> None:
+        try:
+            reply = await fetch_snapshot(address, request)
+            self.on_snapshot(reply, address)
+        except _FETCH_ERRORS as error:
+            log_info("snapshot_fetch_failed", peer=address, reason=repr(error))
+        except Exception:
+            log_exception("snapshot_rejected", peer=address)
+        finally:
+            with self.lock:
+                self.fetching = False
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self.loop)
+        server = Server([self.service])
+        host, port = split_address(self.address)
+        try:
+            self.loop.run_until_complete(server.start(host, port))
+        except OSError as error:
+            self.failure = error
+            self.started.set()
+            return
+        self.started.set()
+        self.loop.run_forever()
+        server.close()
+        self.loop.run_until_complete(server.wait_closed())
+        self.loop.close()
--- a/src/lacewinglift/outcomes.py
+++ b/src/lacewinglift/outcomes.py
@@ -17,6 +17,8 @@
     """The connection ended, or the answer was invalid, before the answer's end."""
     SHED = "shed"
     """The target refused to run the request and said so."""
+    WRONG_TARGET = "wrong_target"
+    """Another target answers at the address, and did not run the request."""
     CANCELLED = "cancelled"
     """The attempt ended for a reason on the caller's side."""
 
--- a/src/lacewinglift/pools.py
+++ b/src/lacewinglift/pools.py
@@ -9,12 +9,24 @@
 
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
+from urllib3.util.wait import wait_for_read
 
 from lacewinglift.socket_addresses import split_address
 from lacewinglift.timers import Timers
 
-# A connection can go silent for good while it is idle; a new one takes 1 ms.
+# A connection can go silent for good while it is idle. Where the target does not
+# say for how long it keeps one, a new connection costs less than a lost request.
 REUSE_WITHIN_S = 1.0
+# Part of the time that a target states in Keep-Alive for which its connection is
+# used; the rest covers requests that cross the target's close.
+KEEP_ALIVE_PART = 0.7
+# Unanswered probes after which the kernel ends an idle connection that went silent.
+PROBE_IDLE_S = 1
+PROBE_INTERVAL_S = 1
+PROBE_COUNT = 2
+# Longest time that sent bytes stay unacknowledged before a connection ends.
+UNACKNOWLEDGED_MS = 3000
+MAX_STRAY_BYTES = 256 * 1024
 PRUNE_INTERVAL_S = 1.0
 FORGET_POOL_AFTER_S = 60.0
 IDLE_CONNECTIONS_PER_TARGET = 16
@@ -27,9 +39,21 @@
 _FOLD = re.compile(r"\r\n[ \t]+")
 _CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _LENGTH = re.compile(r"[0-9]{1,18}")
+_KEEP_ALIVE = re.compile(r"(?:^|[,;\s])timeout=([0-9]{1,5})")
 _CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\r\n]*)?\r?\n")
 
 
+# Ends connections whose other end is gone or cut off, idle or not.
+SOCKET_OPTIONS = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+]
+
+
 class BadAnswerError(http.client.HTTPException):
     """A target sent something that is not one valid HTTP/1.1 answer."""
 
@@ -69,6 +93,8 @@
         self.socket = sock
         self.complete = False
         self.excess = False
+        self.expected_id: tuple[str, str] | None = None
+        """Name and value of the header that shows whose answer this is."""
 
     @property
     def reusable(self) -> bool:
@@ -79,6 +105,14 @@
         """Read the head of the answer."""
         if self.headers is not None:
             return
+        self._begin_one()
+        while self._is_stray():
+            self._skip_stray()
+            self._begin_one()
+        if self.length == 0:
+            self.complete = True
+
+    def _begin_one(self) -> None:
         stream = self.fp
         reader = self.fp = _HeadReader(stream)
         try:
@@ -88,8 +122,32 @@
             if self.fp is reader:
                 self.fp = stream
         self._check_head()
-        if self.length == 0:
-            self.complete = True
+
+    def _is_stray(self) -> bool:
+        """Return whether this is a late answer to an earlier request."""
+        if self.expected_id is None:
+            return False
+        name, value = self.expected_id
+        return self.headers.get(name, value) != value
+
+    def _skip_stray(self) -> None:
+        if self.fp is None or self.will_close or self.length is None:
+            raise BadAnswerError("an answer to another request")
+        if self.length > MAX_STRAY_BYTES:
+            raise BadAnswerError("a long answer to another request")
+        if len(self.fp.read(self.length)) < self.length:
+            raise BadAnswerError("a cut answer to another request")
+        self.headers = self.msg = None
+        self.status = self.reason = self.version = http.client._UNKNOWN
+        self.chunked = self.chunk_left = self.length = http.client._UNKNOWN
+        self.will_close = http.client._UNKNOWN
+
+    def keep_alive_s(self) -> float:
+        """Return for how long the connection may be idle before it is used again."""
+        match = _KEEP_ALIVE.search(self.headers.get("keep-alive", ""))
+        if match is None:
+            return REUSE_WITHIN_S
+        return float(match[1]) * KEEP_ALIVE_PART
 
     def _read_status(self) -> tuple[str, int, str]:
         for _ in range(MAX_INTERIM_ANSWERS):
@@ -152,8 +210,9 @@
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        self.used_at_s = 0.0
+        self.reuse_until_s = 0.0
         self.sending = False
+        self.expected_id: tuple[str, str] | None = None
         self.answer: TargetResponse | None = None
         self.response_class = self._new_answer
 
@@ -161,8 +220,13 @@
         self, sock: socket.socket, *args: Any, **kwargs: Any
     ) -> TargetResponse:
         self.answer = TargetResponse(sock, *args, **kwargs)
+        self.answer.expected_id = self.expected_id
         return self.answer
 
+    def has_unread(self) -> bool:
+        """Return whether an idle connection has bytes, or its end, to read."""
+        return self.sock is not None and wait_for_read(self.sock, 0)
+
     def send(self, data: Any) -> None:
         """Send data to the target."""
         self.sending = True
@@ -181,6 +245,7 @@
             maxsize=IDLE_CONNECTIONS_PER_TARGET,
             block=False,
             retries=False,
+            socket_options=SOCKET_OPTIONS,
         )
         self.timers = timers
         self.used_at_s = timers.now()
@@ -189,14 +254,16 @@
         """Return a connection; it is open only if it was used lately."""
         self.used_at_s = self.timers.now()
         connection = self._get_conn()
-        if self._stale(connection):
+        if self._stale(connection) or connection.has_unread():
             connection.close()
         connection.sending = False
         return connection
 
     def checkin(self, connection: TargetConnection) -> None:
         """Take back a connection whose answer was read to its end."""
-        connection.used_at_s = self.timers.now()
+        connection.reuse_until_s = self.timers.now()
+        if connection.answer is not None:
+            connection.reuse_until_s += connection.answer.keep_alive_s()
         if self.pool is None or self.pool.full():
             connection.close()
             return
@@ -218,7 +285,7 @@
             connection.close()
 
     def _stale(self, connection: TargetConnection) -> bool:
-        return self.timers.now() - connection.used_at_s > REUSE_WITHIN_S
+        return self.timers.now() > connection.reuse_until_s
 
 
 class TargetPools:
--- a/src/lacewinglift/refusals.py
+++ b/src/lacewinglift/refusals.py
@@ -5,6 +5,7 @@
 
 from attrs import frozen
 
+from lacewinglift.dialects import OWN_DIALECT, Dialect
 from lacewinglift.errors import LacewingliftError
 from lacewinglift.verdicts import Verdict
 
@@ -34,12 +35,15 @@
     message: str
     retry_after_s: float | None = None
 
-    @property
-    def status(self) -> int:
+    def status(self, dialect: Dialect = OWN_DIALECT) -> int:
         """Return the HTTP status of the code."""
-        return STATUS_BY_CODE[self.code]
+        status = STATUS_BY_CODE[self.code]
+        promised = self.verdict is Verdict.NOT_RUN and status in (502, 504)
+        if promised and dialect.promise_status is not None:
+            return dialect.promise_status
+        return status
 
-    def headers(self) -> list[tuple[str, str]]:
+    def headers(self, dialect: Dialect = OWN_DIALECT) -> list[tuple[str, str]]:
         """Return the headers of the answer.
 
         Targets cannot send `X-Lacewinglift-*` headers to callers, so these two
@@ -50,14 +54,19 @@
             ("X-Lacewinglift-Refusal", self.code),
             ("X-Lacewinglift-Verdict", self.verdict.value),
         ]
-        if self.status == 401:
+        if self.status(dialect) == 401:
             headers.append(("WWW-Authenticate", "Bearer"))
         if self.retry_after_s is not None:
-            # The header has whole seconds only; rounding down would invite a
-            # request that is refused again.
-            headers.append(("Retry-After", str(max(1, math.ceil(self.retry_after_s)))))
+            headers.append(("Retry-After", self._retry_after(dialect)))
         return headers
 
+    def _retry_after(self, dialect: Dialect) -> str:
+        if dialect.fractional_retry_after:
+            return f"{max(self.retry_after_s, 0.0):.3f}"
+        # Whole seconds only; rounding down would invite a request that is refused
+        # again.
+        return str(max(1, math.ceil(self.retry_after_s)))
+
     def body(self) -> bytes:
         """Return the JSON body of the answer."""
         fields = {
--- a/src/lacewinglift/retries.py
+++ b/src/lacewinglift/retries.py
@@ -14,13 +14,13 @@
 RETRY_BURST = 10.0
 
 
-def may_resend(method: str, verdict: Verdict, body_replayable: bool) -> bool:
+def may_resend(idempotent: bool, verdict: Verdict, body_replayable: bool) -> bool:
     """Return whether a request may be sent again after a failed attempt.
 
     Parameters
     ----------
-    method : str
-        Method of the request.
+    idempotent : bool
+        Whether the request may run more than once.
     verdict : Verdict
         What is known about the failed attempt.
     body_replayable : bool
@@ -28,7 +28,7 @@
     """
     if not body_replayable or verdict is Verdict.ANSWERED:
         return False
-    return verdict is Verdict.NOT_RUN or method in IDEMPOTENT_METHODS
+    return verdict is Verdict.NOT_RUN or idempotent
 
 
 class RetryBudget:
--- a/src/lacewinglift/shutdown.py
+++ b/src/lacewinglift/shutdown.py
@@ -66,6 +66,8 @@
         Tells the membership that this instance leaves.
     stop_bound_s : float
         Longest time from the start of the stop to its end.
+    close_while_leaving : bool, default=False
+        Whether answers close their connections from the start of the stop.
     """
 
     def __init__(
@@ -74,16 +76,20 @@
         address_lifetime_s: Callable[[], float],
         on_leaving: Callable[[], None],
         stop_bound_s: float,
+        close_while_leaving: bool = False,
     ) -> None:
         self.timers = timers
         self.address_lifetime_s = address_lifetime_s
         self.on_leaving = on_leaving
         self.stop_bound_s = stop_bound_s
+        self.close_while_leaving = close_while_leaving
         self.state = ShutdownState.SERVING
         self._hurry = threading.Event()
 
     def closing(self) -> bool:
         """Return whether answers close their connections."""
+        if self.state is ShutdownState.LEAVING:
+            return self.close_while_leaving
         return self.state in (ShutdownState.FINISHING, ShutdownState.STOPPED)
 
     def stopped(self) -> bool:
--- a/src/lacewinglift/targets.py
+++ b/src/lacewinglift/targets.py
@@ -702,7 +702,10 @@
         self.started = True
 
     def acquire(
-        self, service_name: str, exclude: Collection[str] = ()
+        self,
+        service_name: str,
+        exclude: Collection[str] = (),
+        repeatable: bool = False,
     ) -> Attempt | None:
         """Choose a target that is not in `exclude`.
 
--- a/testing/load/undecided.py
+++ b/testing/load/undecided.py
@@ -49,7 +49,9 @@
             for name, service in configuration.services.items()
         }
 
-    def acquire(self, service_name: str, exclude: set[str]) -> PlainAttempt:
+    def acquire(
+        self, service_name: str, exclude: set[str], repeatable: bool = False
+    ) -> PlainAttempt:
         """Return the next target."""
         return PlainAttempt(next(self.turns[service_name]))
 
--- a/testing/standins/request_half.py
+++ b/testing/standins/request_half.py
@@ -55,7 +55,7 @@
     outcomes: list = field(factory=list)
     attempts: list = field(factory=list)
 
-    def acquire(self, service_name, exclude):
+    def acquire(self, service_name, exclude, repeatable=False):
         for target in self.targets:
             if target.name not in exclude:
                 self.attempts.append(FixedAttempt(target, self.outcomes))
