--- a/src/lacewinglift/handling.py
+++ b/src/lacewinglift/handling.py
@@ -37,7 +37,7 @@
     RequestHead,
     headers_to_target,
 )
-from lacewinglift.logs import log_exception
+from lacewinglift.logs import log_exception, log_info
 from lacewinglift.metrics import Metrics
 from lacewinglift.refusals import Refusal, RefusalError, refuse
 from lacewinglift.shutdown import Shutdown
@@ -279,6 +279,14 @@
         if decision.admitted:
             return
         code = decision.code or "over_limit"
+        log_info(
+            "request_refused",
+            id=self.head.value(self.parts.dialect.request_id_header or "") or "-",
+            code=code,
+            workspace=workspace.name,
+            path=self.head.path,
+            retry_after_s=decision.retry_after_s or 0.0,
+        )
         why = _REFUSED_BY_ADMISSION.get(code, "cannot be admitted now")
         message = f"{workspace.name} {why}"
         raise refuse(code, message, retry_after_s=decision.retry_after_s or None)
