--- a/src/lacewinglift/mesh/beats.py
+++ b/src/lacewinglift/mesh/beats.py
@@ -5,6 +5,8 @@
 """
 
 import contextlib
+import enum
+import math
 import socket
 import threading
 from collections.abc import Callable
@@ -17,22 +19,28 @@
 from lacewinglift.socket_addresses import split_address
 from lacewinglift.timers import Timers
 
-# Interval of datagrams while there is nothing to tell.
-IDLE_INTERVAL_S = 0.5
-# Interval of datagrams while requests are admitted.
+# Interval of datagrams to all instances.
+IDLE_INTERVAL_S = 0.75
+# Interval of datagrams among the instances that have requests in progress.
 BUSY_INTERVAL_S = 0.1
 # Time that evidence waits for more of it.
 URGENT_DELAY_S = 0.005
 RECEIVE_TIMEOUT_S = 0.5
 MAX_DATAGRAM_BYTES = 60_000
-# Peers named in one datagram, so that its size does not grow with the fleet.
-PEERS_NAMED = 8
+
+
+class Audience(enum.Enum):
+    """Whom a datagram is for."""
+
+    ALL = "all"
+    ACTIVE = "active"
+    """Instances that had requests in progress lately."""
 
 
 class BeatSource(Protocol):
     """What datagrams are made of, and who takes them in."""
 
-    def make_beat(self) -> beats_pb2.Beat:
+    def make_beat(self, audience: "Audience") -> beats_pb2.Beat:
         """Return the next datagram of this instance."""
         ...
 
@@ -40,8 +48,8 @@
         """Take in a datagram of another instance."""
         ...
 
-    def beat_addresses(self) -> list[str]:
-        """Return the addresses that datagrams go to."""
+    def beat_addresses(self, audience: "Audience") -> list[str]:
+        """Return the addresses that a datagram goes to."""
         ...
 
 
@@ -65,7 +73,7 @@
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.condition = threading.Condition()
         self.stopped = False
-        self.due_s = 0.0
+        self.due_s = {audience: 0.0 for audience in Audience}
         self.unsent: dict[str, str] = {}
         """Addresses that the last datagram could not be sent to, and why."""
         self.threads: list[threading.Thread] = []
@@ -94,33 +102,46 @@
 
     def send_soon(self, delay_s: float = URGENT_DELAY_S) -> None:
         """Send the next datagram after `delay_s` at the latest."""
+        self._schedule(Audience.ALL, delay_s)
+
+    def note_use(self) -> None:
+        """Tell active instances of requests in progress within the busy interval."""
+        self._schedule(Audience.ACTIVE, BUSY_INTERVAL_S)
+
+    def _schedule(self, audience: Audience, delay_s: float) -> None:
         due_s = self.timers.now() + delay_s
         with self.condition:
-            if due_s < self.due_s:
-                self.due_s = due_s
+            if due_s < self.due_s[audience]:
+                self.due_s[audience] = due_s
                 self.condition.notify()
 
-    def note_use(self) -> None:
-        """Tell the others of requests in progress within the busy interval."""
-        self.send_soon(BUSY_INTERVAL_S)
-
     def _send_loop(self) -> None:
         while True:
             with self.condition:
-                while not self.stopped and self.timers.now() < self.due_s:
-                    self.condition.wait(max(self.due_s - self.timers.now(), 0.0))
-                self.due_s = self.timers.now() + IDLE_INTERVAL_S
+                audience = self._wait_for_due()
                 stopped = self.stopped
-            self._send()
+            self._send(audience)
             if stopped:
                 return
 
-    def _send(self) -> None:
-        data = self.source.make_beat().SerializeToString()
+    def _wait_for_due(self) -> Audience:
+        while True:
+            now = self.timers.now()
+            if self.stopped or now >= self.due_s[Audience.ALL]:
+                self.due_s[Audience.ALL] = now + IDLE_INTERVAL_S
+                self.due_s[Audience.ACTIVE] = math.inf
+                return Audience.ALL
+            if now >= self.due_s[Audience.ACTIVE]:
+                self.due_s[Audience.ACTIVE] = math.inf
+                return Audience.ACTIVE
+            self.condition.wait(max(min(self.due_s.values()) - now, 0.0))
+
+    def _send(self, audience: Audience) -> None:
+        data = self.source.make_beat(audience).SerializeToString()
         if len(data) > MAX_DATAGRAM_BYTES:
             log_warning("beat_too_long", bytes=len(data))
             return
-        for address in self.source.beat_addresses():
+        for address in self.source.beat_addresses(audience):
             try:
                 self.socket.sendto(data, split_address(address))
             except OSError as error:
--- a/src/lacewinglift/mesh/directory.py
+++ b/src/lacewinglift/mesh/directory.py
@@ -91,8 +91,8 @@
         candidates = [
             _Candidate(
                 member.name,
-                member.beat.data_centre,
-                member.beat.caller_address,
+                member.description.data_centre,
+                member.description.caller_address,
                 member.beat.observer,
             )
             for member in self.members.heard()
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -1,6 +1,7 @@
 """Builds, starts and stops the parts of an instance of a mesh."""
 
 import threading
+from random import Random
 
 from lacewinglift.addresses import AddressBook
 from lacewinglift.concurrency import ConcurrencyLimits
@@ -14,9 +15,9 @@
 from lacewinglift.handling import RequestParts
 from lacewinglift.kv import STORE_DRIVERS
 from lacewinglift.logs import log_info
-from lacewinglift.mesh.beats import BeatExchange
+from lacewinglift.mesh.beats import Audience, BeatExchange
 from lacewinglift.mesh.directory import Directory
-from lacewinglift.mesh.members import MemberTable
+from lacewinglift.mesh.members import Member, MemberTable
 from lacewinglift.mesh.observers import Codec, Observer, try_read_configuration
 from lacewinglift.mesh.pooled_targets import PooledTargets
 from lacewinglift.mesh.registry import TargetRegistry, from_message
@@ -28,6 +29,11 @@
 from lacewinglift.timers import ThreadTimers
 
 HOUSEKEEPING_INTERVAL_S = 0.25
+# Datagrams at the start that describe this instance, then every so many.
+FIRST_INTRODUCTIONS = 6
+INTRODUCE_EVERY = 3
+# Peers named in one datagram, so that its size does not grow with the fleet.
+PEERS_NAMED = 6
 MAX_STORE_AGE_MS = 2**31
 
 
@@ -90,6 +96,9 @@
         self.timers = ThreadTimers()
         self.incarnation = self.timers.wall_ms()
         self.sequence = 0
+        self.introductions = 0
+        self.told_state: int | None = None
+        self.random = Random()
         self.metrics = Metrics()
         self.holder = ConfigurationHolder()
         self.members = MemberTable(settings.instance, self.timers)
@@ -159,6 +168,7 @@
             dialect=dialect,
             new_budget=self.retries.of,
         )
+        self.targets.has_connection = forwarder.pools.has_idle
         return RequestParts(
             timers=self.timers,
             distribution=self.holder,
@@ -246,32 +256,51 @@
 
     # ---- datagrams ----
 
-    def make_beat(self) -> beats_pb2.Beat:
+    def make_beat(self, audience: Audience) -> beats_pb2.Beat:
         """Return the next datagram of this instance."""
-        settings = self.settings
         self.sequence += 1
         store_age_s = self.observer.contact.age_s()
-        heard = self.members.heard()
-        named = heard[self.sequence % max(len(heard), 1) :][:8]
-        return beats_pb2.Beat(
-            instance=settings.instance,
+        loads = self.targets.loads()
+        beat = beats_pb2.Beat(
+            instance=self.settings.instance,
             incarnation=self.incarnation,
             sequence=self.sequence,
             state=self._serving_state(),
-            data_centre=settings.data_centre,
-            caller_address=settings.caller_address,
-            beat_address=settings.beat_address,
-            fetch_address=settings.fetch_address,
             configuration_version=self.holder.generation(),
             registry_digest=self.registry.digest,
             registry_revision=self.registry.revision,
             store_age_ms=min(int(min(store_age_s, 1e6) * 1000), MAX_STORE_AGE_MS),
             observer=self.observer.on_duty.is_set(),
             evidence=self.targets.evidence(),
-            usages=self.quota.usages(),
-            resends=self.retries.counts(),
-            loads=self.targets.loads(),
-            peers=[member.beat.beat_address for member in named],
+            loads=loads,
+            has_loads=bool(loads),
+        )
+        if loads:
+            self.beats.note_use()
+        full = audience is Audience.ALL and self._is_introduction(beat.state)
+        beat.usages.extend(self.quota.usages(full))
+        beat.resends.extend(self.retries.counts(full))
+        if full:
+            self._introduce(beat)
+        return beat
+
+    def _is_introduction(self, state: int) -> bool:
+        self.introductions += 1
+        often = self.introductions <= FIRST_INTRODUCTIONS or state != self.told_state
+        self.told_state = state
+        return often or self.introductions % INTRODUCE_EVERY == 0
+
+    def _introduce(self, beat: beats_pb2.Beat) -> None:
+        """Describe this instance and name others."""
+        settings = self.settings
+        beat.description.data_centre = settings.data_centre
+        beat.description.caller_address = settings.caller_address
+        beat.description.beat_address = settings.beat_address
+        beat.description.fetch_address = settings.fetch_address
+        heard = self.members.heard()
+        self.random.shuffle(heard)
+        beat.peers.extend(
+            member.description.beat_address for member in heard[:PEERS_NAMED]
         )
 
     def _serving_state(self) -> int:
@@ -279,9 +308,11 @@
             return beats_pb2.DRAINING
         return beats_pb2.SERVING if self.is_ready() else beats_pb2.BOOTING
 
-    def beat_addresses(self) -> list[str]:
-        """Return the addresses that datagrams go to."""
-        known = {member.beat.beat_address for member in self.members.known()}
+    def beat_addresses(self, audience: Audience) -> list[str]:
+        """Return the addresses that a datagram goes to."""
+        if audience is Audience.ACTIVE:
+            return [member.description.beat_address for member in self.members.active()]
+        known = {member.description.beat_address for member in self.members.known()}
         return sorted((known | self.addresses) - {self.settings.beat_address})
 
     def note_addresses(self, addresses: list[str]) -> None:
@@ -293,15 +324,13 @@
         member = self.members.note(beat)
         if member is None:
             return
-        if member.beat.sequence and beat.beat_address not in self.addresses:
-            self.addresses.add(beat.beat_address)
-        self.note_addresses(list(beat.peers))
+        self.note_addresses([member.description.beat_address, *beat.peers])
         self.quota.note_peer(beat)
         self.retries.note_peer(beat)
         member.evidence_seen = self.targets.note_peer(beat, member.evidence_seen)
-        self._follow(beat)
+        self._follow(member, beat)
 
-    def _follow(self, beat: beats_pb2.Beat) -> None:
+    def _follow(self, member: Member, beat: beats_pb2.Beat) -> None:
         """Fetch what another instance knows better."""
         older = beat.configuration_version > self.holder.generation()
         if beat.registry_revision >= self.registry.revision:
@@ -315,7 +344,7 @@
             configuration_version=self.holder.generation(),
             registry_digest=self.registry.digest,
         )
-        self.snapshots.fetch(beat.fetch_address, request)
+        self.snapshots.fetch(member.description.fetch_address, request)
 
     def _keep_house(self) -> None:
         self.members.forget_silent()
--- a/src/lacewinglift/mesh/members.py
+++ b/src/lacewinglift/mesh/members.py
@@ -11,7 +11,9 @@
 from lacewinglift.timers import Timers
 
 # An instance that was silent for this long is given no callers and no duties.
-HEARD_WITHIN_S = 1.6
+HEARD_WITHIN_S = 2.0
+# An instance counts as active for this long after its last request.
+ACTIVE_WITHIN_S = 3.0
 # A silent instance may still admit requests; its part of the quotas stays reserved
 # for this long.
 FORGET_AFTER_S = 20.0
@@ -24,7 +26,10 @@
     """One incarnation of another instance."""
 
     beat: beats_pb2.Beat
+    description: beats_pb2.Description
     heard_at_s: float
+    active_at_s: float = float("-inf")
+    """Last time at which the instance told of requests in progress."""
     evidence_seen: int = 0
     """Number of the last event of this incarnation that was taken in."""
 
@@ -46,7 +51,11 @@
     lock: threading.RLock = field(factory=threading.RLock)
 
     def note(self, beat: beats_pb2.Beat) -> Member | None:
-        """Take in a datagram; return None if it is older than what is known."""
+        """Take in a datagram.
+
+        Returns None if it is older than what is known, or if it is from an
+        instance that has not described itself.
+        """
         if beat.instance == self.name:
             return None
         with self.lock:
@@ -55,7 +64,10 @@
                 return None
             now = self.timers.now()
             if known is None or known.beat.incarnation != beat.incarnation:
-                known = self.members[beat.instance] = Member(beat, now)
+                if not beat.HasField("description"):
+                    return None
+                known = Member(beat, beat.description, now)
+                self.members[beat.instance] = known
                 log_info(
                     "member_joined", member=beat.instance, incarnation=beat.incarnation
                 )
@@ -64,6 +76,8 @@
                 log_info("member_state", member=beat.instance, state=state)
             known.beat = beat
             known.heard_at_s = now
+            if beat.has_loads:
+                known.active_at_s = now
             return known
 
     def forget_silent(self) -> None:
@@ -87,6 +101,11 @@
         now = self.timers.now()
         return [m for m in self.known() if now - m.heard_at_s <= HEARD_WITHIN_S]
 
+    def active(self) -> list[Member]:
+        """Return the members that had requests in progress lately."""
+        now = self.timers.now()
+        return [m for m in self.known() if now - m.active_at_s <= ACTIVE_WITHIN_S]
+
     def heard_part(self) -> float:
         """Return the part of the fleet that this instance hears, with itself."""
         known = len(self.known()) + 1
--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -163,7 +163,7 @@
         if self.timers.now() - self.started_at_s < LISTEN_FIRST_S:
             return False
         heard = {
-            member.name: member.beat.data_centre
+            member.name: member.description.data_centre
             for member in self.members.heard()
             if not member.beat.observer
             or member.beat.store_age_ms <= STORE_CONTACT_S * 1000
--- a/src/lacewinglift/mesh/pooled_targets.py
+++ b/src/lacewinglift/mesh/pooled_targets.py
@@ -22,8 +22,15 @@
 from lacewinglift.outcomes import Outcome, OutcomeKind
 from lacewinglift.timers import Timers
 
-# Time after a failure in which no request that cannot be repeated is sent.
-HOLD_OFF_S = 3.0
+# Time after a failure in which no request that cannot be repeated is sent, unless
+# the other targets are full.
+HOLD_OFF_S = 6.0
+# The same while the other targets are full.
+HOLD_OFF_FULL_S = 2.0
+FULL_LOAD = 1.0
+# Served requests after a failure by which a target is trusted again: a target in a
+# bad spell serves some.
+SERVED_TO_TRUST = 2
 # Time after a failure until a request that can be repeated tries the target again.
 TRIAL_AFTER_S = 1.0
 # Time for which a path that broke is avoided by the instance that saw it.
@@ -39,6 +46,8 @@
 MAX_LOAD = 3.0
 # Load that the distance to another data centre counts for.
 FAR_PENALTY = 0.25
+# Load that a new connection counts for.
+NEW_CONNECTION_PENALTY = 0.2
 # Load that a slow start counts for.
 WARMUP_PENALTY = 0.5
 # Events are repeated in datagrams for this long, since datagrams can be lost.
@@ -91,6 +100,8 @@
     peer_loads: dict[str, tuple[int, float]] = field(factory=dict)
     failed_at_s: float | None = None
     """Time of the last failure; None while nothing speaks against the target."""
+    served: int = 0
+    """Requests served since the last failure."""
     trial_at_s: float = 0.0
     path_until_s: float = 0.0
     unreached: dict[str, float] = field(factory=dict)
@@ -140,6 +151,8 @@
         self.instance = instance
         self.data_centre = data_centre
         self.on_event = on_event
+        self.has_connection: Callable[[str], bool] = lambda address: True
+        """Tells whether a request to an address needs no new connection."""
         self.random = random or Random()
         self.states: dict[str, _State] = {}
         self.by_service: dict[str, list[_State]] = {}
@@ -216,17 +229,19 @@
                 state = min(due, key=lambda s: s.trial_at_s)
                 state.trial_at_s = now_s + TRIAL_AFTER_S
                 return state
-        trusted = [s for s in usable if self._trusted(s, now_s)]
+        trusted = [s for s in usable if self._trusted(s, now_s, HOLD_OFF_S)]
+        if all(s.load(now_s) >= FULL_LOAD for s in trusted):
+            trusted = [s for s in usable if self._trusted(s, now_s, HOLD_OFF_FULL_S)]
         if trusted:
             return self._least_loaded(trusted, now_s)
         # Nothing is trusted: the target that failed longest ago is the likeliest
         # to have recovered.
         return min(usable, key=lambda s: (s.shed_until_s > now_s, self._blame_s(s)))
 
-    def _trusted(self, state: _State, now_s: float) -> bool:
+    def _trusted(self, state: _State, now_s: float, hold_off_s: float) -> bool:
         if now_s < state.path_until_s or now_s < state.shed_until_s:
             return False
-        return state.failed_at_s is None or now_s - state.failed_at_s >= HOLD_OFF_S
+        return state.failed_at_s is None or now_s - state.failed_at_s >= hold_off_s
 
     def _blame_s(self, state: _State) -> float:
         failed_at_s = state.failed_at_s or 0.0
@@ -239,6 +254,8 @@
                 load += FAR_PENALTY
             if now_s < state.warm_at_s:
                 load += WARMUP_PENALTY
+            if not self.has_connection(state.target.address):
+                load += NEW_CONNECTION_PENALTY
             return load, self.random.random()
 
         return min(states, key=cost)
@@ -281,15 +298,23 @@
         state.shed_in_a_row = 0
         state.path_until_s = 0.0
         if state.doubted() and attempt.started_s > state.failed_at_s:
-            self._trust(state, "own")
+            self._count_served(state, self.instance)
             self._tell(state, SERVED, now_s)
 
     def _doubt(self, state: _State, at_s: float) -> None:
         if state.failed_at_s is None:
             log_info("target_doubted", target=state.target.name)
         state.failed_at_s = max(at_s, state.failed_at_s or 0.0)
+        state.served = 0
         state.trial_at_s = state.failed_at_s + TRIAL_AFTER_S
 
+    def _count_served(self, state: _State, source: str) -> None:
+        state.served += 1
+        # The next trial need not wait: this one cost nothing.
+        state.trial_at_s = 0.0
+        if state.served >= SERVED_TO_TRUST:
+            self._trust(state, source)
+
     def _trust(self, state: _State, source: str) -> None:
         doubted_s = self.timers.now() - (state.failed_at_s or 0.0)
         log_info(
@@ -372,6 +397,7 @@
                     seen = evidence.number
                     at_s = now - evidence.age_ms / 1000
                     self._take_evidence(beat.instance, evidence, at_s)
+            # Datagrams without loads tell that nothing is in progress.
             loads = {load.target: load.in_flight for load in beat.loads}
             for name, state in self.states.items():
                 count = loads.get(name, 0)
@@ -392,4 +418,4 @@
         elif evidence.kind == UNREACHED:
             self._note_unreached(state, instance, at_s)
         elif state.doubted() and at_s > state.failed_at_s:
-            self._trust(state, instance)
+            self._count_served(state, instance)
--- a/src/lacewinglift/mesh/usage.py
+++ b/src/lacewinglift/mesh/usage.py
@@ -7,9 +7,9 @@
 
 import threading
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from lacewinglift.configuration import Configuration, Workspace
 from lacewinglift.generated import beats_pb2
@@ -20,6 +20,8 @@
 # Part of the retry slack that the fleet uses; the rest covers resends that
 # instances make before they hear of each other's.
 SLACK_PART = 0.6
+# Counts are repeated for this long, since datagrams can be lost.
+COUNT_REPEAT_S = 2.0
 # Longest debt of a bucket, in seconds of its rate.
 MAX_DEBT_S = 5.0
 
@@ -41,13 +43,16 @@
     """Last counts of one incarnation of another instance, by name."""
 
     incarnation: int
+    complete: bool = False
+    """Whether all counts above zero were heard once."""
     counts: dict[str, int] = field(factory=dict)
 
     def gain(self, name: str, count: int) -> int:
         """Return how much a count has grown since it was last heard."""
-        before = self.counts.get(name)
+        # The first datagram that is taken in names all counts.
+        before = self.counts.get(name, 0 if self.complete else count)
         self.counts[name] = count
-        return 0 if before is None else max(count - before, 0)
+        return max(count - before, 0)
 
 
 @define(eq=False)
@@ -61,6 +66,8 @@
         known = self.peers.get(beat.instance)
         if known is None or known.incarnation != beat.incarnation:
             known = self.peers[beat.instance] = _PeerCounts(beat.incarnation)
+            return known
+        known.complete = True
         return known
 
 
@@ -71,6 +78,8 @@
     level: float
     filled_at_s: float
     admitted: int = 0
+    used_at_s: float = float("-inf")
+    """Last time at which this instance admitted a request."""
 
     def fill(self, now_s: float, part: float) -> None:
         gained = (now_s - self.filled_at_s) * self.rate_per_s * part
@@ -124,6 +133,7 @@
                 return QuotaDecision(False, "over_limit", wait_s)
             bucket.level -= 1.0
             bucket.admitted += 1
+            bucket.used_at_s = bucket.filled_at_s
             return _ADMITTED
 
     def note_peer(self, beat: beats_pb2.Beat) -> None:
@@ -137,12 +147,14 @@
                     bucket.fill(self.timers.now(), 1.0)
                     bucket.charge(gained)
 
-    def usages(self) -> list[beats_pb2.Usage]:
-        """Return the counts for other instances."""
+    def usages(self, full: bool) -> list[beats_pb2.Usage]:
+        """Return all counts, or those that have grown lately, for other instances."""
+        since_s = self.timers.now() - COUNT_REPEAT_S
         with self._lock:
             return [
                 beats_pb2.Usage(workspace=name, admitted=bucket.admitted)
                 for name, bucket in self.buckets.items()
+                if bucket.used_at_s >= since_s or (full and bucket.admitted)
             ]
 
 
@@ -152,9 +164,7 @@
         # A restarted fleet cannot know what was used before: the burst is earned.
         return _Bucket(workspace.rate_per_s, burst, 1.0, now_s)
     level = min(known.level, burst)
-    return _Bucket(
-        workspace.rate_per_s, burst, level, known.filled_at_s, known.admitted
-    )
+    return evolve(known, rate_per_s=workspace.rate_per_s, burst=burst, level=level)
 
 
 @define(eq=False)
@@ -202,12 +212,14 @@
         self.resends = SlidingCount(budgets.timers, window_s)
         self.own_requests = 0
         self.own_resends = 0
+        self.used_at_s = float("-inf")
 
     def note_request(self) -> None:
         """Count a first attempt."""
         with self.budgets.lock:
             self.own_requests += 1
             self.requests.add(1)
+            self.used_at_s = self.budgets.timers.now()
 
     def take(self) -> bool:
         """Return whether one more request may be resent now, and count it."""
@@ -271,8 +283,9 @@
                 budget.requests.add(requests)
                 budget.resends.add(resends)
 
-    def counts(self) -> Iterable[beats_pb2.ResendCount]:
-        """Return the counts for other instances."""
+    def counts(self, full: bool) -> list[beats_pb2.ResendCount]:
+        """Return all counts, or those that have grown lately, for other instances."""
+        since_s = self.timers.now() - COUNT_REPEAT_S
         with self.lock:
             return [
                 beats_pb2.ResendCount(
@@ -281,6 +294,7 @@
                     resends=budget.own_resends,
                 )
                 for name, budget in self.services.items()
+                if full or budget.used_at_s >= since_s
             ]
 
     def request_rate_per_s(self) -> float:
--- a/src/lacewinglift/pools.py
+++ b/src/lacewinglift/pools.py
@@ -269,6 +269,15 @@
             return
         self._put_conn(connection)
 
+    def has_idle(self) -> bool:
+        """Return whether an open connection waits for a request."""
+        if self.pool is None:
+            return False
+        with self.pool.mutex:
+            return any(
+                each is not None and not self._stale(each) for each in self.pool.queue
+            )
+
     def prune(self) -> None:
         """Close connections that were not used lately."""
         if self.pool is None:
@@ -306,6 +315,12 @@
                 self.pools[address] = pool
             return pool, pool.checkout()
 
+    def has_idle(self, address: str) -> bool:
+        """Return whether a request to an address needs no new connection."""
+        with self._lock:
+            pool = self.pools.get(address)
+            return pool is not None and pool.has_idle()
+
     def prune(self) -> None:
         """Close idle connections and forget pools that are no longer used."""
         with self._lock:
