--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -31,6 +31,8 @@
 HOUSEKEEPING_INTERVAL_S = 0.25
 # Datagrams at the start that describe this instance, then every so many.
 FIRST_INTRODUCTIONS = 6
+# Time in which several new instances are greeted together.
+GREETING_DELAY_S = 0.1
 INTRODUCE_EVERY = 3
 # Peers named in one datagram, so that its size does not grow with the fleet.
 PEERS_NAMED = 6
@@ -103,6 +105,7 @@
         self.holder = ConfigurationHolder()
         self.members = MemberTable(settings.instance, self.timers)
         self.beats = BeatExchange(settings.beat_address, self, self.timers)
+        self.members.on_join = self.greet
         self.targets = PooledTargets(
             self.timers,
             settings.instance,
@@ -315,6 +318,11 @@
         known = {member.description.beat_address for member in self.members.known()}
         return sorted((known | self.addresses) - {self.settings.beat_address})
 
+    def greet(self) -> None:
+        """Describe this instance to others that have just been heard."""
+        self.introductions = min(self.introductions, FIRST_INTRODUCTIONS - 1)
+        self.beats.send_soon(GREETING_DELAY_S)
+
     def note_addresses(self, addresses: list[str]) -> None:
         """Learn addresses of other instances."""
         self.addresses.update(address for address in addresses if ":" in address)
--- a/src/lacewinglift/mesh/members.py
+++ b/src/lacewinglift/mesh/members.py
@@ -46,8 +46,8 @@
     name: str
     timers: Timers
     members: dict[str, Member] = field(factory=dict)
-    left: dict[str, int] = field(factory=dict)
-    """Incarnations of instances that said that they leave."""
+    on_join: Callable[[], None] = lambda: None
+    """Told of each instance, or incarnation of one, that is heard first."""
     lock: threading.RLock = field(factory=threading.RLock)
 
     def note(self, beat: beats_pb2.Beat) -> Member | None:
@@ -71,6 +71,7 @@
                 log_info(
                     "member_joined", member=beat.instance, incarnation=beat.incarnation
                 )
+                self.on_join()
             if known.beat.state != beat.state:
                 state = beats_pb2.ServingState.Name(beat.state)
                 log_info("member_state", member=beat.instance, state=state)
--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -17,20 +17,22 @@
 
 # Observers in each data centre.
 OBSERVERS_PER_DATA_CENTRE = 1
-# Time between two watch calls on targets, which report many times a second.
-TARGETS_PAUSE_S = 0.4
-TARGETS_WAIT_S = 1.0
-CONFIGURATION_WAIT_S = 10.0
+# Time after a change of targets in which further ones are collected.
+TARGETS_PAUSE_S = 0.1
+# Longest waits of a watch call; a call that went silent is noticed after that.
+TARGETS_WAIT_S = 4.0
+CONFIGURATION_WAIT_S = 8.0
 # Pause after a failed call: the first retry comes soon, as bounds run from then.
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 1.0
 # Time after the start in which an instance listens for others before it reads the
 # store itself.
-LISTEN_FIRST_S = 0.6
+LISTEN_FIRST_S = 1.0
 DUTY_CHECK_INTERVAL_S = 0.2
 # Lease of the address under which new instances find an observer.
 ADDRESS_TTL_S = 60.0
-ADDRESS_RENEW_S = 20.0
+# Time on duty after which an instance is listed: others may take over at once.
+ANNOUNCE_AFTER_S = 2.0
 # Observers look for instances that they do not know at this interval.
 LOOK_AROUND_S = 15.0
 
@@ -212,15 +214,16 @@
         self.registry.reset(readable, listing.revision)
         revision = listing.revision
         while self._on_duty():
-            time.sleep(TARGETS_PAUSE_S)
             try:
                 found = self.store.watch(prefix, revision, TARGETS_WAIT_S)
             except HistoryLostError as error:
                 log_info("store_history_lost", prefix=prefix, reason=error)
                 return
             self.contact.note_answer()
-            self._take_targets(found)
             revision = found.revision
+            if found.changes:
+                self._take_targets(found)
+                time.sleep(TARGETS_PAUSE_S)
 
     def _watch_configuration(self) -> None:
         key = self.codec.configuration_key
@@ -243,6 +246,9 @@
             revision = found.revision
 
     def _announce(self) -> None:
+        self._pause(ANNOUNCE_AFTER_S)
+        if not self._on_duty():
+            return
         prefix = self.codec.instances_prefix
         if self.lease is None or not self.store.renew(self.lease):
             self.lease = self.store.put_leased(
@@ -253,7 +259,7 @@
         self.note_addresses(
             [item.value.decode(errors="replace") for item in listing.items]
         )
-        self._pause(LOOK_AROUND_S)
+        self._pause(LOOK_AROUND_S - ANNOUNCE_AFTER_S)
 
     def _pause(self, duration_s: float) -> None:
         until_s = self.timers.now() + duration_s
