Finish requests in progress when a key is withdrawn; find peers at the start at once

The users' machines ask that new requests are refused and running ones answered. A waiting watch was taken for a lost store after 3 s, so all instances became observers.

--- a/src/lacewinglift/handling.py
+++ b/src/lacewinglift/handling.py
@@ -87,6 +87,8 @@
     operator_networks: Iterable[str] = ("127.0.0.0/8", "::1/128")
     metrics: Metrics = field(factory=Metrics)
     dialect: Dialect = OWN_DIALECT
+    cut_on_withdrawal: bool = True
+    """Whether a request in progress ends when its key is withdrawn."""
 
 
 class RequestHandler:
@@ -296,7 +298,8 @@
         check = AccessCheck(
             access, self.parts.distribution, self.parts.standing, self.head
         )
-        exchange = Exchange(self.parts.timers, self.stream.socket, check.lost)
+        lost = check.lost if self.parts.cut_on_withdrawal else None
+        exchange = Exchange(self.parts.timers, self.stream.socket, lost)
         self.stream.cancelled = lambda: exchange.reason is not None
         try:
             with self.parts.watch.watching(exchange):
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -34,8 +34,10 @@
 # Time in which several new instances are greeted together.
 GREETING_DELAY_S = 0.1
 INTRODUCE_EVERY = 3
-# Peers named in one datagram, so that its size does not grow with the fleet.
+# Peers named in one datagram, so that its size does not grow with the fleet; more at
+# first, so that instances that start together find each other at once.
 PEERS_NAMED = 6
+PEERS_NAMED_FIRST = 48
 MAX_STORE_AGE_MS = 2**31
 
 
@@ -184,6 +186,7 @@
             watch=ExchangeWatch(self.timers),
             metrics=self.metrics,
             dialect=dialect,
+            cut_on_withdrawal=False,
         )
 
     def start(self) -> None:
@@ -300,11 +303,11 @@
         beat.description.caller_address = settings.caller_address
         beat.description.beat_address = settings.beat_address
         beat.description.fetch_address = settings.fetch_address
+        first = self.introductions <= FIRST_INTRODUCTIONS
+        count = PEERS_NAMED_FIRST if first else PEERS_NAMED
         heard = self.members.heard()
         self.random.shuffle(heard)
-        beat.peers.extend(
-            member.description.beat_address for member in heard[:PEERS_NAMED]
-        )
+        beat.peers.extend(m.description.beat_address for m in heard[:count])
 
     def _serving_state(self) -> int:
         if self.shutdown.state is not ShutdownState.SERVING:
--- a/src/lacewinglift/mesh/members.py
+++ b/src/lacewinglift/mesh/members.py
@@ -18,7 +18,7 @@
 # for this long.
 FORGET_AFTER_S = 20.0
 # An answer of the store counts as contact for this long.
-STORE_CONTACT_S = 3.0
+STORE_CONTACT_S = 6.0
 
 
 @define(eq=False)
--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -1,5 +1,6 @@
 """The few instances that watch the store for all others."""
 
+import math
 import threading
 import time
 from collections.abc import Callable
@@ -19,7 +20,8 @@
 OBSERVERS_PER_DATA_CENTRE = 1
 # Time after a change of targets in which further ones are collected.
 TARGETS_PAUSE_S = 0.1
-# Longest waits of a watch call; a call that went silent is noticed after that.
+# Longest waits of a watch call; a call that went silent is noticed after that. That
+# on targets is shorter than `STORE_CONTACT_S`, so that a quiet watch is no lost store.
 TARGETS_WAIT_S = 4.0
 CONFIGURATION_WAIT_S = 8.0
 # Pause after a failed call: the first retry comes soon, as bounds run from then.
@@ -75,7 +77,9 @@
             log_warning("store_lost", code=error.code, reason=error)
 
     def age_s(self) -> float:
-        """Return the time since the last answer."""
+        """Return the time since the last answer; infinite once a call failed."""
+        if self.failing:
+            return math.inf
         return self.timers.now() - self.answered_at_s
 
 
