--- a/src/lacewinglift/pools.py
+++ b/src/lacewinglift/pools.py
@@ -261,9 +261,9 @@
 
     def checkin(self, connection: TargetConnection) -> None:
         """Take back a connection whose answer was read to its end."""
-        connection.reuse_until_s = self.timers.now()
-        if connection.answer is not None:
-            connection.reuse_until_s += connection.answer.keep_alive_s()
+        answer = connection.answer
+        reuse_s = REUSE_WITHIN_S if answer is None else answer.keep_alive_s()
+        connection.reuse_until_s = self.timers.now() + reuse_s
         if self.pool is None or self.pool.full():
             connection.close()
             return
--- /dev/null
+++ b/testing/adapter/test_node_file.py
@@ -0,0 +1,81 @@
+import json
+import pathlib
+import re
+import tomllib
+
+import pytest
+from adapter.node_file import METRICS_PORT, NodeFile
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals
+
+from lacewinglift.errors import SettingsError
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+FIELDS = {
+    "node": "frontend-milano-1",
+    "ip_address": "10.1.0.37",
+    "zone": "milano",
+    "listen_addresses": {
+        "frontend": "10.1.0.37:8388",
+        "ready": "10.1.0.37:8384",
+        "control": "10.1.0.37:8381",
+        "directory": "10.1.0.37:8383",
+    },
+    "internal_port_range": [7560, 7575],
+    "seeds": ["10.2.0.8:8381"],
+    "bounds": ["budget_ratio=0.2", "budget_slack=58", "closed=false", "grace_s=6"],
+    "platform": {"address": "10.200.1.7:8382"},
+    "unknown": {"new": "field"},
+}
+
+
+@pytest.fixture
+def write(tmp_path):
+    def write(fields):
+        path = tmp_path / "boot.json"
+        path.write_text(json.dumps(fields))
+        return str(path)
+
+    return write
+
+
+def test_settings_come_from_the_fields(write):
+    """Guards against an address that is taken from the wrong field."""
+    settings = NodeFile(write(FIELDS)).settings()
+    assert_that(settings.caller_address, Equals("10.1.0.37:8388"))
+    assert_that(settings.beat_address, Equals("10.1.0.37:8381"))
+    assert_that(settings.fetch_address, Equals("10.1.0.37:7560"))
+    assert_that(settings.seeds, Equals(("10.2.0.8:8381",)))
+    assert_that(settings.retry_limits.slack, Equals(58.0))
+    assert settings.stop_bound_s < 6
+
+
+def test_missing_field_is_named(write):
+    """Guards against a process that starts without what it needs."""
+    fields = {**FIELDS, "platform": {}}
+    with pytest.raises(SettingsError) as caught:
+        NodeFile(write(fields)).settings()
+    assert_that(str(caught.value), Contains("platform.address"))
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{"])
+def test_unreadable_file_is_an_error(tmp_path, text):
+    """Guards against a traceback in place of an error that names the file."""
+    path = tmp_path / "boot.json"
+    path.write_text(text)
+    with pytest.raises(SettingsError, match=re.escape("boot.json")):
+        NodeFile(str(path))
+
+
+def test_requirements_are_those_of_the_project():
+    """Guards against machines that run other libraries than the tests."""
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    listed = (ROOT / "requirements.txt").read_text().split()
+    assert_that(sorted(listed), Equals(sorted(project["dependencies"])))
+
+
+def test_deploy_file_names_the_port_of_the_metrics():
+    """Guards against metrics that are fetched from a port nobody listens on."""
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    metrics = deploy["roles"]["instance"]["metrics"]
+    assert_that(metrics, Equals(f"{METRICS_PORT}/metrics"))
--- /dev/null
+++ b/testing/adapter/test_store_client.py
@@ -0,0 +1,95 @@
+import threading
+import time
+
+import pytest
+from adapter.store_client import PlatformStore as StoreClient
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, GreaterThan, HasLength
+
+from lacewinglift.errors import StoreRefusedError, StoreUnavailableError
+from lacewinglift.kv import Change, HistoryLostError
+from testing.standins.platform_store import PlatformStore
+
+
+@pytest.fixture
+def store():
+    store = PlatformStore()
+    yield store
+    store.close()
+
+
+@pytest.fixture
+def client(store):
+    client = StoreClient(store.address)
+    yield client
+    client.close()
+
+
+def test_listing_reads_all_pages(store, client):
+    """Guards against targets that are lost behind the first page."""
+    store.page_size = 2
+    for number in range(5):
+        store.put(f"servers/{number}", b"x")
+    listing = client.list("servers/")
+    assert_that(listing.items, HasLength(5))
+    assert_that(listing.revision, Equals(105))
+
+
+def test_watch_returns_writes_and_removals(store, client):
+    """Guards against a removal that is read as a write."""
+    store.put("servers/a", b"one")
+    store.remove("servers/a")
+    found = client.watch("servers/", 100, 1.0)
+    changes = (Change("servers/a", b"one", 101), Change("servers/a", None, 102))
+    assert_that(found.changes, Equals(changes))
+    assert_that(found.revision, Equals(102))
+
+
+def test_watch_waits_its_whole_time(store, client):
+    """Guards against a client time-out that cuts every watch after one second."""
+    started_s = time.monotonic()
+    threading.Timer(1.5, store.put, ("servers/a", b"x")).start()
+    found = client.watch("servers/", 100, 5.0)
+    assert_that(found.changes, HasLength(1))
+    assert_that(time.monotonic() - started_s, GreaterThan(1.4))
+
+
+def test_lost_history_is_told_apart(store, client):
+    """Guards against a watch that goes on as if it had missed nothing."""
+    store.put("servers/a", b"x")
+    store.forget_history()
+    with pytest.raises(HistoryLostError):
+        client.watch("servers/", 100, 1.0)
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_refused_call_is_known_not_to_be_done(store, client, status):
+    """Guards against a refused write that is taken for one in doubt."""
+    store.status = status
+    with pytest.raises(StoreRefusedError):
+        client.list("servers/")
+
+
+def test_silent_store_ends_the_call(store, client):
+    """Guards against a call that waits for a store that is down."""
+    store.down = True
+    with pytest.raises(StoreUnavailableError):
+        client.list("servers/")
+
+
+def test_lost_reply_leaves_the_write_in_doubt(store, client):
+    """Guards against a write that is done after its call was given up."""
+    store.lose_replies = 1
+    store.late_writes_s = 0.2
+    with pytest.raises(StoreUnavailableError):
+        client.put_leased("lacewinglift/instances/a", b"x", 60.0)
+    time.sleep(0.5)
+    assert_that(store.entries, Contains("lacewinglift/instances/a"))
+
+
+def test_lease_is_renewed_until_it_ends(store, client):
+    """Guards against an instance that believes in a lease that has ended."""
+    lease = client.put_leased("lacewinglift/instances/a", b"x", 60.0)
+    assert client.renew(lease)
+    store.leases.clear()
+    assert not client.renew(lease)
--- /dev/null
+++ b/testing/mesh/test_pooled_targets.py
@@ -0,0 +1,247 @@
+from random import Random
+
+import pytest
+from attrs import evolve
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, LessThan, Not
+
+from lacewinglift.generated import beats_pb2
+from lacewinglift.mesh.pooled_targets import (
+    HOLD_OFF_S,
+    PATH_HOLD_OFF_S,
+    TRIAL_AFTER_S,
+    PooledTargets,
+)
+from lacewinglift.mesh.registry import RegisteredTarget
+from lacewinglift.outcomes import Outcome, OutcomeKind
+from lacewinglift.timers import ManualTimers
+
+ERROR = Outcome(OutcomeKind.ERROR, 0.001)
+SUCCESS = Outcome(OutcomeKind.SUCCESS, 0.2)
+SHED = Outcome(OutcomeKind.SHED, 0.001)
+CUT = Outcome(OutcomeKind.CUT, 0.1)
+
+
+def make_target(number, data_centre="milano", slots=2):
+    address = f"10.0.0.{number}:80"
+    return RegisteredTarget(f"t{number}", "cassa", address, data_centre, slots, 1, 1)
+
+
+@pytest.fixture
+def timers():
+    return ManualTimers()
+
+
+@pytest.fixture
+def pair(timers):
+    """Two instances before the same four targets."""
+    tables = [
+        PooledTargets(timers, name, "milano", random=Random(1)) for name in ("a", "b")
+    ]
+    for table in tables:
+        table.apply([make_target(number) for number in range(4)])
+    return tables
+
+
+def tell(sender, receiver, seen=0):
+    beat = beats_pb2.Beat(instance=sender.instance, incarnation=1)
+    beat.evidence.extend(sender.evidence())
+    beat.loads.extend(sender.loads())
+    return receiver.note_peer(beat, seen)
+
+
+def send_to(table, name, outcome):
+    others = {each for each in table.states if each != name}
+    attempt = table.acquire("cassa", others)
+    attempt.finish(outcome)
+
+
+def chosen(table, count=40, repeatable=False):
+    names = set()
+    for _ in range(count):
+        attempt = table.acquire("cassa", repeatable=repeatable)
+        names.add(attempt.target.name)
+        attempt.finish(Outcome(OutcomeKind.CANCELLED, 0.0))
+    return names
+
+
+def test_one_failure_keeps_unrepeatable_requests_away_everywhere(pair):
+    """Load: few requests an instance, a target fails nine in ten for seconds.
+
+    Guards against sales lost at a target that another instance has seen fail.
+    """
+    send_to(pair[0], "t1", ERROR)
+    tell(*pair)
+    for table in pair:
+        assert_that(chosen(table), Not(Contains("t1")))
+
+
+def test_doubted_target_is_tried_by_a_request_that_can_be_repeated(pair, timers):
+    """Guards against sales that find out whether a target has recovered."""
+    send_to(pair[0], "t1", ERROR)
+    timers.advance(TRIAL_AFTER_S)
+    assert_that(chosen(pair[0]), Not(Contains("t1")))
+    attempt = pair[0].acquire("cassa", repeatable=True)
+    assert_that(attempt.target.name, Equals("t1"))
+
+
+def test_one_served_request_does_not_end_a_doubt(pair, timers):
+    """Guards against trust in a target that serves one in ten of its requests."""
+    send_to(pair[0], "t1", ERROR)
+    timers.advance(TRIAL_AFTER_S)
+    pair[0].acquire("cassa", repeatable=True).finish(SUCCESS)
+    assert_that(chosen(pair[0]), Not(Contains("t1")))
+    timers.advance(0.1)
+    pair[0].acquire("cassa", repeatable=True).finish(SUCCESS)
+    assert_that(chosen(pair[0]), Contains("t1"))
+
+
+def test_served_requests_end_a_doubt_at_all_instances(pair, timers):
+    """Guards against instances that avoid a target long after it recovered."""
+    send_to(pair[0], "t1", ERROR)
+    seen = tell(*pair)
+    for _ in range(2):
+        timers.advance(TRIAL_AFTER_S)
+        pair[0].acquire("cassa", repeatable=True).finish(SUCCESS)
+    tell(*pair, seen)
+    assert_that(chosen(pair[1]), Contains("t1"))
+
+
+def test_request_sent_before_a_failure_is_no_proof(pair, timers):
+    """Guards against a long request that ends well and hides a failing target."""
+    old = pair[0].acquire("cassa", {"t0", "t2", "t3"})
+    timers.advance(0.3)
+    send_to(pair[0], "t1", ERROR)
+    old.finish(SUCCESS)
+    assert pair[0].states["t1"].served == 0
+
+
+def test_broken_path_is_avoided_only_by_the_instance_that_saw_it(pair, timers):
+    """Guards against one cut-off instance that empties the fleet's targets."""
+    for name in ("t0", "t1", "t2"):
+        send_to(pair[0], name, CUT)
+    tell(*pair)
+    assert_that(chosen(pair[0]), Equals({"t3"}))
+    assert_that(chosen(pair[1]), Equals({"t0", "t1", "t2", "t3"}))
+    timers.advance(PATH_HOLD_OFF_S)
+    assert_that(chosen(pair[0]), Equals({"t0", "t1", "t2", "t3"}))
+
+
+def test_paths_broken_at_two_instances_are_the_target_s_fault(pair, timers):
+    """Guards against a target that resets connections and is tried by each in turn."""
+    third = PooledTargets(timers, "c", "milano", random=Random(1))
+    third.apply([make_target(number) for number in range(4)])
+    for table in pair:
+        send_to(table, "t1", CUT)
+        tell(table, third)
+    assert_that(chosen(third), Not(Contains("t1")))
+
+
+def test_work_in_flight_elsewhere_counts(pair):
+    """Load: two slots a target and several instances.
+
+    Guards against two instances that pile their requests on the same targets.
+    """
+    busy = [pair[0].acquire("cassa") for _ in range(4)]
+    tell(*pair)
+    attempts = [pair[1].acquire("cassa") for _ in range(4)]
+    names = [attempt.target.name for attempt in (*busy, *attempts)]
+    assert_that(max(names.count(name) for name in names), Equals(2))
+
+
+def test_target_that_sheds_is_left_alone_for_a_moment(pair, timers):
+    """Guards against a burst of refused requests at a full target."""
+    send_to(pair[0], "t1", SHED)
+    assert_that(chosen(pair[0]), Not(Contains("t1")))
+    timers.advance(1.0)
+    assert_that(chosen(pair[0]), Contains("t1"))
+
+
+def test_full_targets_bring_doubted_ones_back_sooner(pair, timers):
+    """Load: more requests than the trusted targets have slots.
+
+    Guards against queues at few targets while others stand idle in doubt.
+    """
+    send_to(pair[0], "t1", ERROR)
+    timers.advance(HOLD_OFF_S / 2)
+    names = [pair[0].acquire("cassa").target.name for _ in range(7)]
+    assert_that(names[:6], Not(Contains("t1")))
+    assert_that(names[6], Equals("t1"))
+
+
+def test_leaving_target_gets_nothing(pair):
+    """Guards against new work for a target that drains."""
+    leaving = [make_target(number) for number in range(4)]
+    leaving[2] = evolve(leaving[2], leaving=True)
+    pair[0].apply(leaving)
+    assert_that(chosen(pair[0]), Equals({"t0", "t1", "t3"}))
+
+
+def test_new_incarnation_starts_without_doubt(pair):
+    """Guards against blame that outlives the process that failed."""
+    send_to(pair[0], "t1", ERROR)
+    targets = [make_target(number) for number in range(4)]
+    targets[1] = evolve(targets[1], born_ms=2)
+    pair[0].apply(targets)
+    assert_that(chosen(pair[0]), Contains("t1"))
+
+
+def test_near_targets_come_first_until_they_fill(timers):
+    """Guards against bytes between data centres while near targets are idle."""
+    table = PooledTargets(timers, "a", "milano", random=Random(1))
+    near = [make_target(number, slots=4) for number in range(2)]
+    far = [make_target(number, "torino", slots=4) for number in range(2, 4)]
+    table.apply(near + far)
+    first = [table.acquire("cassa").target.data_centre for _ in range(2)]
+    assert_that(first, Equals(["milano", "milano"]))
+    rest = [table.acquire("cassa").target.data_centre for _ in range(8)]
+    assert_that(rest, Contains("torino"))
+
+
+def test_open_connections_are_preferred(timers):
+    """Guards against a new connection for each request of a quiet instance."""
+    table = PooledTargets(timers, "a", "milano", random=Random(1))
+    table.apply([make_target(number) for number in range(4)])
+    table.has_connection = lambda address: address.startswith("10.0.0.2:")
+    assert_that(chosen(table), Equals({"t2"}))
+
+
+def test_lost_datagrams_are_made_good_by_the_next(pair):
+    """Guards against evidence that is lost with one datagram."""
+    send_to(pair[0], "t1", ERROR)
+    pair[0].evidence()
+    assert_that(tell(*pair), Equals(1))
+    assert_that(chosen(pair[1]), Not(Contains("t1")))
+
+
+def test_few_sales_are_lost_when_targets_fail_by_turns(timers):
+    """Load: 35 sales a second on nine instances, three targets in ten fail gray.
+
+    Guards against detection by each instance alone, which loses a quarter of them.
+    """
+    random = Random(7)
+    targets = [make_target(number, slots=6) for number in range(15)]
+    tables = []
+    for number in range(9):
+        table = PooledTargets(timers, f"f{number}", "milano", random=random)
+        table.apply(targets)
+        tables.append(table)
+    seen = {}
+    failing = {target.name: random.random() < 0.3 for target in targets}
+    sent = lost = 0
+    for step in range(1000):
+        if step % 50 == 0:
+            name = random.choice(targets).name
+            failing[name] = random.random() < 0.3
+        table = random.choice(tables)
+        attempt = table.acquire("cassa")
+        fails = failing[attempt.target.name] and random.random() < 0.9
+        attempt.finish(ERROR if fails else SUCCESS)
+        sent += 1
+        lost += fails
+        for receiver in tables:
+            if receiver is not table:
+                key = (table.instance, receiver.instance)
+                seen[key] = tell(table, receiver, seen.get(key, 0))
+        timers.advance(1 / 35)
+    assert_that(lost / sent, LessThan(0.06))
--- /dev/null
+++ b/testing/standins/platform_store.py
@@ -0,0 +1,237 @@
+"""Stand-in of the platform's metadata store, with the faults that its pages name."""
+
+import base64
+import itertools
+import json
+import threading
+import time
+import urllib.parse
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+from attrs import define, field
+
+MAX_TXN_ENTRIES = 32
+
+
+@define
+class _Entry:
+    value: bytes
+    rev: int
+    created: int
+    lease: int = 0
+
+
+@define(eq=False, slots=False)
+class PlatformStore:
+    """A store on a loopback address; the fields `down` to `lose_replies` are faults.
+
+    Parameters
+    ----------
+    host : str
+        Loopback address to listen on.
+    """
+
+    host: str = "127.0.0.1"
+    page_size: int = 500
+    revision: int = 100
+    oldest: int = 100
+    """Revision before which the history is gone."""
+    down: bool = False
+    """No call is answered."""
+    status: int | None = None
+    """Status of all answers, such as 503 or 429."""
+    lose_replies: int = 0
+    """Writes that are done and not answered."""
+    late_writes_s: float = 0.0
+    """Time after which a write is done whose answer is lost."""
+    entries: dict = field(factory=dict)
+    events: list = field(factory=list)
+    leases: dict = field(factory=dict)
+    calls: list = field(factory=list)
+    numbers: object = field(factory=lambda: itertools.count(77001))
+    condition: threading.Condition = field(factory=threading.Condition)
+
+    def __attrs_post_init__(self):
+        handler = type("Handler", (_Handler,), {"store": self})
+        self.server = ThreadingHTTPServer((self.host, 0), handler)
+        self.server.daemon_threads = True
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    @property
+    def address(self):
+        host, port = self.server.server_address
+        return f"{host}:{port}"
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+    def put(self, key, fields, lease=0):
+        """Write as the operator or a target does."""
+        data = fields if isinstance(fields, bytes) else json.dumps(fields).encode()
+        with self.condition:
+            self._write(key, data, lease)
+
+    def remove(self, key):
+        """Remove a key."""
+        with self.condition:
+            if self.entries.pop(key, None) is not None:
+                self.revision += 1
+                event = {"key": key, "rev": self.revision, "removed": True}
+                self.events.append(event)
+                self.condition.notify_all()
+
+    def forget_history(self):
+        """Drop all changes so far."""
+        with self.condition:
+            self.events.clear()
+            self.oldest = self.revision
+            self.condition.notify_all()
+
+    def expire_leases(self):
+        """End the leases whose time is over."""
+        now = time.monotonic()
+        for lease, until_s in list(self.leases.items()):
+            if now > until_s:
+                del self.leases[lease]
+                for key, entry in list(self.entries.items()):
+                    if entry.lease == lease:
+                        self.remove(key)
+
+    def _write(self, key, data, lease):
+        self.revision += 1
+        known = self.entries.get(key)
+        created = self.revision if known is None else known.created
+        self.entries[key] = _Entry(data, self.revision, created, lease)
+        self.events.append(self._item(key))
+        self.condition.notify_all()
+
+    def _item(self, key):
+        entry = self.entries[key]
+        return {
+            "key": key,
+            "value": base64.b64encode(entry.value).decode(),
+            "rev": entry.rev,
+            "create_revision": entry.created,
+            "lease": entry.lease,
+        }
+
+    # ---- calls ----
+
+    def range(self, query):
+        with self.condition:
+            keys = sorted(
+                key
+                for key in self.entries
+                if key.startswith(query["prefix"]) and key > query.get("after", "")
+            )
+            page = keys[: self.page_size]
+            return 200, {
+                "items": [self._item(key) for key in page],
+                "truncated": len(keys) > len(page),
+                "store_revision": self.revision,
+            }
+
+    def watch(self, query):
+        after = int(query["after"])
+        until_s = time.monotonic() + int(query["wait_ms"]) / 1000
+        with self.condition:
+            while True:
+                if after < self.oldest:
+                    return 410, {}
+                events = [
+                    event
+                    for event in self.events
+                    if event["rev"] > after and event["key"].startswith(query["prefix"])
+                ]
+                left_s = until_s - time.monotonic()
+                if events or left_s <= 0:
+                    return 200, {"events": events, "store_revision": self.revision}
+                self.condition.wait(left_s)
+
+    def txn(self, body):
+        rows = [*body["precondition"], *body["puts"], *body["deletes"]]
+        if len(rows) > MAX_TXN_ENTRIES:
+            return 400, {}
+        with self.condition:
+            for row in body["precondition"]:
+                entry = self.entries.get(row["key"])
+                if (0 if entry is None else entry.rev) != row["rev"]:
+                    return 412, {"items": []}
+            if any(put["key"].startswith(("op/", "servers/")) for put in body["puts"]):
+                return 403, {}
+            if any(put["lease"] not in {0, *self.leases} for put in body["puts"]):
+                return 404, {}
+            for put in body["puts"]:
+                data = base64.b64decode(put["value"], validate=True)
+                self._write(put["key"], data, put["lease"])
+        for key in body["deletes"]:
+            self.remove(key)
+        return 200, {"rev": self.revision}
+
+    def grant(self, body):
+        lease = next(self.numbers)
+        self.leases[lease] = time.monotonic() + body["ttl_ms"] / 1000
+        return 200, {"lease": lease, "ttl_ms": body["ttl_ms"]}
+
+    def keep(self, lease):
+        if lease not in self.leases:
+            return 404, {}
+        self.leases[lease] = time.monotonic() + 60
+        return 200, {"ttl_ms": 60_000}
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    store: PlatformStore
+
+    def log_message(self, *arguments):
+        """Print nothing."""
+
+    def do_GET(self):
+        self._carry_out(None)
+
+    def do_POST(self):
+        length = int(self.headers.get("Content-Length", 0))
+        self._carry_out(json.loads(self.rfile.read(length) or b"{}"))
+
+    def _carry_out(self, body):
+        store = self.store
+        store.calls.append((self.command, self.path))
+        if store.down:
+            time.sleep(30)
+            self.close_connection = True
+            return
+        if store.status is not None:
+            self._answer(store.status, {})
+            return
+        if self.path == "/kv-txn" and store.lose_replies:
+            store.lose_replies -= 1
+            threading.Timer(store.late_writes_s, store.txn, (body,)).start()
+            self.close_connection = True
+            return
+        self._answer(*self._dispatch(body))
+
+    def _dispatch(self, body):
+        path, _, text = self.path.partition("?")
+        query = dict(urllib.parse.parse_qsl(text))
+        store = self.store
+        if path == "/kv-range":
+            return store.range(query)
+        if path == "/kv-watch":
+            return store.watch(query)
+        if path == "/kv-txn":
+            return store.txn(body)
+        if path == "/kv-lease":
+            return store.grant(body)
+        if path.startswith("/kv-keep/"):
+            return store.keep(int(path.rpartition("/")[2]))
+        return 404, {}
+
+    def _answer(self, status, fields):
+        data = json.dumps(fields).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
