Read the store at once after a restart, and hold requests until it is read

Requests wait up to 0.8 s for an instance that is about to be ready. Answers that are large on average stay in their data centre; failed attempts and refusals are logged with why.

--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -19,6 +19,7 @@
 from lacewinglift.dialects import OWN_DIALECT, Dialect
 from lacewinglift.exchanges import CancelReason, Exchange
 from lacewinglift.headers import BadRequestError, Headers, headers_to_caller
+from lacewinglift.logs import log_info
 from lacewinglift.outcomes import Outcome, OutcomeKind
 from lacewinglift.pools import (
     TargetConnection,
@@ -171,6 +172,7 @@
         self._response = response
         self._raw = raw
         self._latency_s = latency_s
+        self._bytes = 0
         self._preloaded: Iterator[bytes] | None = None
 
     @property
@@ -200,6 +202,7 @@
             return
         try:
             while piece := self._response.read1(PIECE_BYTES, decode_content=False):
+                self._bytes += len(piece)
                 yield piece
         except TimeoutError as error:
             self._fail(OutcomeKind.TIMEOUT, error)
@@ -221,7 +224,7 @@
         if self._call.exchange.reason is not None:
             self._fail(OutcomeKind.CANCELLED, None)
         kind = OutcomeKind.ERROR if self.failed else OutcomeKind.SUCCESS
-        self._call.finish(kind, self._latency_s)
+        self._call.finish(kind, self._latency_s, self._bytes)
         self._call.release(self._raw, self.upload_finished)
 
     def _whole(self) -> bool:
@@ -284,13 +287,18 @@
     def elapsed_s(self) -> float:
         return self.timers.now() - self.started_s
 
-    def finish(self, kind: OutcomeKind, latency_s: float | None = None) -> None:
+    def finish(
+        self,
+        kind: OutcomeKind,
+        latency_s: float | None = None,
+        answer_bytes: int = 0,
+    ) -> None:
         """Report the outcome, once."""
         if self.finished:
             return
         self.finished = True
         latency_s = self.elapsed_s() if latency_s is None else latency_s
-        self.attempt.finish(Outcome(kind, latency_s))
+        self.attempt.finish(Outcome(kind, latency_s, answer_bytes))
         if self.forwarder.on_attempt is not None:
             self.forwarder.on_attempt(self.service_name, kind)
 
@@ -431,13 +439,13 @@
         failure: _AttemptFailedError | None = None
         while True:
             if self._remaining_s() <= 0:
-                raise self._refusal(failure or self._too_late())
+                raise self._give_up("time", failure or self._too_late(), len(tried))
             last_attempt = self.request.max_attempts - 1
             charged = self._charged(len(tried))
             repeatable = self.request.repeatable and charged < last_attempt
             attempt = self.forwarder.table.acquire(self.service.name, tried, repeatable)
             if attempt is None:
-                raise self._refusal(failure)
+                raise self._give_up("no_target", failure, len(tried))
             tried.add(attempt.target.name)
             if failure is not None and self.forwarder.on_retry is not None:
                 self.forwarder.on_retry(self.service.name)
@@ -455,10 +463,12 @@
             if last.verdict is Verdict.NOT_RUN:
                 self.refused += 1
             charged = self._charged(len(tried))
-            if not self._may_resend(last, charged) or not budget.take():
+            reason = self._reason_to_stop(last, charged, budget)
+            self._log_failure(attempt.target.name, last, reason)
+            if reason is not None:
                 if answer is not None:
                     return answer
-                raise self._refusal(failure)
+                raise self._give_up(reason, failure, len(tried))
             if answer is not None:
                 answer.close()
 
@@ -480,11 +490,50 @@
         message = f"a target failed with status {answer.status}"
         return _AttemptFailedError(OutcomeKind.ERROR, Verdict.MAY_HAVE_RUN, message)
 
-    def _may_resend(self, failure: _AttemptFailedError, attempts: int) -> bool:
-        if attempts >= self.request.max_attempts or self._remaining_s() <= 0:
-            return False
+    def _reason_to_stop(
+        self, failure: _AttemptFailedError, attempts: int, budget: Budget
+    ) -> str | None:
+        """Return why the request is not sent again, or None."""
+        if self._remaining_s() <= 0:
+            return "time"
+        if attempts >= self.request.max_attempts:
+            return "attempts"
         replayable = self.request.body.replayable and self._body_kept()
-        return may_resend(self.request.repeatable, failure.verdict, replayable)
+        if not may_resend(self.request.repeatable, failure.verdict, replayable):
+            return "may_have_run"
+        return None if budget.take() else "retry_budget"
+
+    def _log_failure(
+        self, target: str, failure: _AttemptFailedError, reason: str | None
+    ) -> None:
+        log_info(
+            "attempt_failed",
+            id=self.request.request_id or "-",
+            service=self.service.name,
+            target=target,
+            outcome=failure.kind.value,
+            verdict=failure.verdict.value,
+            after_s=self.call.elapsed_s(),
+            left_s=self._remaining_s(),
+            resent=reason is None,
+            why=reason or "-",
+        )
+
+    def _give_up(
+        self, reason: str, failure: _AttemptFailedError | None, attempts: int
+    ) -> RefusalError:
+        """Return the refusal of a request that is not sent again, and log it."""
+        error = self._refusal(failure)
+        log_info(
+            "request_given_up",
+            id=self.request.request_id or "-",
+            service=self.service.name,
+            why=reason,
+            attempts=attempts,
+            code=error.refusal.code,
+            verdict=error.refusal.verdict.value,
+        )
+        return error
 
     def _body_kept(self) -> bool:
         return not self.request.body.present or not self.request.body.released
--- a/src/lacewinglift/handling.py
+++ b/src/lacewinglift/handling.py
@@ -4,7 +4,7 @@
 import http
 import ipaddress
 import urllib.parse
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Protocol
 
 from attrs import define, field
@@ -48,6 +48,9 @@
 OWN_PREFIX = "/.lacewinglift/"
 # Time to read the rest of a small body, so that a refusal keeps the connection.
 DRAIN_S = 1.0
+# Time that a request waits for an instance that is about to be ready; a refusal would
+# bring it back later than that.
+START_HOLD_S = 0.8
 
 _REFUSED_BY_ADMISSION = {
     "over_limit": "is over its rate; wait before the next request",
@@ -89,6 +92,8 @@
     dialect: Dialect = OWN_DIALECT
     cut_on_withdrawal: bool = True
     """Whether a request in progress ends when its key is withdrawn."""
+    wait_started: Callable[[float], object] | None = None
+    """Waits for the first configuration, for so many seconds at most."""
 
 
 class RequestHandler:
@@ -231,6 +236,8 @@
         ):
             self._write_metrics()
             return
+        if self.parts.wait_started is not None:
+            self.parts.wait_started(START_HOLD_S)
         configuration = self.parts.distribution.current()
         if configuration is None:
             message = "this instance has no configuration yet; use another address"
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -105,6 +105,7 @@
         self.random = Random()
         self.metrics = Metrics()
         self.holder = ConfigurationHolder()
+        self.started = threading.Event()
         self.members = MemberTable(settings.instance, self.timers)
         self.beats = BeatExchange(settings.beat_address, self, self.timers)
         self.members.on_join = self.greet
@@ -161,6 +162,8 @@
             settings.beat_address,
             settings.data_centre,
             self.timers,
+            self.is_started,
+            read_at_once=not settings.first_start,
         )
 
     def _make_parts(self, dialect: Dialect) -> RequestParts:
@@ -187,6 +190,7 @@
             metrics=self.metrics,
             dialect=dialect,
             cut_on_withdrawal=False,
+            wait_started=self.started.wait,
         )
 
     def start(self) -> None:
@@ -212,10 +216,19 @@
         self.timers.stop()
         return report
 
+    def is_started(self) -> bool:
+        """Return whether this instance has a configuration and the targets."""
+        return self.holder.current() is not None and self.registry.ready
+
     def is_ready(self) -> bool:
         """Return whether callers should be sent to this instance."""
         serving = self.shutdown.state is ShutdownState.SERVING
-        return serving and self.holder.current() is not None and self.registry.ready
+        return serving and self.is_started()
+
+    def _note_started(self) -> None:
+        if self.is_started() and not self.started.is_set():
+            self.started.set()
+            log_info("instance_ready", generation=self.holder.generation())
 
     def admit(self, workspace: object) -> QuotaDecision:
         """Return whether one more request of a workspace may run now."""
@@ -238,10 +251,12 @@
             routes=len(configuration.routes),
             workspaces=len(configuration.workspaces),
         )
+        self._note_started()
         self.beats.send_soon()
 
     def _registry_changed(self) -> None:
         self.targets.apply(list(self.registry.targets.values()))
+        self._note_started()
         self.beats.send_soon()
 
     def make_snapshot(self, request: beats_pb2.SnapshotRequest) -> beats_pb2.Snapshot:
--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -106,6 +106,11 @@
         Data centre of this instance.
     timers : Timers
         Clock.
+    is_started : callable
+        Tells whether this instance has a configuration and the targets.
+    read_at_once : bool
+        Whether to read the store once before it is known whose turn it is, since
+        callers are waiting.
     """
 
     def __init__(
@@ -119,6 +124,8 @@
         beat_address: str,
         data_centre: str,
         timers: Timers,
+        is_started: Callable[[], bool],
+        read_at_once: bool,
     ) -> None:
         self.store = store
         self.codec = codec
@@ -129,6 +136,8 @@
         self.beat_address = beat_address
         self.data_centre = data_centre
         self.timers = timers
+        self.is_started = is_started
+        self.read_at_once = read_at_once
         self.contact = StoreContact(timers)
         self.started_at_s = timers.now()
         self.on_duty = threading.Event()
@@ -144,9 +153,9 @@
             ("watch-configuration", self._watch_configuration),
             ("announce", self._announce),
         ):
-            threading.Thread(
-                target=self._run, args=(loop,), name=name, daemon=True
-            ).start()
+            _start_thread(name, lambda loop=loop: self._run(loop))
+        if self.read_at_once:
+            _start_thread("first-read", self._first_read)
 
     def stop(self) -> None:
         """End the threads after their present calls."""
@@ -187,6 +196,17 @@
 
     # ---- threads ----
 
+    def _first_read(self) -> None:
+        """Read configuration and targets, unless others tell them first."""
+        while not self.stopped and not self.is_started():
+            try:
+                self._list_configuration()
+                self._list_targets()
+            except StoreError as error:
+                self.contact.note_failure(error)
+                self.registry.note_outage()
+                time.sleep(RETRY_FIRST_S)
+
     def _run(self, loop: Callable[[], None]) -> None:
         """Run one turn after another while on duty."""
         failures = 0
@@ -209,14 +229,28 @@
     def _on_duty(self) -> bool:
         return self.on_duty.is_set() and not self.stopped
 
-    def _watch_targets(self) -> None:
-        prefix = self.codec.targets_prefix
-        listing = self.store.list(prefix)
+    def _list_targets(self) -> int:
+        """Read all targets; return the revision that a watch continues from."""
+        listing = self.store.list(self.codec.targets_prefix)
         self.contact.note_answer()
         targets = [self._read(item.key, item.value) for item in listing.items]
         readable = [target for target in targets if target is not None]
         self.registry.reset(readable, listing.revision)
-        revision = listing.revision
+        return listing.revision
+
+    def _list_configuration(self) -> int:
+        """Read the configuration; return the revision that a watch continues from."""
+        key = self.codec.configuration_key
+        listing = self.store.list(key)
+        self.contact.note_answer()
+        for item in listing.items:
+            if item.key == key:
+                self.take_configuration(item.value)
+        return listing.revision
+
+    def _watch_targets(self) -> None:
+        prefix = self.codec.targets_prefix
+        revision = self._list_targets()
         while self._on_duty():
             try:
                 found = self.store.watch(prefix, revision, TARGETS_WAIT_S)
@@ -231,12 +265,7 @@
 
     def _watch_configuration(self) -> None:
         key = self.codec.configuration_key
-        listing = self.store.list(key)
-        self.contact.note_answer()
-        for item in listing.items:
-            if item.key == key:
-                self.take_configuration(item.value)
-        revision = listing.revision
+        revision = self._list_configuration()
         while self._on_duty():
             try:
                 found = self.store.watch(key, revision, CONFIGURATION_WAIT_S)
@@ -289,6 +318,10 @@
         return self.codec.read_target(self._name(key), value)
 
 
+def _start_thread(name: str, run: Callable[[], None]) -> None:
+    threading.Thread(target=run, name=name, daemon=True).start()
+
+
 def try_read_configuration(codec: Codec, value: bytes) -> Configuration | None:
     """Return a configuration, or None with a log line where it cannot be read."""
     try:
--- a/src/lacewinglift/mesh/pooled_targets.py
+++ b/src/lacewinglift/mesh/pooled_targets.py
@@ -44,8 +44,13 @@
 LOAD_MEMORY_S = 1.5
 # Requests in flight for each slot up to which a target is used at all.
 MAX_LOAD = 3.0
-# Load that the distance to another data centre counts for.
+# Load that the distance to another data centre counts for: at least, for each byte of
+# a service's usual answer, and at most.
 FAR_PENALTY = 0.25
+FAR_PENALTY_PER_BYTE = 1 / 100_000
+FAR_PENALTY_MAX = 0.9
+# Weight of the last answer in the usual size of a service's answers.
+ANSWER_BYTES_WEIGHT = 0.1
 # Load that a new connection counts for.
 NEW_CONNECTION_PENALTY = 0.2
 # Load that a slow start counts for.
@@ -156,6 +161,8 @@
         self.random = random or Random()
         self.states: dict[str, _State] = {}
         self.by_service: dict[str, list[_State]] = {}
+        self.answer_bytes: dict[str, float] = {}
+        """Usual size of the answers of each service."""
         self.events: deque[Event] = deque()
         self.numbers = itertools.count(1)
         self.lock = threading.RLock()
@@ -251,7 +258,7 @@
         def cost(state: _State) -> tuple[float, float]:
             load = state.load(now_s)
             if not state.near:
-                load += FAR_PENALTY
+                load += self._far_penalty(state.registered.service)
             if now_s < state.warm_at_s:
                 load += WARMUP_PENALTY
             if not self.has_connection(state.target.address):
@@ -260,6 +267,10 @@
 
         return min(states, key=cost)
 
+    def _far_penalty(self, service: str) -> float:
+        answer_bytes = self.answer_bytes.get(service, 0.0)
+        return min(FAR_PENALTY + answer_bytes * FAR_PENALTY_PER_BYTE, FAR_PENALTY_MAX)
+
     # ---- outcomes ----
 
     def finish(self, attempt: PooledAttempt, outcome: Outcome) -> None:
@@ -288,6 +299,12 @@
             state.path_until_s = now + PATH_HOLD_OFF_S
         elif outcome.kind is OutcomeKind.SUCCESS:
             self._note_served(attempt, state, now)
+            self._note_bytes(state.registered.service, outcome.answer_bytes)
+
+    def _note_bytes(self, service: str, answer_bytes: int) -> None:
+        usual = self.answer_bytes.get(service, float(answer_bytes))
+        usual += (answer_bytes - usual) * ANSWER_BYTES_WEIGHT
+        self.answer_bytes[service] = usual
 
     def _note_shed(self, state: _State, now_s: float) -> None:
         wait_s = min(SHED_MAX_S, SHED_FIRST_S * 2.0 ** min(state.shed_in_a_row, 8))
--- a/src/lacewinglift/mesh/settings.py
+++ b/src/lacewinglift/mesh/settings.py
@@ -28,6 +28,8 @@
     seeds: tuple[str, ...] = ()
     """Beat addresses of instances to ask first."""
     retry_limits: RetryLimits = DEFAULT_RETRY_LIMITS
+    first_start: bool = False
+    """Whether the whole fleet starts for the first time, before any caller."""
     worker_threads: int = 96
     address_lifetime_s: float = ADDRESS_LIFETIME_S
     """Time for which callers may use an address answer."""
--- a/src/lacewinglift/mesh/usage.py
+++ b/src/lacewinglift/mesh/usage.py
@@ -22,6 +22,8 @@
 SLACK_PART = 0.6
 # Counts are repeated for this long, since datagrams can be lost.
 COUNT_REPEAT_S = 2.0
+# Least burst, in seconds of the rate: requests do not come at even distances.
+MIN_BURST_S = 0.25
 # Longest debt of a bucket, in seconds of its rate.
 MAX_DEBT_S = 5.0
 
@@ -159,10 +161,11 @@
 
 
 def _adopt(known: _Bucket | None, workspace: Workspace, now_s: float) -> _Bucket:
-    burst = max(float(workspace.burst), 1.0)
+    least = max(MIN_BURST_S * workspace.rate_per_s, 1.0)
+    burst = max(float(workspace.burst), least)
     if known is None:
         # A restarted fleet cannot know what was used before: the burst is earned.
-        return _Bucket(workspace.rate_per_s, burst, 1.0, now_s)
+        return _Bucket(workspace.rate_per_s, burst, least, now_s)
     level = min(known.level, burst)
     return evolve(known, rate_per_s=workspace.rate_per_s, burst=burst, level=level)
 
