--- a/src/lacewinglift/admission.py
+++ b/src/lacewinglift/admission.py
@@ -44,6 +44,8 @@
     code: str | None = None
     """Refusal code."""
     retry_after_s: float = 0.0
+    wait_s: float = 0.0
+    """Time after which an admitted request may go on: its token is on its way."""
 
 
 _ADMITTED = Decision(True)
--- a/src/lacewinglift/handling.py
+++ b/src/lacewinglift/handling.py
@@ -3,6 +3,7 @@
 import contextlib
 import http
 import ipaddress
+import time
 import urllib.parse
 from collections.abc import Callable, Iterable, Iterator
 from typing import Protocol
@@ -64,6 +65,7 @@
     admitted: bool
     code: str | None
     retry_after_s: float | None
+    wait_s: float
 
 
 class Admission(Protocol):
@@ -286,6 +288,8 @@
     def _admit(self, workspace: Workspace) -> None:
         decision = self.parts.admission.admit(workspace)
         if decision.admitted:
+            if decision.wait_s > 0:
+                time.sleep(decision.wait_s)
             return
         code = decision.code or "over_limit"
         log_info(
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from lacewinglift.addresses import AddressBook
+from lacewinglift.admission import Decision
 from lacewinglift.concurrency import ConcurrencyLimits
 from lacewinglift.configuration import Configuration
 from lacewinglift.dialects import Dialect
@@ -23,7 +24,7 @@
 from lacewinglift.mesh.registry import TargetRegistry, from_message
 from lacewinglift.mesh.settings import MeshSettings
 from lacewinglift.mesh.snapshots import SnapshotExchange, SnapshotService
-from lacewinglift.mesh.usage import FleetQuota, FleetRetryBudgets, QuotaDecision
+from lacewinglift.mesh.usage import FleetQuota, FleetRetryBudgets
 from lacewinglift.metrics import Metrics
 from lacewinglift.shutdown import Shutdown, ShutdownState, StopReport
 from lacewinglift.timers import ThreadTimers
@@ -230,7 +231,7 @@
             self.started.set()
             log_info("instance_ready", generation=self.holder.generation())
 
-    def admit(self, workspace: object) -> QuotaDecision:
+    def admit(self, workspace: object) -> Decision:
         """Return whether one more request of a workspace may run now."""
         self.beats.note_use()
         return self.quota.admit(workspace)
--- a/src/lacewinglift/mesh/usage.py
+++ b/src/lacewinglift/mesh/usage.py
@@ -11,6 +11,7 @@
 
 from attrs import define, evolve, field, frozen
 
+from lacewinglift.admission import OVER_LIMIT, Decision
 from lacewinglift.configuration import Configuration, Workspace
 from lacewinglift.generated import beats_pb2
 from lacewinglift.timers import Timers
@@ -22,22 +23,16 @@
 SLACK_PART = 0.6
 # Counts are repeated for this long, since datagrams can be lost.
 COUNT_REPEAT_S = 2.0
+# Longest wait for a token. A refusal costs the caller more than such a wait, and a
+# workspace far beyond its rate is still refused at once.
+MAX_WAIT_S = 0.25
 # Least burst, in seconds of the rate: requests do not come at even distances.
 MIN_BURST_S = 0.25
 # Longest debt of a bucket, in seconds of its rate.
 MAX_DEBT_S = 5.0
 
 
-@frozen
-class QuotaDecision:
-    """Whether one request of a workspace may run now."""
-
-    admitted: bool
-    code: str | None = None
-    retry_after_s: float | None = None
-
-
-_ADMITTED = QuotaDecision(True)
+_ADMITTED = Decision(True)
 
 
 @define(eq=False)
@@ -122,7 +117,7 @@
                     known = before.get(workspace.name)
                     self.buckets[workspace.name] = _adopt(known, workspace, now)
 
-    def admit(self, workspace: Workspace) -> QuotaDecision:
+    def admit(self, workspace: Workspace) -> Decision:
         """Return whether one more request may run, and count it."""
         part = self.heard_part()
         with self._lock:
@@ -130,13 +125,13 @@
             if bucket is None:
                 return _ADMITTED
             bucket.fill(self.timers.now(), part)
-            if bucket.level < 1.0:
-                wait_s = (1.0 - bucket.level) / (bucket.rate_per_s * part)
-                return QuotaDecision(False, "over_limit", wait_s)
+            wait_s = max(1.0 - bucket.level, 0.0) / (bucket.rate_per_s * part)
+            if wait_s > MAX_WAIT_S:
+                return Decision(False, OVER_LIMIT, wait_s - MAX_WAIT_S / 2)
             bucket.level -= 1.0
             bucket.admitted += 1
             bucket.used_at_s = bucket.filled_at_s
-            return _ADMITTED
+            return Decision(True, wait_s=wait_s) if wait_s else _ADMITTED
 
     def note_peer(self, beat: beats_pb2.Beat) -> None:
         """Charge what another instance has admitted."""
--- a/testing/load/undecided.py
+++ b/testing/load/undecided.py
@@ -13,6 +13,7 @@
 from attrs import define, field
 
 from lacewinglift.addresses import AddressBook
+from lacewinglift.admission import Decision
 from lacewinglift.checks import load_configuration
 from lacewinglift.concurrency import ConcurrencyLimits
 from lacewinglift.configuration import Configuration, Target
@@ -61,9 +62,7 @@
     """Answers of the parts that decide in an instance."""
 
     configuration: Configuration
-    decision: object = field(
-        factory=lambda: SimpleNamespace(admitted=True, code=None, retry_after_s=None)
-    )
+    decision: object = field(factory=lambda: Decision(True))
 
     def current(self) -> Configuration:
         """Return the configuration."""
--- a/testing/standins/request_half.py
+++ b/testing/standins/request_half.py
@@ -9,6 +9,7 @@
 from attrs import define, evolve, field
 
 from lacewinglift.addresses import AddressBook
+from lacewinglift.admission import Decision
 from lacewinglift.concurrency import ConcurrencyLimits
 from lacewinglift.configuration import (
     Configuration,
@@ -84,7 +85,7 @@
 
 @define
 class FixedAdmission:
-    decision: object = SimpleNamespace(admitted=True, code=None, retry_after_s=None)
+    decision: object = Decision(True)
     asked: list = field(factory=list)
 
     def admit(self, workspace):
