--- a/src/lacewinglift/mesh/beats.py
+++ b/src/lacewinglift/mesh/beats.py
@@ -92,13 +92,12 @@
             self.threads.append(thread)
 
     def stop(self) -> None:
-        """Send a last datagram and end both threads."""
+        """Send a last datagram; the receiver ends within its timeout."""
         with self.condition:
             self.stopped = True
             self.condition.notify()
-        for thread in self.threads:
-            thread.join()
-        self.socket.close()
+        sender = self.threads[0]
+        sender.join()
 
     def send_soon(self, delay_s: float = URGENT_DELAY_S) -> None:
         """Send the next datagram after `delay_s` at the latest."""
@@ -162,6 +161,7 @@
                 data = self._receive()
             if data is not None:
                 self._take(data)
+        self.socket.close()
 
     def _receive(self) -> bytes | None:
         try:
--- a/src/lacewinglift/mesh/directory.py
+++ b/src/lacewinglift/mesh/directory.py
@@ -14,6 +14,9 @@
 from lacewinglift.mesh.settings import MeshSettings
 
 MAX_ADDRESSES = 64
+# Instances in the caller's data centre with which it needs no others: answers then
+# stay in the data centre, and one instance may fail.
+NEAR_SUFFICE = 2
 
 
 @frozen
@@ -63,11 +66,20 @@
         self.is_observer = is_observer
         self.request_rate_per_s = request_rate_per_s
 
-    def answer(self) -> AddressAnswer | None:
-        """Return an answer; None while no instance is known to be ready."""
+    def answer(self, data_centre: str | None) -> AddressAnswer | None:
+        """Return an answer; None while no instance is known to be ready.
+
+        Parameters
+        ----------
+        data_centre : str or None
+            Where the caller is, if it said so.
+        """
         chosen = self._active()
         if not chosen:
             return None
+        near = [each for each in chosen if each.data_centre == data_centre]
+        if len(near) >= NEAR_SUFFICE:
+            chosen = near
         addresses = tuple(candidate.caller_address for candidate in chosen)
         return AddressAnswer(addresses, self.settings.address_lifetime_s)
 
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -30,6 +30,8 @@
 from lacewinglift.timers import ThreadTimers
 
 HOUSEKEEPING_INTERVAL_S = 0.25
+# Time for worker threads to end once all requests are answered or cut.
+WORKERS_STOP_S = 0.2
 # Datagrams at the start that describe this instance, then every so many.
 FIRST_INTRODUCTIONS = 6
 # Time in which several new instances are greeted together.
@@ -143,6 +145,7 @@
             self.retries.request_rate_per_s,
         )
         self.frontend = Frontend(settings, self._make_parts(dialect))
+        self.frontend.server.shutdown_timeout = WORKERS_STOP_S
 
     def _make_observer(self) -> Observer:
         settings = self.settings
