--- a/src/lacewinglift/mesh/beats.py
+++ b/src/lacewinglift/mesh/beats.py
@@ -20,7 +20,7 @@
 from lacewinglift.timers import Timers
 
 # Interval of datagrams to all instances.
-IDLE_INTERVAL_S = 0.75
+IDLE_INTERVAL_S = 1.0
 # Interval of datagrams among the instances that have requests in progress.
 BUSY_INTERVAL_S = 0.1
 # Time that evidence waits for more of it.
@@ -103,6 +103,10 @@
         """Send the next datagram after `delay_s` at the latest."""
         self._schedule(Audience.ALL, delay_s)
 
+    def tell_active_soon(self) -> None:
+        """Send evidence to the instances that have requests in progress."""
+        self._schedule(Audience.ACTIVE, URGENT_DELAY_S)
+
     def note_use(self) -> None:
         """Tell active instances of requests in progress within the busy interval."""
         self._schedule(Audience.ACTIVE, BUSY_INTERVAL_S)
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -116,7 +116,7 @@
             self.timers,
             settings.instance,
             settings.data_centre,
-            on_event=self.beats.send_soon,
+            on_event=self.beats.tell_active_soon,
         )
         self.registry = TargetRegistry(self.timers, self._registry_changed)
         self.quota = FleetQuota(self.timers, self.members.heard_part)
--- a/src/lacewinglift/mesh/members.py
+++ b/src/lacewinglift/mesh/members.py
@@ -11,7 +11,7 @@
 from lacewinglift.timers import Timers
 
 # An instance that was silent for this long is given no callers and no duties.
-HEARD_WITHIN_S = 2.0
+HEARD_WITHIN_S = 2.5
 # An instance counts as active for this long after its last request.
 ACTIVE_WITHIN_S = 3.0
 # A silent instance may still admit requests; its part of the quotas stays reserved
