--- a/src/lacewinglift/mesh/pooled_targets.py
+++ b/src/lacewinglift/mesh/pooled_targets.py
@@ -7,6 +7,7 @@
 """
 
 import itertools
+import math
 import threading
 from collections import deque
 from collections.abc import Callable, Collection, Iterable
@@ -72,6 +73,7 @@
     started_s: float
     state: "_State"
     table: "PooledTargets"
+    repeatable: bool
     finished: bool = False
     on_ejected: Callable[[], None] | None = None
 
@@ -105,6 +107,8 @@
     peer_loads: dict[str, tuple[int, float]] = field(factory=dict)
     failed_at_s: float | None = None
     """Time of the last failure; None while nothing speaks against the target."""
+    served_at_s: float = -math.inf
+    """Last time at which this instance got a good answer."""
     served: int = 0
     """Requests served since the last failure."""
     trial_at_s: float = 0.0
@@ -220,7 +224,7 @@
             state = self._choose(usable, repeatable, now)
             if state is None:
                 return None
-            attempt = PooledAttempt(state.target, now, state, self)
+            attempt = PooledAttempt(state.target, now, state, self, repeatable)
             state.in_flight += 1
             state.pending.add(attempt)
             return attempt
@@ -289,6 +293,7 @@
         if outcome.kind is OutcomeKind.SHED:
             self._note_shed(state, now)
         elif outcome.kind in _FAILED_KINDS:
+            self._log_failure(attempt, state, now)
             self._doubt(state, now)
             self._tell(state, FAILED, now)
         elif outcome.kind in _UNREACHED_KINDS:
@@ -301,6 +306,19 @@
             self._note_served(attempt, state, now)
             self._note_bytes(state.registered.service, outcome.answer_bytes)
 
+    def _log_failure(self, attempt: PooledAttempt, state: _State, now_s: float) -> None:
+        since_failure_s = now_s - (state.failed_at_s or -math.inf)
+        log_info(
+            "target_failed",
+            target=state.target.name,
+            service=state.registered.service,
+            repeatable=attempt.repeatable,
+            since_failure_s=since_failure_s,
+            since_served_s=now_s - state.served_at_s,
+            served_since_failure=state.served,
+            load=state.load(now_s),
+        )
+
     def _note_bytes(self, service: str, answer_bytes: int) -> None:
         usual = self.answer_bytes.get(service, float(answer_bytes))
         usual += (answer_bytes - usual) * ANSWER_BYTES_WEIGHT
@@ -314,6 +332,7 @@
     def _note_served(self, attempt: PooledAttempt, state: _State, now_s: float) -> None:
         state.shed_in_a_row = 0
         state.path_until_s = 0.0
+        state.served_at_s = now_s
         if state.doubted() and attempt.started_s > state.failed_at_s:
             self._count_served(state, self.instance)
             self._tell(state, SERVED, now_s)
