--- a/src/lacewinglift/mesh/pooled_targets.py
+++ b/src/lacewinglift/mesh/pooled_targets.py
@@ -54,10 +54,6 @@
 ANSWER_BYTES_WEIGHT = 0.1
 # Load that a new connection counts for.
 NEW_CONNECTION_PENALTY = 0.2
-# Load that counts for a target which no instance has seen serve a request, and the
-# time after which it is used like the others all the same.
-UNPROVEN_PENALTY = 0.3
-UNPROVEN_S = 3.0
 # Load that a slow start counts for.
 WARMUP_PENALTY = 0.5
 # Events are repeated in datagrams for this long, since datagrams can be lost.
@@ -106,10 +102,7 @@
     registered: RegisteredTarget
     target: Target
     near: bool
-    known_at_s: float
     warm_at_s: float
-    proven: bool = False
-    """Whether any instance has seen the target serve a request."""
     in_flight: int = 0
     peer_loads: dict[str, tuple[int, float]] = field(factory=dict)
     failed_at_s: float | None = None
@@ -201,14 +194,14 @@
             connections=0,
             leaving=registered.leaving,
         )
-        now = self.timers.now()
+        warm_at_s = self.timers.now() + registered.warmup_s
         same = known is not None and known.registered.born_ms == registered.born_ms
         if same and known.registered.address == registered.address:
             known.registered = registered
             known.target = target
             return known
         near = registered.data_centre == self.data_centre
-        return _State(registered, target, near, now, now + registered.warmup_s)
+        return _State(registered, target, near, warm_at_s)
 
     # ---- choice ----
 
@@ -242,7 +235,7 @@
         if not usable:
             return None
         if repeatable:
-            due = [s for s in usable if self._needs_trial(s, now_s)]
+            due = [s for s in usable if s.doubted() and now_s >= s.trial_at_s]
             if due:
                 state = min(due, key=lambda s: s.trial_at_s)
                 state.trial_at_s = now_s + TRIAL_AFTER_S
@@ -256,9 +249,6 @@
         # to have recovered.
         return min(usable, key=lambda s: (s.shed_until_s > now_s, self._blame_s(s)))
 
-    def _needs_trial(self, state: _State, now_s: float) -> bool:
-        return now_s >= state.trial_at_s and (state.doubted() or not state.proven)
-
     def _trusted(self, state: _State, now_s: float, hold_off_s: float) -> bool:
         if now_s < state.path_until_s or now_s < state.shed_until_s:
             return False
@@ -273,8 +263,6 @@
             load = state.load(now_s)
             if not state.near:
                 load += self._far_penalty(state.registered.service)
-            if not state.proven and now_s - state.known_at_s < UNPROVEN_S:
-                load += UNPROVEN_PENALTY
             if now_s < state.warm_at_s:
                 load += WARMUP_PENALTY
             if not self.has_connection(state.target.address):
@@ -345,12 +333,8 @@
         state.shed_in_a_row = 0
         state.path_until_s = 0.0
         state.served_at_s = now_s
-        tell = not state.proven
-        state.proven = True
         if state.doubted() and attempt.started_s > state.failed_at_s:
             self._count_served(state, self.instance)
-            tell = True
-        if tell:
             self._tell(state, SERVED, now_s)
 
     def _doubt(self, state: _State, at_s: float) -> None:
@@ -465,8 +449,6 @@
         state = self.states.get(evidence.target)
         if state is None:
             return
-        if evidence.kind == SERVED:
-            state.proven = True
         if evidence.kind == FAILED:
             self._doubt(state, at_s)
         elif evidence.kind == UNREACHED:
