--- a/testing/standins/request_half.py
+++ b/testing/standins/request_half.py
@@ -20,6 +20,7 @@
     Workspace,
     digest_key,
 )
+from lacewinglift.dialects import OWN_DIALECT
 from lacewinglift.exchanges import ExchangeWatch
 from lacewinglift.forwarder import Forwarder
 from lacewinglift.frontend import Frontend
@@ -142,7 +143,7 @@
 
 
 @contextlib.contextmanager
-def running_half(targets, worker_threads=8, **service_fields):
+def running_half(targets, worker_threads=8, dialect=OWN_DIALECT, **service_fields):
     """Run a request half in front of `targets` (address strings)."""
     timers = ThreadTimers()
     targets = [
@@ -159,12 +160,15 @@
         distribution,
         FixedStanding(),
         FixedAdmission(),
-        Forwarder(table, timers, metrics.note_attempt, metrics.note_retry),
+        Forwarder(
+            table, timers, metrics.note_attempt, metrics.note_retry, dialect=dialect
+        ),
         AddressBook("milano", lambda: members),
         Shutdown(timers, lambda: 0.3, left.set, 10.0),
         ConcurrencyLimits(worker_threads),
         ExchangeWatch(timers),
         metrics=metrics,
+        dialect=dialect,
     )
     settings = SimpleNamespace(
         caller_address="127.0.0.1:0", worker_threads=worker_threads
