--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -31,6 +31,9 @@
 # store itself.
 LISTEN_FIRST_S = 1.0
 DUTY_CHECK_INTERVAL_S = 0.2
+# Time without any observer that reaches the store after which an instance watches it
+# out of turn.
+UNOBSERVED_S = 1.2
 # Lease of the address under which new instances find an observer.
 ADDRESS_TTL_S = 60.0
 # Time on duty after which an instance is listed: others may take over at once.
@@ -140,6 +143,8 @@
         self.read_at_once = read_at_once
         self.contact = StoreContact(timers)
         self.started_at_s = timers.now()
+        self.observed_at_s = self.started_at_s + LISTEN_FIRST_S
+        """Last time at which an observer with contact to the store was heard."""
         self.on_duty = threading.Event()
         self.stopped = False
         self.lease: str | None = None
@@ -147,6 +152,7 @@
     def start(self) -> None:
         """Start the threads and the checks."""
         self.started_at_s = self.timers.now()
+        self.observed_at_s = self.started_at_s + LISTEN_FIRST_S
         self.timers.subscribe(DUTY_CHECK_INTERVAL_S, self.check_duty)
         for name, loop in (
             ("watch-targets", self._watch_targets),
@@ -186,10 +192,15 @@
         heard[self.members.name] = self.data_centre
         count = OBSERVERS_PER_DATA_CENTRE * len(set(heard.values()))
         chosen = spread_ranked("observer", list(heard), heard.__getitem__, count)
+        if self._hears_observer():
+            self.observed_at_s = self.timers.now()
         if self.members.name in chosen:
             return True
         # The chosen ones may be unable to reach the store.
-        return not any(
+        return self.timers.now() - self.observed_at_s >= UNOBSERVED_S
+
+    def _hears_observer(self) -> bool:
+        return any(
             member.beat.observer and member.beat.store_age_ms <= STORE_CONTACT_S * 1000
             for member in self.members.heard()
         )
--- /dev/null
+++ b/testing/mesh/test_directory.py
@@ -0,0 +1,140 @@
+import pytest
+from attrs import evolve
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, GreaterThan, HasLength, Is, Not
+
+from lacewinglift.generated import beats_pb2
+from lacewinglift.mesh.directory import Directory
+from lacewinglift.mesh.members import FORGET_AFTER_S, HEARD_WITHIN_S, MemberTable
+from lacewinglift.mesh.settings import MeshSettings
+from lacewinglift.timers import ManualTimers
+
+DATA_CENTRES = ("milano", "torino", "verona")
+SETTINGS = MeshSettings(
+    instance="self",
+    data_centre="milano",
+    caller_address="self:80",
+    beat_address="self:81",
+    fetch_address="self:82",
+    metrics_address="self:83",
+    store_driver="none",
+    store_address="store:84",
+)
+
+
+def make_beat(name, data_centre="milano", sequence=1, **fields):
+    beat = beats_pb2.Beat(instance=name, incarnation=1, sequence=sequence, **fields)
+    beat.description.data_centre = data_centre
+    beat.description.caller_address = f"{name}:80"
+    beat.description.beat_address = f"{name}:81"
+    return beat
+
+
+@pytest.fixture
+def timers():
+    return ManualTimers()
+
+
+@pytest.fixture
+def members(timers):
+    members = MemberTable("self", timers)
+    for number in range(36):
+        data_centre = DATA_CENTRES[number % 3]
+        state = beats_pb2.SERVING
+        members.note(make_beat(f"f{number}", data_centre, state=state))
+    return members
+
+
+@pytest.fixture
+def directory(members):
+    directory = Directory(
+        SETTINGS, members, lambda: False, lambda: False, lambda: directory.rate
+    )
+    directory.rate = 0.0
+    return directory
+
+
+def test_callers_use_few_instances_of_their_data_centre(directory):
+    """Load: three requests a second an instance if all instances are used.
+
+    Guards against instances that see too little of each target.
+    """
+    near = directory.answer("torino").addresses
+    assert_that(near, HasLength(SETTINGS.min_active_per_data_centre))
+    names = {f"f{number}:80" for number in range(36) if number % 3 == 1}
+    assert set(near) <= names
+
+
+def test_more_instances_are_used_as_traffic_grows(directory):
+    """Load: a burst of several times the usual traffic.
+
+    Guards against few instances that are overrun while others stand idle.
+    """
+    directory.rate = 20 * SETTINGS.requests_per_instance_s
+    assert_that(len(directory.answer("torino").addresses), GreaterThan(5))
+
+
+def test_all_callers_of_a_data_centre_get_the_same_instances(directory, members):
+    """Guards against connections of all callers to all instances."""
+    other = Directory(SETTINGS, members, lambda: False, bool, lambda: 0.0)
+    assert_that(other.answer("verona"), Equals(directory.answer("verona")))
+
+
+def test_caller_of_an_unknown_place_gets_instances_of_all(directory):
+    """Guards against callers without a place that get no answer."""
+    assert_that(directory.answer("elsewhere").addresses, HasLength(9))
+    assert_that(directory.answer(None).addresses, HasLength(9))
+
+
+def test_leaving_and_silent_instances_are_left_out(directory, members, timers):
+    """Guards against callers that are sent to an instance which stops."""
+    first = directory.answer("milano").addresses[0].removesuffix(":80")
+    leaving = make_beat(first, "milano", 2, state=beats_pb2.DRAINING)
+    members.note(leaving)
+    assert_that(directory.answer("milano").addresses, Not(Contains(f"{first}:80")))
+    timers.advance(HEARD_WITHIN_S + 0.1)
+    assert_that(directory.answer("milano"), Is(None))
+
+
+def test_observers_are_used_last(directory, members):
+    """Guards against callers at the instance that the fleet learns from."""
+    for number in range(0, 36, 3):
+        beat = make_beat(f"f{number}", "milano", 2, state=beats_pb2.SERVING)
+        beat.observer = number < 6
+        members.note(beat)
+    for observer in ("f0:80", "f3:80"):
+        assert_that(directory.answer("milano").addresses, Not(Contains(observer)))
+
+
+def test_silent_instance_keeps_its_part_of_the_rates(members, timers):
+    """Guards against a cut-off instance whose part is used twice."""
+    assert_that(members.heard_part(), Equals(1.0))
+    timers.advance(HEARD_WITHIN_S + 0.1)
+    for number in range(18):
+        members.note(make_beat(f"f{number}", sequence=2))
+    assert_that(members.heard_part(), Equals(19 / 37))
+    timers.advance(FORGET_AFTER_S)
+    for number in range(18):
+        members.note(make_beat(f"f{number}", sequence=3))
+    members.forget_silent()
+    assert_that(members.heard_part(), Equals(1.0))
+
+
+def test_delayed_datagram_is_dropped(members):
+    """Guards against an old state of an instance that replaces a newer one."""
+    members.note(make_beat("f0", sequence=5, state=beats_pb2.DRAINING))
+    assert_that(members.note(make_beat("f0", sequence=4)), Is(None))
+    assert_that(members.members["f0"].beat.state, Equals(beats_pb2.DRAINING))
+
+
+def test_instance_without_description_is_unknown(members):
+    """Guards against an instance that is known but cannot be reached."""
+    beat = beats_pb2.Beat(instance="new", incarnation=1, sequence=1)
+    assert_that(members.note(beat), Is(None))
+
+
+def test_settings_can_be_changed_by_copy():
+    """Guards against settings that a part changes under another."""
+    assert_that(evolve(SETTINGS, data_centre="torino").data_centre, Equals("torino"))
+    with pytest.raises(AttributeError):
+        SETTINGS.data_centre = "torino"
--- /dev/null
+++ b/testing/mesh/test_observers.py
@@ -0,0 +1,166 @@
+import pytest
+from attrs import define, field
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength
+
+from lacewinglift.errors import StoreUnavailableError
+from lacewinglift.generated import beats_pb2
+from lacewinglift.kv import Listing
+from lacewinglift.mesh.members import HEARD_WITHIN_S, MemberTable
+from lacewinglift.mesh.observers import LISTEN_FIRST_S, UNOBSERVED_S, Observer
+from lacewinglift.mesh.registry import TargetRegistry
+from lacewinglift.timers import ManualTimers
+from testing.mesh.test_directory import make_beat
+
+
+@define
+class EmptyStore:
+    """A store without keys that counts its calls, or fails."""
+
+    down: bool = False
+    calls: list = field(factory=list)
+
+    def list(self, prefix, stale=False):
+        self.calls.append(prefix)
+        if self.down:
+            raise StoreUnavailableError("down")
+        return Listing((), 7)
+
+    def close(self):
+        pass
+
+
+class EmptyCodec:
+    configuration_key = "config"
+    targets_prefix = "targets/"
+    instances_prefix = "instances/"
+
+
+@pytest.fixture
+def timers():
+    return ManualTimers()
+
+
+@pytest.fixture
+def fleet(timers):
+    """Observers of nine instances that hear each other."""
+    observers = {}
+    for number in range(9):
+        name = f"f{number}"
+        members = MemberTable(name, timers)
+        observers[name] = Observer(
+            EmptyStore(),
+            EmptyCodec(),
+            TargetRegistry(timers),
+            members,
+            lambda value: None,
+            lambda addresses: None,
+            f"{name}:81",
+            place(name),
+            timers,
+            lambda: True,
+            read_at_once=False,
+        )
+    hear(observers, observers)
+    timers.advance(LISTEN_FIRST_S)
+    return observers
+
+
+def place(name):
+    return ("milano", "torino", "verona")[int(name[1:]) % 3]
+
+
+def hear(senders, observers, sequence=1):
+    for name in senders:
+        observer = observers[name]
+        beat = make_beat(name, place(name), sequence, state=beats_pb2.SERVING)
+        beat.observer = observer.on_duty.is_set()
+        beat.store_age_ms = min(int(min(observer.contact.age_s(), 1e6) * 1000), 2**31)
+        for other in observers.values():
+            other.members.note(beat)
+
+
+def on_duty(observers):
+    for observer in observers.values():
+        observer.check_duty()
+    return {name for name, each in observers.items() if each.on_duty.is_set()}
+
+
+def test_one_instance_a_data_centre_watches_the_store(fleet):
+    """Guards against store calls that grow with the fleet."""
+    chosen = on_duty(fleet)
+    assert_that({place(name) for name in chosen}, HasLength(3))
+    assert_that(chosen, HasLength(3))
+
+
+def test_another_takes_over_from_a_silent_observer(fleet, timers):
+    """Guards against a fleet that learns nothing after an observer is lost."""
+    lost = sorted(on_duty(fleet))[0]
+    timers.advance(HEARD_WITHIN_S + 0.1)
+    alive = [name for name in fleet if name != lost]
+    hear(alive, fleet, 2)
+    chosen = on_duty(fleet) - {lost}
+    assert_that({place(name) for name in chosen}, HasLength(3))
+
+
+def test_another_takes_over_from_an_observer_that_the_store_turns_away(fleet):
+    """Guards against observers that wait for a store which refuses just them."""
+    chosen = on_duty(fleet)
+    turned_away = sorted(chosen)[0]
+    for name in chosen:
+        fleet[name].contact.note_answer()
+    fleet[turned_away].contact.note_failure(StoreUnavailableError("refused"))
+    hear(fleet, fleet, 2)
+    now = on_duty(fleet) - {turned_away}
+    assert_that({place(name) for name in now}, HasLength(3))
+
+
+def test_quiet_watch_is_no_lost_store(fleet, timers):
+    """Guards against a fleet of observers because nothing changes for seconds."""
+    chosen = on_duty(fleet)
+    for name in chosen:
+        fleet[name].contact.note_answer()
+    for step in range(2):
+        timers.advance(2.0)
+        hear(fleet, fleet, 2 + step)
+    assert_that(on_duty(fleet), Equals(chosen))
+
+
+def test_all_start_to_watch_where_no_observer_reaches_the_store(fleet, timers):
+    """Guards against a fleet whose observers are all turned away by the store."""
+    chosen = on_duty(fleet)
+    for name in chosen:
+        fleet[name].contact.note_failure(StoreUnavailableError("refused"))
+    for step in range(2, 9):
+        timers.advance(UNOBSERVED_S / 4)
+        hear(fleet, fleet, step)
+        on_duty(fleet)
+    assert_that(on_duty(fleet), Equals(set(fleet)))
+
+
+def test_instance_that_hears_nobody_watches_the_store_itself(fleet, timers):
+    """Guards against a cut-off instance that never learns of changes."""
+    timers.advance(HEARD_WITHIN_S + 0.1)
+    fleet["f0"].check_duty()
+    assert fleet["f0"].on_duty.is_set()
+
+
+def test_first_read_ends_once_others_have_told_all(timers):
+    """Guards against restarts that read the store for what peers have told."""
+    store = EmptyStore(down=True)
+    started = iter([False, True])
+    observer = Observer(
+        store,
+        EmptyCodec(),
+        TargetRegistry(timers),
+        MemberTable("f0", timers),
+        lambda value: None,
+        lambda addresses: None,
+        "f0:81",
+        "milano",
+        timers,
+        lambda: next(started),
+        read_at_once=True,
+    )
+    observer._first_read()
+    assert_that(store.calls, Equals(["config"]))
