Forget addresses of lost instances, skip unreadable ones, say when to come back

A foreign entry below the instances' prefix would have ended the sending thread (test_address_that_cannot_be_read_is_dropped). Refusals of requests that find no target name a time to come back.

--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -45,6 +45,9 @@
 # it is passed on, so that a cut answer can be replaced by another target's.
 PRELOAD_BYTES = 1024 * 1024
 WRONG_TARGET_STATUS = 421
+# Time after which a caller comes back when all targets are full: some of their
+# requests have ended by then.
+NO_TARGET_RETRY_S = 0.5
 
 
 class Attempt(Protocol):
@@ -547,7 +550,8 @@
 
     def _refusal(self, failure: _AttemptFailedError | None) -> RefusalError:
         if failure is None:
-            return refuse("no_target", f"{self.service.name} has no usable target")
+            message = f"{self.service.name} has no usable target"
+            return refuse("no_target", message, retry_after_s=NO_TARGET_RETRY_S)
         if failure.kind in (OutcomeKind.SHED, OutcomeKind.WRONG_TARGET):
             code = "no_target"
         elif failure.kind is OutcomeKind.TIMEOUT:
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -18,7 +18,7 @@
 from lacewinglift.logs import log_info
 from lacewinglift.mesh.beats import Audience, BeatExchange
 from lacewinglift.mesh.directory import Directory
-from lacewinglift.mesh.members import Member, MemberTable
+from lacewinglift.mesh.members import AddressList, Member, MemberTable
 from lacewinglift.mesh.observers import Codec, Observer, try_read_configuration
 from lacewinglift.mesh.pooled_targets import PooledTargets
 from lacewinglift.mesh.registry import TargetRegistry, from_message
@@ -123,7 +123,7 @@
         self.retries = FleetRetryBudgets(
             self.timers, settings.retry_limits, self.members.heard_part
         )
-        self.addresses: set[str] = set(settings.seeds) - {settings.beat_address}
+        self.addresses = AddressList(self.timers, settings.seeds, settings.beat_address)
         self.observer = self._make_observer()
         self.snapshots = SnapshotExchange(
             settings.fetch_address,
@@ -162,7 +162,7 @@
             self.registry,
             self.members,
             self.take_configuration,
-            self.note_addresses,
+            self.addresses.note,
             settings.beat_address,
             settings.data_centre,
             self.timers,
@@ -338,23 +338,19 @@
         if audience is Audience.ACTIVE:
             return [member.description.beat_address for member in self.members.active()]
         known = {member.description.beat_address for member in self.members.known()}
-        return sorted((known | self.addresses) - {self.settings.beat_address})
+        return sorted(known | self.addresses.known())
 
     def greet(self) -> None:
         """Describe this instance to others that have just been heard."""
         self.introductions = min(self.introductions, FIRST_INTRODUCTIONS - 1)
         self.beats.send_soon(GREETING_DELAY_S)
 
-    def note_addresses(self, addresses: list[str]) -> None:
-        """Learn addresses of other instances."""
-        self.addresses.update(address for address in addresses if ":" in address)
-
     def take_beat(self, beat: beats_pb2.Beat) -> None:
         """Take in a datagram of another instance."""
         member = self.members.note(beat)
         if member is None:
             return
-        self.note_addresses([member.description.beat_address, *beat.peers])
+        self.addresses.note([member.description.beat_address, *beat.peers])
         self.quota.note_peer(beat)
         self.retries.note_peer(beat)
         member.evidence_seen = self.targets.note_peer(beat, member.evidence_seen)
@@ -378,4 +374,6 @@
 
     def _keep_house(self) -> None:
         self.members.forget_silent()
+        if self.members.heard():
+            self.addresses.forget_unnamed()
         self.registry.expire()
--- a/src/lacewinglift/mesh/members.py
+++ b/src/lacewinglift/mesh/members.py
@@ -1,13 +1,14 @@
 """Other instances, as their datagrams describe them."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field
 
 from lacewinglift.generated import beats_pb2
-from lacewinglift.logs import log_info
+from lacewinglift.logs import log_info, log_warning
 from lacewinglift.rendezvous import rank_candidates
+from lacewinglift.socket_addresses import split_address
 from lacewinglift.timers import Timers
 
 # An instance that was silent for this long is given no callers and no duties.
@@ -17,10 +18,65 @@
 # A silent instance may still admit requests; its part of the quotas stays reserved
 # for this long.
 FORGET_AFTER_S = 20.0
+# An address that no instance and no entry of the store names for this long is dropped.
+NAMED_WITHIN_S = 60.0
 # An answer of the store counts as contact for this long.
 STORE_CONTACT_S = 6.0
 
 
+class AddressList:
+    """Beat addresses at which other instances may be found.
+
+    Parameters
+    ----------
+    timers : Timers
+        Clock.
+    seeds : iterable of str
+        Addresses that are kept for good.
+    own : str
+        Address of this instance, which is left out.
+    """
+
+    def __init__(self, timers: Timers, seeds: Iterable[str], own: str) -> None:
+        self.timers = timers
+        self.own = own
+        self.seeds = {seed for seed in seeds if _is_address(seed)}
+        self.named_at_s: dict[str, float] = {}
+        self.lock = threading.Lock()
+
+    def note(self, addresses: Iterable[str]) -> None:
+        """Learn addresses that an instance or the store has named."""
+        now = self.timers.now()
+        with self.lock:
+            for address in addresses:
+                if address in self.named_at_s or _is_address(address):
+                    self.named_at_s[address] = now
+
+    def forget_unnamed(self) -> None:
+        """Drop the addresses that nobody has named lately."""
+        oldest_s = self.timers.now() - NAMED_WITHIN_S
+        with self.lock:
+            self.named_at_s = {
+                address: at_s
+                for address, at_s in self.named_at_s.items()
+                if at_s >= oldest_s
+            }
+
+    def known(self) -> set[str]:
+        """Return all addresses."""
+        with self.lock:
+            return (self.seeds | self.named_at_s.keys()) - {self.own}
+
+
+def _is_address(address: str) -> bool:
+    try:
+        split_address(address)
+    except ValueError:
+        log_warning("peer_address_invalid", address=address)
+        return False
+    return True
+
+
 @define(eq=False)
 class Member:
     """One incarnation of another instance."""
--- a/src/lacewinglift/mesh/pooled_targets.py
+++ b/src/lacewinglift/mesh/pooled_targets.py
@@ -58,8 +58,6 @@
 WARMUP_PENALTY = 0.5
 # Events are repeated in datagrams for this long, since datagrams can be lost.
 EVENT_REPEAT_S = 1.5
-# Share of requests beyond which a loss of many paths is this instance's own.
-OWN_FAULT_PART = 0.5
 
 _FAILED_KINDS = {OutcomeKind.ERROR}
 _UNREACHED_KINDS = {OutcomeKind.TIMEOUT, OutcomeKind.CONNECT_FAILED, OutcomeKind.CUT}
--- a/testing/mesh/test_directory.py
+++ b/testing/mesh/test_directory.py
@@ -5,7 +5,13 @@
 
 from lacewinglift.generated import beats_pb2
 from lacewinglift.mesh.directory import Directory
-from lacewinglift.mesh.members import FORGET_AFTER_S, HEARD_WITHIN_S, MemberTable
+from lacewinglift.mesh.members import (
+    FORGET_AFTER_S,
+    HEARD_WITHIN_S,
+    NAMED_WITHIN_S,
+    AddressList,
+    MemberTable,
+)
 from lacewinglift.mesh.settings import MeshSettings
 from lacewinglift.timers import ManualTimers
 
@@ -133,6 +139,24 @@
     assert_that(members.note(beat), Is(None))
 
 
+def test_addresses_of_lost_instances_are_forgotten(timers):
+    """Guards against datagrams to all machines that ever were in a fleet."""
+    addresses = AddressList(timers, ["seed:81"], "self:81")
+    addresses.note(["a:81", "b:81", "self:81"])
+    timers.advance(NAMED_WITHIN_S - 1)
+    addresses.note(["b:81"])
+    timers.advance(2.0)
+    addresses.forget_unnamed()
+    assert_that(addresses.known(), Equals({"seed:81", "b:81"}))
+
+
+def test_address_that_cannot_be_read_is_dropped(timers):
+    """Guards against a foreign entry of the store that ends the sending thread."""
+    addresses = AddressList(timers, [], "self:81")
+    addresses.note(["", "nowhere", "a:b", "\ufffd"])
+    assert_that(addresses.known(), Equals(set()))
+
+
 def test_settings_can_be_changed_by_copy():
     """Guards against settings that a part changes under another."""
     assert_that(evolve(SETTINGS, data_centre="torino").data_centre, Equals("torino"))
