Take no request so late in a stop that its end is cut; notice restarts after a clock step

An instance that restarted while its time of day was set back had a lower incarnation and was ignored for 20 s.

--- a/src/lacewinglift/frontend.py
+++ b/src/lacewinglift/frontend.py
@@ -134,6 +134,7 @@
     request_queue_size = LISTEN_BACKLOG
     keep_alive_conn_limit = None
     timeout = IDLE_CONNECTION_S
+    finishing_idle_s = FINISHING_IDLE_S
     # Also the time that a stop waits for the thread that accepts connections.
     expiration_interval = 0.1
 
@@ -203,7 +204,7 @@
                 break
             self.process_conn(connection)
         listener.close()
-        self.timeout = FINISHING_IDLE_S
+        self.timeout = self.finishing_idle_s
 
     def error_log(
         self, msg: str = "", level: int = logging.INFO, traceback: bool = False
--- a/src/lacewinglift/handling.py
+++ b/src/lacewinglift/handling.py
@@ -49,9 +49,9 @@
 OWN_PREFIX = "/.lacewinglift/"
 # Time to read the rest of a small body, so that a refusal keeps the connection.
 DRAIN_S = 1.0
-# Time that a request waits for an instance that is about to be ready; a refusal would
-# bring it back later than that.
-START_HOLD_S = 0.8
+# Time that a request waits for an instance that is about to be ready. A refusal would
+# bring it back later than that; a caller that left meanwhile is noticed soon enough.
+START_HOLD_S = 0.4
 
 _REFUSED_BY_ADMISSION = {
     "over_limit": "is over its rate; wait before the next request",
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -30,6 +30,9 @@
 from lacewinglift.timers import ThreadTimers
 
 HOUSEKEEPING_INTERVAL_S = 0.25
+# Time after which idle connections are closed once no new ones are accepted: each
+# request that is still taken must have time to end.
+FINISHING_IDLE_S = 0.2
 # Time for worker threads to end once all requests are answered or cut.
 WORKERS_STOP_S = 0.2
 # Datagrams at the start that describe this instance, then every so many.
@@ -146,6 +149,7 @@
         )
         self.frontend = Frontend(settings, self._make_parts(dialect))
         self.frontend.server.shutdown_timeout = WORKERS_STOP_S
+        self.frontend.server.finishing_idle_s = FINISHING_IDLE_S
 
     def _make_observer(self) -> Observer:
         settings = self.settings
--- a/src/lacewinglift/mesh/members.py
+++ b/src/lacewinglift/mesh/members.py
@@ -18,6 +18,8 @@
 # A silent instance may still admit requests; its part of the quotas stays reserved
 # for this long.
 FORGET_AFTER_S = 20.0
+# A datagram of an ended incarnation cannot arrive later than this after its last one.
+DELAYED_WITHIN_S = 0.5
 # An address that no instance and no entry of the store names for this long is dropped.
 NAMED_WITHIN_S = 60.0
 # An answer of the store counts as contact for this long.
@@ -116,9 +118,9 @@
             return None
         with self.lock:
             known = self.members.get(beat.instance)
-            if known is not None and not _is_newer(beat, known.beat):
-                return None
             now = self.timers.now()
+            if known is not None and not _is_newer(beat, known, now):
+                return None
             if known is None or known.beat.incarnation != beat.incarnation:
                 if not beat.HasField("description"):
                     return None
@@ -169,8 +171,13 @@
         return (len(self.heard()) + 1) / known
 
 
-def _is_newer(beat: beats_pb2.Beat, known: beats_pb2.Beat) -> bool:
-    return (beat.incarnation, beat.sequence) > (known.incarnation, known.sequence)
+def _is_newer(beat: beats_pb2.Beat, known: Member, now_s: float) -> bool:
+    if beat.incarnation == known.beat.incarnation:
+        return beat.sequence > known.beat.sequence
+    if beat.incarnation > known.beat.incarnation:
+        return True
+    # The time of day, from which incarnations come, may have been set back.
+    return now_s - known.heard_at_s > DELAYED_WITHIN_S
 
 
 def spread_ranked(
--- a/src/lacewinglift/mesh/settings.py
+++ b/src/lacewinglift/mesh/settings.py
@@ -33,7 +33,7 @@
     worker_threads: int = 96
     address_lifetime_s: float = ADDRESS_LIFETIME_S
     """Time for which callers may use an address answer."""
-    leave_s: float = 3.0
+    leave_s: float = 2.8
     """Time from the start of a stop in which connections are still accepted."""
     stop_bound_s: float = 5.2
     """Time that a graceful stop may take."""
--- a/testing/adapter/test_process.py
+++ b/testing/adapter/test_process.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -235,6 +236,7 @@
     """Guards against requests that are cut by a planned stop."""
     machines.start_all()
     process = machines.processes[HOSTS[0]]
+    stopped_s = time.monotonic()
     process.send_signal(signal.SIGTERM)
     assert wait_until(lambda: not machines.is_ready(HOSTS[0]), 2.0)
     status, _, headers = machines.sell(HOSTS[0])
@@ -244,6 +246,11 @@
     assert wait_until(
         lambda: left not in machines.directory(HOSTS[1]).get("addresses", []), 2.0
     )
+    with contextlib.closing(socket.create_connection((HOSTS[0], 18388))) as idle:
+        idle.settimeout(5.0)
+        assert_that(idle.recv(1), Equals(b""))
+        # No request is taken so late that the end of the process would cut it.
+        assert_that(time.monotonic() - stopped_s, LessThan(3.5))
     assert_that(process.wait(6.0), Equals(0))
     log = (machines.folder / f"{HOSTS[0]}.log").read_text()
     assert_that(log, Contains("event=stop_ends"))
--- a/testing/mesh/test_directory.py
+++ b/testing/mesh/test_directory.py
@@ -6,6 +6,7 @@
 from lacewinglift.generated import beats_pb2
 from lacewinglift.mesh.directory import Directory
 from lacewinglift.mesh.members import (
+    DELAYED_WITHIN_S,
     FORGET_AFTER_S,
     HEARD_WITHIN_S,
     NAMED_WITHIN_S,
@@ -133,6 +134,16 @@
     assert_that(members.members["f0"].beat.state, Equals(beats_pb2.DRAINING))
 
 
+def test_restart_after_the_time_of_day_was_set_back_is_noticed(members, timers):
+    """Guards against a restarted instance that nobody hears for its lower number."""
+    late = make_beat("f0", sequence=1, state=beats_pb2.BOOTING)
+    late.incarnation = 0
+    assert_that(members.note(late), Is(None))
+    timers.advance(DELAYED_WITHIN_S + 0.1)
+    members.note(late)
+    assert_that(members.members["f0"].beat.state, Equals(beats_pb2.BOOTING))
+
+
 def test_instance_without_description_is_unknown(members):
     """Guards against an instance that is known but cannot be reached."""
     beat = beats_pb2.Beat(instance="new", incarnation=1, sequence=1)
