--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -366,7 +366,7 @@
         if beat.registry_revision >= self.registry.revision:
             if beat.registry_digest == self.registry.digest:
                 self.registry.note_agreement(beat.registry_revision)
-            elif not self.observer.on_duty.is_set() or not self.registry.ready:
+            elif not self.observer.reads_store() or not self.registry.ready:
                 older = older or beat.registry_revision > 0
         if not older:
             return
--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -180,6 +180,10 @@
         else:
             self.on_duty.clear()
 
+    def reads_store(self) -> bool:
+        """Return whether the store tells this instance of changes itself."""
+        return self.on_duty.is_set() and not self.contact.failing
+
     def _is_due(self) -> bool:
         if self.timers.now() - self.started_at_s < LISTEN_FIRST_S:
             return False
--- a/testing/mesh/test_observers.py
+++ b/testing/mesh/test_observers.py
@@ -115,6 +115,15 @@
     assert_that({place(name) for name in now}, HasLength(3))
 
 
+def test_observer_that_is_turned_away_listens_to_the_others(fleet):
+    """Guards against an observer with old targets because it should know best."""
+    name = sorted(on_duty(fleet))[0]
+    fleet[name].contact.note_answer()
+    assert fleet[name].reads_store()
+    fleet[name].contact.note_failure(StoreUnavailableError("refused"))
+    assert not fleet[name].reads_store()
+
+
 def test_quiet_watch_is_no_lost_store(fleet, timers):
     """Guards against a fleet of observers because nothing changes for seconds."""
     chosen = on_duty(fleet)
