Let the bare stand-in of an instance read who else runs at each request

Cause of test_exception_leaves_nothing_behind failing in two whole runs beside load and once alone beside load: the stand-in listed the settings files once at its start, and under load a process started before the launcher had written the files of the later ones, so that it never listed them. Ruled out: the product, which does not run in this test.

--- a/testing/standins/bare_instance.py
+++ b/testing/standins/bare_instance.py
@@ -8,10 +8,17 @@
 
 
 class _Handler(http.server.BaseHTTPRequestHandler):
-    addresses: list[dict[str, str]] = []
+    folder: pathlib.Path
 
     def do_GET(self) -> None:
-        body = json.dumps({"addresses": self.addresses}).encode()
+        # Read each time: instances that start later write their settings later.
+        files = self.folder.glob("*-?.jsonc")
+        settings = [json.loads(path.read_text()) for path in files]
+        addresses = [
+            {"address": each["caller_address"], "data_centre": each["data_centre"]}
+            for each in settings
+        ]
+        body = json.dumps({"addresses": addresses}).encode()
         self.send_response(200)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
@@ -26,12 +33,7 @@
     options = parser.parse_args()
     if options.fail:
         sys.exit("the settings cannot be used")
-    files = options.settings.parent.glob("*-?.jsonc")
-    settings = [json.loads(path.read_text()) for path in files]
-    _Handler.addresses = [
-        {"address": each["caller_address"], "data_centre": each["data_centre"]}
-        for each in settings
-    ]
+    _Handler.folder = options.settings.parent
     own = json.loads(options.settings.read_text())
     host, port = own["caller_address"].split(":")
     http.server.ThreadingHTTPServer((host, int(port)), _Handler).serve_forever()
