--- a/testing/test_fleet.py
+++ b/testing/test_fleet.py
@@ -1,3 +1,4 @@
+import contextlib
 import json
 import pathlib
 import shutil
@@ -5,6 +6,7 @@
 import subprocess
 import sys
 import time
+import urllib.request
 
 import pytest
 from testtools.assertions import assert_that
@@ -20,6 +22,7 @@
     free_ports,
     python_command,
 )
+from testing.standins.request_half import wait_until
 
 # A run of the launcher in a process of its own, with bare instances.
 _SCRIPT = """
@@ -191,3 +194,31 @@
     """Guards against a demo that is smaller than what it is to show."""
     assert_that(parse_options(["demo"]).instances, Equals(6))
     assert_that(parse_options(["run", "--instances", "9"]).instances, Equals(9))
+
+
+def test_bare_instance_lists_instances_that_start_after_it(tmp_path):
+    """Guards against a stand-in that never lists others when it starts first."""
+    port, other_port = free_ports(2)
+    settings = tmp_path / "a-1.jsonc"
+
+    def write(path, port):
+        address = f"127.0.0.1:{port}"
+        path.write_text(json.dumps({"caller_address": address, "data_centre": "a"}))
+
+    def listed():
+        with contextlib.suppress(OSError):
+            url = f"http://127.0.0.1:{port}/.lacewinglift/addresses"
+            with urllib.request.urlopen(url, timeout=2.0) as reply:
+                return {each["address"] for each in json.load(reply)["addresses"]}
+        return set()
+
+    write(settings, port)
+    command = python_command("testing.standins.bare_instance", "--settings", settings)
+    with subprocess.Popen([str(word) for word in command]) as process:
+        try:
+            assert wait_until(lambda: listed() == {f"127.0.0.1:{port}"}, 10.0)
+            write(tmp_path / "b-1.jsonc", other_port)
+            expected = {f"127.0.0.1:{port}", f"127.0.0.1:{other_port}"}
+            assert_that(listed(), Equals(expected))
+        finally:
+            process.kill()
