Drop two unused methods and a second handler of one timeout, name a repeated check

FleetRetryBudget.left and TargetRegistry.of_service had no caller; the receiver of datagrams suppressed a timeout that is already handled; the check whether an observer reaches the store stood twice.

--- a/src/lacewinglift/mesh/beats.py
+++ b/src/lacewinglift/mesh/beats.py
@@ -4,7 +4,6 @@
 next: counts are cumulative and events are repeated.
 """
 
-import contextlib
 import enum
 import math
 import socket
@@ -160,9 +159,7 @@
 
     def _receive_loop(self) -> None:
         while not self.stopped:
-            data = None
-            with contextlib.suppress(TimeoutError):
-                data = self._receive()
+            data = self._receive()
             if data is not None:
                 self._take(data)
         self.socket.close()
--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -12,7 +12,12 @@
 from lacewinglift.errors import ConfigurationError, StoreError
 from lacewinglift.kv import Changes, HistoryLostError, KeyValueStore
 from lacewinglift.logs import log_exception, log_info, log_warning
-from lacewinglift.mesh.members import STORE_CONTACT_S, MemberTable, spread_ranked
+from lacewinglift.mesh.members import (
+    STORE_CONTACT_S,
+    Member,
+    MemberTable,
+    spread_ranked,
+)
 from lacewinglift.mesh.registry import RegisteredTarget, TargetRegistry
 from lacewinglift.timers import Timers
 
@@ -190,8 +195,7 @@
         heard = {
             member.name: member.description.data_centre
             for member in self.members.heard()
-            if not member.beat.observer
-            or member.beat.store_age_ms <= STORE_CONTACT_S * 1000
+            if not member.beat.observer or _reaches_store(member)
         }
         heard[self.members.name] = self.data_centre
         count = OBSERVERS_PER_DATA_CENTRE * len(set(heard.values()))
@@ -205,7 +209,7 @@
 
     def _hears_observer(self) -> bool:
         return any(
-            member.beat.observer and member.beat.store_age_ms <= STORE_CONTACT_S * 1000
+            member.beat.observer and _reaches_store(member)
             for member in self.members.heard()
         )
 
@@ -333,6 +337,10 @@
         return self.codec.read_target(self._name(key), value)
 
 
+def _reaches_store(member: Member) -> bool:
+    return member.beat.store_age_ms <= STORE_CONTACT_S * 1000
+
+
 def _start_thread(name: str, run: Callable[[], None]) -> None:
     threading.Thread(target=run, name=name, daemon=True).start()
 
--- a/src/lacewinglift/mesh/registry.py
+++ b/src/lacewinglift/mesh/registry.py
@@ -173,14 +173,6 @@
                 targets=[target.to_message() for target in self.targets.values()],
             )
 
-    def of_service(self) -> dict[str, list[RegisteredTarget]]:
-        """Return the targets by service."""
-        with self.lock:
-            by_service: dict[str, list[RegisteredTarget]] = {}
-            for target in self.targets.values():
-                by_service.setdefault(target.service, []).append(target)
-            return by_service
-
     def _accept(self, target: RegisteredTarget) -> None:
         tombstone = self.tombstones.get(target.name)
         if tombstone is not None and target.age_rank() <= tombstone.rank:
--- a/src/lacewinglift/mesh/usage.py
+++ b/src/lacewinglift/mesh/usage.py
@@ -231,13 +231,6 @@
             self.resends.add(1)
             return True
 
-    def left(self) -> float:
-        """Return how many resends are left in the present window."""
-        limits = self.budgets.limits
-        with self.budgets.lock:
-            allowed = limits.per_request * self.requests.total()
-            return allowed + limits.slack * SLACK_PART - self.resends.total()
-
 
 class FleetRetryBudgets:
     """Retry budgets of all services, counted over all instances.
