Ask the body alone whether it can be sent again

RequestBody.release already makes a dropped body not replayable, so the second flag and its check decided nothing. Tests of bodies, forwarder, retries and dialects pass.

--- a/src/lacewinglift/bodies.py
+++ b/src/lacewinglift/bodies.py
@@ -136,7 +136,6 @@
         self._kept_bytes = 0
         self._overflowed = False
         self._broken = False
-        self._released = False
         if head.chunked:
             self._source = iterate_chunked(reader)
         else:
@@ -175,14 +174,8 @@
             if piece:
                 yield piece
 
-    @property
-    def released(self) -> bool:
-        """Return whether what was kept has been dropped."""
-        return self._released
-
     def release(self) -> None:
         """Drop what was kept; the body is not needed again."""
-        self._released = True
         self._kept.clear()
         self._overflowed = self._overflowed or self._kept_bytes > 0
 
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -501,7 +501,7 @@
             return "time"
         if attempts >= self.request.max_attempts:
             return "attempts"
-        replayable = self.request.body.replayable and self._body_kept()
+        replayable = self.request.body.replayable
         if not may_resend(self.request.repeatable, failure.verdict, replayable):
             return "may_have_run"
         return None if budget.take() else "retry_budget"
@@ -538,9 +538,6 @@
         )
         return error
 
-    def _body_kept(self) -> bool:
-        return not self.request.body.present or not self.request.body.released
-
     def _too_late(self) -> _AttemptFailedError:
         message = "the deadline passed before a target was chosen"
         return _AttemptFailedError(OutcomeKind.TIMEOUT, Verdict.NOT_RUN, message)
