Log each decision on a request, with bounded volume and a schema

Logs go to standard output through a queue, so that a reader that stalls holds up no request; lines beyond the rate of their event, or beyond the queue, are dropped and counted, and the count is logged. Each request that is admitted, refused, sent to a target, resent, cut or ended has a line with its id and the inputs of the decision.

Ruled out: absl's own handler as it is (its write blocks), and lines only for failures (they do not show what was believed when a target was chosen). Not measured yet: processor time for each request with and without the lines.

--- a/src/lacewinglift/admission.py
+++ b/src/lacewinglift/admission.py
@@ -2,7 +2,7 @@
 
 import math
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from fractions import Fraction
 
 from attrs import define, field, frozen
@@ -50,9 +50,8 @@
     retry_after_s: float = 0.0
     wait_s: float = 0.0
     """Time after which an admitted request may go on: its token is on its way."""
-
-
-_ADMITTED = Decision(True)
+    basis: Mapping[str, object] = {}
+    """What the decision was based on, as fields of a log line."""
 
 
 @define
@@ -175,9 +174,11 @@
         refusal = self.standing_refusal()
         if refusal is not None:
             return Decision(False, refusal, 1.0)
+        basis = {"tokens": usage.bucket.level(), "share_ppm": usage.limits[0]}
         if admitted:
-            return _ADMITTED
-        return Decision(False, OVER_LIMIT, self._retry_after_s(workspace, usage))
+            return Decision(True, basis=basis)
+        retry_after_s = self._retry_after_s(workspace, usage)
+        return Decision(False, OVER_LIMIT, retry_after_s, basis=basis)
 
     def lend(self, request: BorrowRequest) -> BorrowReply:
         """Answer a peer that has too few tokens."""
--- a/src/lacewinglift/allocator.py
+++ b/src/lacewinglift/allocator.py
@@ -228,7 +228,7 @@
             situation.ledger, situation.views, situation.now_s
         )
         for identity in released:
-            log_info("share_released", instance=identity.instance)
+            log_info("share_released", member=identity.instance)
             draft.remove(identity)
         return bool(released)
 
@@ -237,7 +237,7 @@
             situation.ledger, situation.views, situation.now_s
         )
         for identity in fenced:
-            log_info("member_fenced", instance=identity.instance)
+            log_info("member_fenced", member=identity.instance)
             draft.fence(identity)
         return bool(fenced)
 
--- a/src/lacewinglift/commands/serve.py
+++ b/src/lacewinglift/commands/serve.py
@@ -5,10 +5,9 @@
 import sys
 import threading
 
-from absl import logging
-
 from lacewinglift.errors import SettingsError
 from lacewinglift.instance import Instance
+from lacewinglift.log_output import start_logging
 from lacewinglift.logs import log_info
 from lacewinglift.settings import load_settings
 
@@ -39,20 +38,19 @@
         "--log-level",
         choices=("info", "warning", "error"),
         default="info",
-        help="lowest level that is logged to stderr (default: %(default)s)",
+        help="lowest level that is logged to standard output (default: %(default)s)",
     )
     parser.set_defaults(run=run)
 
 
 def run(options: argparse.Namespace) -> int:
     """Run one instance until it is told to stop."""
-    logging.use_absl_handler()
-    logging.set_verbosity(options.log_level)
     try:
         settings = load_settings(options.settings)
     except SettingsError as error:
         print(f"lacewinglift: {error.code}: {error}", file=sys.stderr)
         return EXIT_FAULTS
+    output = start_logging(settings.instance, sys.stdout, options.log_level)
     try:
         instance = Instance(settings)
         instance.start()
@@ -63,7 +61,9 @@
             file=sys.stderr,
         )
         return EXIT_ADDRESS_IN_USE
-    return wait_and_stop(instance)
+    code = wait_and_stop(instance)
+    output.finish()
+    return code
 
 
 def wait_and_stop(instance: Instance) -> int:
--- a/src/lacewinglift/dialects.py
+++ b/src/lacewinglift/dialects.py
@@ -2,6 +2,8 @@
 
 from attrs import frozen
 
+DEFAULT_ID_HEADER = "x-request-id"
+
 
 @frozen
 class Dialect:
@@ -43,6 +45,10 @@
     promise_status: int | None = None
     fractional_retry_after: bool = False
 
+    def logged_id_header(self) -> str:
+        """Return the lower-case name of the header by which logs name a request."""
+        return self.request_id_header or DEFAULT_ID_HEADER
+
     def reserved_headers(self) -> frozenset[str]:
         """Return the lower-case names that a caller cannot pass to a target."""
         names = [self.timeout_header, self.deadline_header, self.workspace_header]
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -4,7 +4,7 @@
 import itertools
 import socket
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import Protocol
 
 from attrs import define, frozen
@@ -56,6 +56,10 @@
     target: Target
     on_ejected: Callable[[], None] | None
 
+    def basis(self) -> Mapping[str, object]:
+        """Return what the choice was based on, as fields of a log line."""
+        ...
+
     def mark_answered(self, latency_s: float) -> None:
         """Report that the head of the answer has arrived."""
         ...
@@ -130,6 +134,8 @@
     """Attempts that may end as not run before `max_attempts` is charged."""
     request_id: str | None = None
     """Value that the target echoes in its answer."""
+    logged_id: str = "-"
+    """Name of the request in logs."""
 
     @property
     def repeatable(self) -> bool:
@@ -171,11 +177,13 @@
         self.length = _answer_length(response, raw)
         self.bodiless = raw.length == 0
         self.upload_finished = upload_finished
+        self.target_name = call.attempt.target.name
+        self.attempts = 1
         self._call = call
         self._response = response
         self._raw = raw
         self._latency_s = latency_s
-        self._bytes = 0
+        self.body_bytes = 0
         self._preloaded: Iterator[bytes] | None = None
 
     @property
@@ -205,7 +213,7 @@
             return
         try:
             while piece := self._response.read1(PIECE_BYTES, decode_content=False):
-                self._bytes += len(piece)
+                self.body_bytes += len(piece)
                 yield piece
         except TimeoutError as error:
             self._fail(OutcomeKind.TIMEOUT, error)
@@ -227,7 +235,7 @@
         if self._call.exchange.reason is not None:
             self._fail(OutcomeKind.CANCELLED, None)
         kind = OutcomeKind.ERROR if self.failed else OutcomeKind.SUCCESS
-        self._call.finish(kind, self._latency_s, self._bytes)
+        self._call.finish(kind, self._latency_s, self.body_bytes)
         self._call.release(self._raw, self.upload_finished)
 
     def _whole(self) -> bool:
@@ -450,6 +458,7 @@
             if attempt is None:
                 raise self._give_up("no_target", failure, len(tried))
             tried.add(attempt.target.name)
+            self._log_choice(attempt, len(tried), repeatable)
             if failure is not None and self.forwarder.on_retry is not None:
                 self.forwarder.on_retry(self.service.name)
             answer = None
@@ -458,6 +467,8 @@
                 last = self._answer_failure(answer)
             except _AttemptFailedError as error:
                 answer, last = None, error
+            if answer is not None:
+                answer.attempts = len(tried)
             if last is None:
                 return answer
             if failure is None or failure.verdict is Verdict.NOT_RUN:
@@ -506,12 +517,24 @@
             return "may_have_run"
         return None if budget.take() else "retry_budget"
 
+    def _log_choice(self, attempt: Attempt, number: int, repeatable: bool) -> None:
+        log_info(
+            "target_chosen",
+            id=self.request.logged_id,
+            service=self.service.name,
+            target=attempt.target.name,
+            attempt=number,
+            repeatable=repeatable,
+            left_s=self._remaining_s(),
+            **attempt.basis(),
+        )
+
     def _log_failure(
         self, target: str, failure: _AttemptFailedError, reason: str | None
     ) -> None:
         log_info(
             "attempt_failed",
-            id=self.request.request_id or "-",
+            id=self.request.logged_id,
             service=self.service.name,
             target=target,
             outcome=failure.kind.value,
@@ -529,7 +552,7 @@
         error = self._refusal(failure)
         log_info(
             "request_given_up",
-            id=self.request.request_id or "-",
+            id=self.request.logged_id,
             service=self.service.name,
             why=reason,
             attempts=attempts,
--- a/src/lacewinglift/handling.py
+++ b/src/lacewinglift/handling.py
@@ -5,7 +5,7 @@
 import ipaddress
 import time
 import urllib.parse
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Protocol
 
 from attrs import define, field
@@ -27,6 +27,7 @@
 from lacewinglift.dialects import OWN_DIALECT, Dialect
 from lacewinglift.exchanges import Exchange, ExchangeWatch
 from lacewinglift.forwarder import (
+    Answer,
     AnswerCutError,
     ExchangeCancelledError,
     Forwarder,
@@ -66,6 +67,7 @@
     code: str | None
     retry_after_s: float | None
     wait_s: float
+    basis: Mapping[str, object]
 
 
 class Admission(Protocol):
@@ -162,6 +164,11 @@
             stream.send_continue,
         )
         self.writer = self._new_writer()
+        self.started_s = self.parts.timers.now()
+        id_header = self.parts.dialect.logged_id_header()
+        self.logged_id = head.value(id_header) or "-"
+        self.service_name = "-"
+        self.admission_basis: Mapping[str, object] = {}
 
     def _new_writer(self) -> AnswerWriter:
         keep_alive = self.head.keep_alive and not self.parts.shutdown.closing()
@@ -175,23 +182,34 @@
         except BadRequestError as error:
             return self._refuse(refuse("bad_request", str(error)).refusal)
         except AnswerCutError as error:
-            self._note_cut("target")
+            self._note_cut("target", error)
             verdict = Verdict.MAY_HAVE_RUN
             return self._refuse(refuse("target_failed", str(error), verdict).refusal)
-        except (CallerGoneError, ExchangeCancelledError):
-            self._note_cut("caller")
+        except (CallerGoneError, ExchangeCancelledError) as error:
+            self._note_cut("caller", error)
             self.writer.cut()
             return False
         except Exception:
-            log_exception("request_failed", path=self.head.path)
+            log_exception("request_failed", id=self.logged_id, path=self.head.path)
             self.writer.keep_alive = False
             message = "this instance failed; its log has the error"
             verdict = Verdict.MAY_HAVE_RUN
             return self._refuse(refuse("target_failed", message, verdict).refusal)
         return self._end_connection()
 
-    def _note_cut(self, reason: str) -> None:
+    def _note_cut(self, reason: str, error: Exception) -> None:
         self.parts.metrics.cut.labels(reason).inc()
+        log_info(
+            "request_cut",
+            id=self.logged_id,
+            service=self.service_name,
+            by=reason,
+            reason=str(error) or type(error).__name__,
+            after_s=self._elapsed_s(),
+        )
+
+    def _elapsed_s(self) -> float:
+        return self.parts.timers.now() - self.started_s
 
     def _end_connection(self) -> bool:
         if not self.body.finished:
@@ -200,6 +218,7 @@
         return self.writer.keep_alive
 
     def _refuse(self, refusal: Refusal) -> bool:
+        self._log_refusal(refusal)
         if self.writer.started:
             # Part of another answer has gone out.
             self.writer.cut()
@@ -212,6 +231,25 @@
             return False
         return self._end_connection()
 
+    def _log_refusal(self, refusal: Refusal) -> None:
+        log_info(
+            "request_refused",
+            id=self.logged_id,
+            path=self.head.path,
+            code=refusal.code,
+            status=refusal.status(self.parts.dialect),
+            verdict=refusal.verdict.value,
+            retry_after_s=refusal.retry_after_s or 0.0,
+            after_s=self._elapsed_s(),
+            generation=self._generation(),
+            why=refusal.message,
+            **self.admission_basis,
+        )
+
+    def _generation(self) -> int:
+        configuration = self.parts.distribution.current()
+        return 0 if configuration is None else configuration.generation
+
     def _drain(self) -> bool:
         """Read the rest of a small body; return whether it has ended."""
         body = self.body
@@ -270,10 +308,12 @@
     def _forward(self, access: Access) -> None:
         started_s = self.parts.timers.now()
         status = "refused"
+        self.service_name = access.service.name
         try:
             if access.workspace is not None:
                 check_standing(self.parts.standing)
                 self._admit(access.workspace)
+            self._log_admission(access)
             with (
                 self.parts.limits.holding(access.service, access.workspace),
                 self._watched(access) as exchange,
@@ -287,23 +327,25 @@
 
     def _admit(self, workspace: Workspace) -> None:
         decision = self.parts.admission.admit(workspace)
+        self.admission_basis = {"workspace": workspace.name, **decision.basis}
         if decision.admitted:
             if decision.wait_s > 0:
                 time.sleep(decision.wait_s)
             return
         code = decision.code or "over_limit"
-        log_info(
-            "request_refused",
-            id=self.head.value(self.parts.dialect.request_id_header or "") or "-",
-            code=code,
-            workspace=workspace.name,
-            path=self.head.path,
-            retry_after_s=decision.retry_after_s or 0.0,
-        )
         why = _REFUSED_BY_ADMISSION.get(code, "cannot be admitted now")
         message = f"{workspace.name} {why}"
         raise refuse(code, message, retry_after_s=decision.retry_after_s or None)
 
+    def _log_admission(self, access: Access) -> None:
+        log_info(
+            "request_admitted",
+            id=self.logged_id,
+            service=access.service.name,
+            generation=self._generation(),
+            **self.admission_basis,
+        )
+
     @contextlib.contextmanager
     def _watched(self, access: Access) -> Iterator[Exchange]:
         check = AccessCheck(
@@ -339,6 +381,7 @@
             max_attempts=route.max_attempts,
             free_refusals=route.free_refusals,
             request_id=self.head.value(dialect.request_id_header or ""),
+            logged_id=self.logged_id,
         )
         name = None if access.workspace is None else access.workspace.name
         answer = self.parts.forwarder.forward(request, access.service, name, deadline_s)
@@ -355,8 +398,22 @@
             )
         finally:
             answer.close()
+        self._log_end(answer, name)
         return f"{answer.status // 100}xx"
 
+    def _log_end(self, answer: Answer, workspace_name: str | None) -> None:
+        log_info(
+            "request_ended",
+            id=self.logged_id,
+            service=self.service_name,
+            workspace=workspace_name or "-",
+            target=answer.target_name,
+            status=answer.status,
+            attempts=answer.attempts,
+            after_s=self._elapsed_s(),
+            bytes=answer.body_bytes,
+        )
+
     def _checked(self, chunks: Iterator[bytes], exchange: Exchange) -> Iterator[bytes]:
         for chunk in chunks:
             exchange.check_access()
--- a/src/lacewinglift/instance.py
+++ b/src/lacewinglift/instance.py
@@ -94,7 +94,6 @@
         )
         log_info(
             "instance_started",
-            instance=self.identity.instance,
             incarnation=self.identity.incarnation,
             callers=self.identity.caller_address,
         )
--- /dev/null
+++ b/src/lacewinglift/log_output.py
@@ -0,0 +1,133 @@
+"""Standard output for logs, which never holds up the thread that logs."""
+
+import json
+import logging as standard_logging
+import threading
+import time
+from collections import deque
+from typing import TextIO
+
+from absl import logging
+
+MAX_QUEUED_LINES = 4000
+# Lines that are written together.
+BATCH_LINES = 200
+STOP_WAIT_S = 0.2
+
+
+class LogOutput:
+    """Stream that queues lines for a thread that writes them.
+
+    A line that finds the queue full is dropped and counted; the count is written once
+    there is room again.
+
+    Parameters
+    ----------
+    raw : TextIO
+        Where the lines go; its writes may block.
+    """
+
+    def __init__(self, raw: TextIO) -> None:
+        self.raw = raw
+        self.lines: deque[str] = deque()
+        self.dropped = 0
+        self.written = 0
+        self._told_dropped = 0
+        self._writing = False
+        # A signal handler may log while its thread holds the lock.
+        self._changed = threading.Condition(threading.RLock())
+        thread = threading.Thread(target=self._run, name="log-output", daemon=True)
+        thread.start()
+
+    def write(self, text: str) -> int:
+        """Queue lines, or drop them."""
+        with self._changed:
+            if len(self.lines) >= MAX_QUEUED_LINES:
+                self.dropped += 1
+            else:
+                self.lines.append(text)
+                self._changed.notify()
+        return len(text)
+
+    def flush(self) -> None:
+        """Return at once; lines are written as they come."""
+
+    def finish(self, wait_s: float = STOP_WAIT_S) -> None:
+        """Wait until all lines are written, for `wait_s` at most."""
+        with self._changed:
+            self._changed.wait_for(lambda: not self.lines and not self._writing, wait_s)
+
+    def _run(self) -> None:
+        while True:
+            batch = self._next_batch()
+            try:
+                self.raw.write("".join(batch))
+                self.raw.flush()
+            except (OSError, ValueError):
+                # Nobody reads the output any more; there is no place to tell it.
+                with self._changed:
+                    self.dropped += len(batch)
+            else:
+                self.written += len(batch)
+
+    def _next_batch(self) -> list[str]:
+        with self._changed:
+            self._writing = False
+            self._changed.notify_all()
+            self._changed.wait_for(lambda: self.lines)
+            self._writing = True
+            count = min(len(self.lines), BATCH_LINES)
+            batch = [self.lines.popleft() for _ in range(count)]
+            dropped = self.dropped - self._told_dropped
+            self._told_dropped = self.dropped
+        if dropped:
+            batch.append(
+                f"time={time.time():.3f} level=warning event=log_lines_dropped "
+                f"count={dropped}\n"
+            )
+        return batch
+
+
+class LineFormatter(standard_logging.Formatter):
+    """Formats each event as one line of key=value pairs.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this instance, or an empty string.
+    """
+
+    def __init__(self, instance: str) -> None:
+        super().__init__()
+        self.prefix = f" instance={instance}" if instance else ""
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        """Return the line of a record."""
+        line = (
+            f"time={record.created:.3f} level={record.levelname.lower()}"
+            f"{self.prefix} {record.getMessage()}"
+        )
+        if record.exc_info:
+            line += f" traceback={json.dumps(self.formatException(record.exc_info))}"
+        return line
+
+
+def start_logging(instance: str, raw: TextIO, level: str = "info") -> LogOutput:
+    """Send the logs of this process to a stream.
+
+    Parameters
+    ----------
+    instance : str
+        Name that each line bears, or an empty string.
+    raw : TextIO
+        Where the lines go.
+    level : {"info", "warning", "error"}
+        Lowest level that is written.
+    """
+    output = LogOutput(raw)
+    logging.use_absl_handler()
+    handler = logging.get_absl_handler()
+    handler.python_handler.stream = output
+    handler.setFormatter(LineFormatter(instance))
+    logging.set_verbosity(level)
+    return output
--- a/src/lacewinglift/logs.py
+++ b/src/lacewinglift/logs.py
@@ -1,9 +1,23 @@
-"""Structured logs: one line of key=value pairs for each event."""
+"""Structured logs: one line of key=value pairs for each event.
+
+The events and their fields stand in ``schema/log_events.json``.
+"""
 
 import json
 import re
+import threading
+import time
+from collections.abc import Callable
 
 from absl import logging
+from attrs import define, field
+
+from lacewinglift.generated.log_events import LOG_EVENTS
+
+# Lines of an event that its schema gives no rate; twice as many may come at once.
+LINES_PER_S = 10.0
+BURST_S = 2.0
+REPORT_INTERVAL_S = 1.0
 
 _PLAIN = re.compile(r"[A-Za-z0-9_.:/@%+\-]+")
 
@@ -25,16 +39,95 @@
     return " ".join(pairs)
 
 
+@define(eq=False)
+class _EventCount:
+    """Lines of one event."""
+
+    lines_per_s: float
+    tokens: float
+    filled_at_s: float
+    written: int = 0
+    left_out: int = 0
+    unreported: int = 0
+
+
+@define(eq=False)
+class LineLimits:
+    """Bounds the lines of each event per second, and counts those left out."""
+
+    clock: Callable[[], float] = time.monotonic
+    events: dict[str, _EventCount] = field(factory=dict)
+    # A signal handler may log while its thread holds the lock.
+    lock: threading.RLock = field(factory=threading.RLock)
+
+    def admit(self, event: str) -> bool:
+        """Return whether a line of an event may be written, and count it."""
+        now = self.clock()
+        with self.lock:
+            count = self.events.get(event)
+            if count is None:
+                count = self.events[event] = _new_count(event, now)
+            most = count.lines_per_s * BURST_S
+            gained = (now - count.filled_at_s) * count.lines_per_s
+            count.tokens = min(count.tokens + gained, most)
+            count.filled_at_s = now
+            if count.tokens < 1.0:
+                count.left_out += 1
+                count.unreported += 1
+                return False
+            count.tokens -= 1.0
+            count.written += 1
+            return True
+
+    def take_unreported(self) -> dict[str, int]:
+        """Return how many lines were left out since the last call, by event."""
+        with self.lock:
+            found = {
+                event: count.unreported
+                for event, count in self.events.items()
+                if count.unreported
+            }
+            for event in found:
+                self.events[event].unreported = 0
+        return found
+
+    def totals(self) -> dict[str, tuple[int, int]]:
+        """Return the lines written and left out of each event."""
+        with self.lock:
+            return {
+                event: (count.written, count.left_out)
+                for event, count in self.events.items()
+            }
+
+
+def _new_count(event: str, now_s: float) -> _EventCount:
+    known = LOG_EVENTS.get(event, {})
+    lines_per_s = known.get("lines_per_s", LINES_PER_S)
+    return _EventCount(lines_per_s, lines_per_s * BURST_S, now_s)
+
+
+LIMITS = LineLimits()
+
+
 def log_info(event: str, **fields: object) -> None:
     """Log an event of normal operation."""
-    logging.info("%s", format_event(event, fields))
+    if LIMITS.admit(event):
+        logging.info("%s", format_event(event, fields))
 
 
 def log_warning(event: str, **fields: object) -> None:
     """Log an event that an operator may have to look at."""
-    logging.warning("%s", format_event(event, fields))
+    if LIMITS.admit(event):
+        logging.warning("%s", format_event(event, fields))
 
 
 def log_exception(event: str, **fields: object) -> None:
     """Log an event with the traceback of the exception being handled."""
-    logging.exception("%s", format_event(event, fields))
+    if LIMITS.admit(event):
+        logging.exception("%s", format_event(event, fields))
+
+
+def report_left_out() -> None:
+    """Log how many lines were left out since the last call."""
+    for event, count in LIMITS.take_unreported().items():
+        log_info("log_lines_left_out", of=event, count=count)
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -210,7 +210,6 @@
         self.timers.subscribe(HOUSEKEEPING_INTERVAL_S, self._keep_house)
         log_info(
             "instance_started",
-            instance=self.settings.instance,
             incarnation=self.incarnation,
             callers=self.settings.caller_address,
         )
--- a/src/lacewinglift/mesh/pooled_targets.py
+++ b/src/lacewinglift/mesh/pooled_targets.py
@@ -10,7 +10,7 @@
 import math
 import threading
 from collections import deque
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from random import Random
 
 from attrs import define, field
@@ -72,9 +72,15 @@
     state: "_State"
     table: "PooledTargets"
     repeatable: bool
+    evidence: Mapping[str, object]
+    """What the choice was based on."""
     finished: bool = False
     on_ejected: Callable[[], None] | None = None
 
+    def basis(self) -> Mapping[str, object]:
+        """Return what the choice was based on, as fields of a log line."""
+        return self.evidence
+
     def mark_answered(self, latency_s: float) -> None:
         """Record that the head of the answer arrived."""
 
@@ -101,6 +107,8 @@
     target: Target
     near: bool
     warm_at_s: float
+    known_at_s: float = 0.0
+    """Time at which the incarnation was first heard of."""
     in_flight: int = 0
     peer_loads: dict[str, tuple[int, float]] = field(factory=dict)
     failed_at_s: float | None = None
@@ -199,7 +207,7 @@
             known.target = target
             return known
         near = registered.data_centre == self.data_centre
-        return _State(registered, target, near, warm_at_s)
+        return _State(registered, target, near, warm_at_s, self.timers.now())
 
     # ---- choice ----
 
@@ -222,11 +230,29 @@
             state = self._choose(usable, repeatable, now)
             if state is None:
                 return None
-            attempt = PooledAttempt(state.target, now, state, self, repeatable)
+            evidence = self._evidence_for(state, usable, now)
+            attempt = PooledAttempt(
+                state.target, now, state, self, repeatable, evidence
+            )
             state.in_flight += 1
             state.pending.add(attempt)
             return attempt
 
+    def _evidence_for(
+        self, state: _State, usable: list[_State], now_s: float
+    ) -> dict[str, object]:
+        evidence: dict[str, object] = {
+            "load": state.load(now_s),
+            "near": state.near,
+            "usable": len(usable),
+            "trusted": sum(self._trusted(s, now_s, HOLD_OFF_S) for s in usable),
+            "known_s": now_s - state.known_at_s,
+        }
+        if state.failed_at_s is not None:
+            evidence["since_failure_s"] = now_s - state.failed_at_s
+            evidence["served_since_failure"] = state.served
+        return evidence
+
     def _choose(
         self, usable: list[_State], repeatable: bool, now_s: float
     ) -> _State | None:
@@ -292,7 +318,7 @@
             self._note_shed(state, now)
         elif outcome.kind in _FAILED_KINDS:
             self._log_failure(attempt, state, now)
-            self._doubt(state, now)
+            self._doubt(state, self.instance, now)
             self._tell(state, FAILED, now)
         elif outcome.kind in _UNREACHED_KINDS:
             state.path_until_s = now + PATH_HOLD_OFF_S
@@ -335,9 +361,9 @@
             self._count_served(state, self.instance)
             self._tell(state, SERVED, now_s)
 
-    def _doubt(self, state: _State, at_s: float) -> None:
+    def _doubt(self, state: _State, source: str, at_s: float) -> None:
         if state.failed_at_s is None:
-            log_info("target_doubted", target=state.target.name)
+            log_info("target_doubted", target=state.target.name, by=source)
         state.failed_at_s = max(at_s, state.failed_at_s or 0.0)
         state.served = 0
         state.trial_at_s = state.failed_at_s + TRIAL_AFTER_S
@@ -368,7 +394,7 @@
             if at_s - seen_s <= UNREACHED_WINDOW_S
         ]
         if len(recent) >= UNREACHED_INSTANCES:
-            self._doubt(state, at_s)
+            self._doubt(state, instance, at_s)
             self._abandon(state)
 
     def _abandon(self, state: _State) -> None:
@@ -448,7 +474,7 @@
         if state is None:
             return
         if evidence.kind == FAILED:
-            self._doubt(state, at_s)
+            self._doubt(state, instance, at_s)
         elif evidence.kind == UNREACHED:
             self._note_unreached(state, instance, at_s)
         elif state.doubted() and at_s > state.failed_at_s:
--- a/src/lacewinglift/mesh/usage.py
+++ b/src/lacewinglift/mesh/usage.py
@@ -32,9 +32,6 @@
 MAX_DEBT_S = 5.0
 
 
-_ADMITTED = Decision(True)
-
-
 @define(eq=False)
 class _PeerCounts:
     """Last counts of one incarnation of another instance, by name."""
@@ -83,6 +80,13 @@
         self.filled_at_s = now_s
         self.level = min(self.level + gained, self.burst)
 
+    def basis(self, part: float) -> dict[str, object]:
+        return {
+            "tokens": self.level,
+            "rate_per_s": self.rate_per_s,
+            "heard_part": part,
+        }
+
     def charge(self, tokens: int) -> None:
         self.level = max(self.level - tokens, -MAX_DEBT_S * self.rate_per_s)
 
@@ -123,15 +127,17 @@
         with self._lock:
             bucket = self.buckets.get(workspace.name)
             if bucket is None:
-                return _ADMITTED
+                return Decision(True)
             bucket.fill(self.timers.now(), part)
             wait_s = max(1.0 - bucket.level, 0.0) / (bucket.rate_per_s * part)
+            basis = bucket.basis(part)
             if wait_s > MAX_WAIT_S:
-                return Decision(False, OVER_LIMIT, wait_s - MAX_WAIT_S / 2)
+                later_s = wait_s - MAX_WAIT_S / 2
+                return Decision(False, OVER_LIMIT, later_s, basis=basis)
             bucket.level -= 1.0
             bucket.admitted += 1
             bucket.used_at_s = bucket.filled_at_s
-            return Decision(True, wait_s=wait_s) if wait_s else _ADMITTED
+            return Decision(True, wait_s=wait_s, basis=basis)
 
     def note_peer(self, beat: beats_pb2.Beat) -> None:
         """Charge what another instance has admitted."""
--- a/testing/standins/request_half.py
+++ b/testing/standins/request_half.py
@@ -42,6 +42,9 @@
     on_ejected: object = None
     answered: bool = False
 
+    def basis(self):
+        return {"load": 0.0}
+
     def mark_answered(self, latency_s):
         self.answered = True
 
--- a/testing/test_handling.py
+++ b/testing/test_handling.py
@@ -1,6 +1,5 @@
 import threading
 import time
-from types import SimpleNamespace
 
 import pytest
 from attrs import evolve
@@ -8,6 +7,7 @@
 from testtools.matchers import Contains, EndsWith, Equals, LessThan, Not, StartsWith
 
 from lacewinglift.addresses import AddressBook
+from lacewinglift.admission import Decision
 from lacewinglift.concurrency import ConcurrencyLimits
 from lacewinglift.configuration import Route, Service, Workspace
 from lacewinglift.generated import fleet_pb2
@@ -113,7 +113,7 @@
     assert_that(half.admission.asked, Equals([]))
     assert_that(call(half, path="/open", key=None), EndsWith(b"sold"))
     half.standing.code = None
-    half.admission.decision = SimpleNamespace(
+    half.admission.decision = Decision(
         admitted=False, code="over_limit", retry_after_s=1.2
     )
     reply = call(half, "POST", body=b"x" * 5000)
@@ -124,7 +124,7 @@
 
 def test_refused_upload_keeps_the_connection(half):
     """Guards against a reconnection for each request over the rate."""
-    half.admission.decision = SimpleNamespace(
+    half.admission.decision = Decision(
         admitted=False, code="over_limit", retry_after_s=None
     )
     with half.connect() as sock:
--- /dev/null
+++ b/testing/test_log_output.py
@@ -0,0 +1,99 @@
+"""Bounded logs that never hold up a request."""
+
+import io
+import logging as standard_logging
+import threading
+
+import pytest
+
+from lacewinglift import log_output
+from lacewinglift.log_output import LineFormatter, LogOutput
+from lacewinglift.logs import BURST_S, LINES_PER_S, LineLimits
+
+
+class StalledReader(io.StringIO):
+    """Output whose reader has stopped until `resume` is called."""
+
+    def __init__(self):
+        super().__init__()
+        self.reached = threading.Event()
+        self.resumed = threading.Event()
+
+    def write(self, text):
+        self.reached.set()
+        self.resumed.wait(10)
+        return super().write(text)
+
+
+@pytest.fixture
+def clock():
+    class Clock:
+        now_s = 100.0
+
+        def __call__(self):
+            return self.now_s
+
+    return Clock()
+
+
+def test_stalled_reader_holds_up_nobody_and_loss_is_told(monkeypatch):
+    """Guards against requests that wait for whoever reads the logs."""
+    monkeypatch.setattr(log_output, "MAX_QUEUED_LINES", 10)
+    raw = StalledReader()
+    output = LogOutput(raw)
+    output.write("first\n")
+    assert raw.reached.wait(5)
+    for number in range(25):
+        output.write(f"line {number}\n")
+    assert output.dropped == 15
+    raw.resumed.set()
+    output.finish(5.0)
+    lines = raw.getvalue().splitlines()
+    assert lines[:2] == ["first", "line 0"]
+    assert lines[-1].endswith("level=warning event=log_lines_dropped count=15")
+
+
+def test_output_that_is_closed_ends_no_thread():
+    """Guards against a process that fails once nobody reads its output."""
+    raw = io.StringIO()
+    output = LogOutput(raw)
+    raw.close()
+    output.write("lost\n")
+    output.finish(5.0)
+    assert output.dropped == 1
+
+
+def test_lines_of_an_event_are_bounded_and_those_left_out_are_counted(clock):
+    """Guards against logs that grow with a flood of requests."""
+    limits = LineLimits(clock)
+    written = sum(limits.admit("request_flood") for _ in range(1000))
+    assert written == LINES_PER_S * BURST_S
+    assert limits.take_unreported() == {"request_flood": 1000 - written}
+    assert limits.take_unreported() == {}
+    clock.now_s += 1.0
+    assert sum(limits.admit("request_flood") for _ in range(1000)) == LINES_PER_S
+
+
+def test_flood_of_one_event_leaves_the_others_alone(clock):
+    """Guards against a lost store that nobody sees because of many requests."""
+    limits = LineLimits(clock)
+    for _ in range(1000):
+        limits.admit("request_flood")
+    assert limits.admit("store_lost")
+
+
+def test_traceback_stays_in_its_line():
+    """Guards against lines that tools cannot read one by one."""
+    try:
+        raise ValueError("two\nlines")
+    except ValueError as error:
+        trace = (ValueError, error, error.__traceback__)
+    record = standard_logging.LogRecord(
+        "", standard_logging.ERROR, "", 1, "event=endpoint_failed", (), trace
+    )
+    record.created = 12.5
+    line = LineFormatter("a").format(record)
+    assert line.startswith(
+        "time=12.500 level=error instance=a event=endpoint_failed tr"
+    )
+    assert "\n" not in line
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -39,12 +39,20 @@
         (destination / PACKAGE / name).write_text(code)
 
 
+def generate_log_events(destination: pathlib.Path) -> None:
+    events = json.loads((SCHEMA / "log_events.json").read_text())
+    rows = "".join(f"    {name!r}: {events[name]!r},\n" for name in sorted(events))
+    code = f'"""Events of the logs."""\n\nLOG_EVENTS = {{\n{rows}}}\n'
+    (destination / PACKAGE / "log_events.py").write_text(code)
+
+
 def generate(destination: pathlib.Path) -> None:
     target = destination / PACKAGE
     target.mkdir(parents=True, exist_ok=True)
     (target / "__init__.py").write_text('"""Code generated from schema."""\n')
     generate_messages(destination)
     generate_validators(destination)
+    generate_log_events(destination)
     for empty in target.glob("*_grpc.py"):
         if "class " not in empty.read_text():
             empty.unlink()
