--- a/src/lacewinglift/standing.py
+++ b/src/lacewinglift/standing.py
@@ -135,5 +135,7 @@
         if standing == self.logged:
             return
         self.logged = standing
-        log = log_info if standing else log_warning
-        log("standing_changed", standing=standing, fenced=self.fenced)
+        if standing:
+            log_info("standing_gained")
+        else:
+            log_warning("standing_lost", fenced=self.fenced)
