--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -311,7 +311,7 @@
         latency_s = self.elapsed_s() if latency_s is None else latency_s
         self.attempt.finish(Outcome(kind, latency_s, answer_bytes))
         if self.forwarder.on_attempt is not None:
-            self.forwarder.on_attempt(self.service_name, kind)
+            self.forwarder.on_attempt(self.service_name, kind, latency_s)
 
     def close(self) -> None:
         """Close the connection unless it was released."""
@@ -342,9 +342,11 @@
     timers : Timers
         Clock.
     on_attempt : callable, default=None
-        Told the service and the outcome of each attempt.
+        Told the service, the outcome and the latency of each attempt.
     on_retry : callable, default=None
         Told the service of each resent request.
+    on_connection : callable, default=None
+        Told the service of each attempt, and whether it opens a connection.
     dialect : Dialect
         Names of the headers that targets understand.
     new_budget : callable, default=None
@@ -355,8 +357,9 @@
         self,
         table: Table,
         timers: Timers,
-        on_attempt: Callable[[str, OutcomeKind], None] | None = None,
+        on_attempt: Callable[[str, OutcomeKind, float], None] | None = None,
         on_retry: Callable[[str], None] | None = None,
+        on_connection: Callable[[str, bool], None] | None = None,
         dialect: Dialect = OWN_DIALECT,
         new_budget: Callable[[str], Budget] | None = None,
     ) -> None:
@@ -364,6 +367,7 @@
         self.timers = timers
         self.on_attempt = on_attempt
         self.on_retry = on_retry
+        self.on_connection = on_connection
         self.dialect = dialect
         self.new_budget = new_budget or (lambda service: RetryBudget(timers))
         self.pools = TargetPools(timers)
@@ -627,6 +631,9 @@
     def _connect(self) -> None:
         connection = self.call.connection
         remaining_s = max(self._remaining_s(), 0.001)
+        if self.forwarder.on_connection is not None:
+            opened = connection.sock is None
+            self.forwarder.on_connection(self.service.name, opened)
         if connection.sock is None:
             connection.timeout = min(self.service.connect_timeout_s, remaining_s)
             try:
--- a/src/lacewinglift/handling.py
+++ b/src/lacewinglift/handling.py
@@ -314,6 +314,8 @@
                 check_standing(self.parts.standing)
                 self._admit(access.workspace)
             self._log_admission(access)
+            waited = self.parts.metrics.waits.labels(access.service.name)
+            waited.observe(self._elapsed_s())
             with (
                 self.parts.limits.holding(access.service, access.workspace),
                 self._watched(access) as exchange,
--- a/src/lacewinglift/instance.py
+++ b/src/lacewinglift/instance.py
@@ -13,7 +13,7 @@
 from lacewinglift.generated import fleet_pb2
 from lacewinglift.handling import RequestParts
 from lacewinglift.identity import Identity
-from lacewinglift.logs import log_info
+from lacewinglift.logs import REPORT_INTERVAL_S, log_info, report_left_out
 from lacewinglift.metrics import Metrics
 from lacewinglift.probes import Prober
 from lacewinglift.settings import Settings
@@ -60,6 +60,7 @@
             self.timers,
             on_attempt=self.metrics.note_attempt,
             on_retry=self.metrics.note_retry,
+            on_connection=self.metrics.note_connection,
         )
         self.shutdown = Shutdown(
             self.timers,
@@ -92,6 +93,7 @@
         self.ready_check = self.timers.subscribe(
             READY_CHECK_INTERVAL_S, self.announce_live
         )
+        self.timers.subscribe(REPORT_INTERVAL_S, report_left_out)
         log_info(
             "instance_started",
             incarnation=self.identity.incarnation,
--- a/src/lacewinglift/log_output.py
+++ b/src/lacewinglift/log_output.py
@@ -9,6 +9,8 @@
 
 from absl import logging
 
+from lacewinglift.logs import LIMITS
+
 MAX_QUEUED_LINES = 4000
 # Lines that are written together.
 BATCH_LINES = 200
@@ -130,4 +132,5 @@
     handler.python_handler.stream = output
     handler.setFormatter(LineFormatter(instance))
     logging.set_verbosity(level)
+    LIMITS.dropped = lambda: output.dropped
     return output
--- a/src/lacewinglift/logs.py
+++ b/src/lacewinglift/logs.py
@@ -60,6 +60,9 @@
     # A signal handler may log while its thread holds the lock.
     lock: threading.RLock = field(factory=threading.RLock)
 
+    dropped: Callable[[], int] = lambda: 0
+    """Returns how many lines the output has dropped."""
+
     def admit(self, event: str) -> bool:
         """Return whether a line of an event may be written, and count it."""
         now = self.clock()
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -15,7 +15,7 @@
 from lacewinglift.generated import beats_pb2
 from lacewinglift.handling import RequestParts
 from lacewinglift.kv import STORE_DRIVERS
-from lacewinglift.logs import log_info
+from lacewinglift.logs import REPORT_INTERVAL_S, log_info, report_left_out
 from lacewinglift.mesh.beats import Audience, BeatExchange
 from lacewinglift.mesh.directory import Directory
 from lacewinglift.mesh.members import AddressList, Member, MemberTable
@@ -24,6 +24,7 @@
 from lacewinglift.mesh.registry import TargetRegistry, from_message
 from lacewinglift.mesh.settings import MeshSettings
 from lacewinglift.mesh.snapshots import SnapshotExchange, SnapshotService
+from lacewinglift.mesh.telemetry import CountedStore, MeshCollector
 from lacewinglift.mesh.usage import FleetQuota, FleetRetryBudgets
 from lacewinglift.metrics import Metrics
 from lacewinglift.shutdown import Shutdown, ShutdownState, StopReport
@@ -127,6 +128,7 @@
             self.timers, settings.retry_limits, self.members.heard_part
         )
         self.addresses = AddressList(self.timers, settings.seeds, settings.beat_address)
+        self.store = self._open_store()
         self.observer = self._make_observer()
         self.snapshots = SnapshotExchange(
             settings.fetch_address,
@@ -147,11 +149,22 @@
             self.observer.on_duty.is_set,
             self.retries.request_rate_per_s,
         )
+        self.collector = MeshCollector(
+            self.timers,
+            self.members,
+            self.observer,
+            self.registry,
+            self.targets,
+            self.quota,
+            self.retries,
+            self.store,
+        )
+        self.metrics.registry.register(self.collector)
         self.frontend = Frontend(settings, self._make_parts(dialect))
         self.frontend.server.shutdown_timeout = WORKERS_STOP_S
         self.frontend.server.finishing_idle_s = FINISHING_IDLE_S
 
-    def _make_observer(self) -> Observer:
+    def _open_store(self) -> CountedStore:
         settings = self.settings
         driver = STORE_DRIVERS.get(settings.store_driver)
         if driver is None:
@@ -160,8 +173,12 @@
                 f"store_driver {settings.store_driver!r} is not known; use one of "
                 f"{known}"
             )
+        return CountedStore(driver(settings.store_address))
+
+    def _make_observer(self) -> Observer:
+        settings = self.settings
         return Observer(
-            driver(settings.store_address),
+            self.store,
             self.codec,
             self.registry,
             self.members,
@@ -181,6 +198,7 @@
             self.timers,
             on_attempt=self.metrics.note_attempt,
             on_retry=self.metrics.note_retry,
+            on_connection=self.metrics.note_connection,
             dialect=dialect,
             new_budget=self.retries.of,
         )
@@ -208,6 +226,7 @@
         self.frontend.start()
         self.observer.start()
         self.timers.subscribe(HOUSEKEEPING_INTERVAL_S, self._keep_house)
+        self.timers.subscribe(REPORT_INTERVAL_S, report_left_out)
         log_info(
             "instance_started",
             incarnation=self.incarnation,
@@ -250,6 +269,8 @@
         if configuration is None or not self.holder.replace(configuration, value):
             return
         self.quota.apply(configuration)
+        self.collector.generation = configuration.generation
+        self.collector.configured_at_s = self.timers.now()
         if configuration.idle_timeout_s is not None:
             self.frontend.server.timeout = configuration.idle_timeout_s
         log_info(
--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -229,14 +229,17 @@
     def _run(self, loop: Callable[[], None]) -> None:
         """Run one turn after another while on duty."""
         failures = 0
+        failed_at_s = self.timers.now()
         while not self.stopped:
             self.on_duty.wait()
             try:
                 loop()
-                failures = 0
             except StoreError as error:
                 if self.stopped:
                     return
+                if self.contact.answered_at_s > failed_at_s:
+                    failures = 0
+                failed_at_s = self.timers.now()
                 self.contact.note_failure(error)
                 self.registry.note_outage()
                 time.sleep(min(RETRY_FIRST_S * 2**failures, RETRY_MAX_S))
--- a/src/lacewinglift/mesh/pooled_targets.py
+++ b/src/lacewinglift/mesh/pooled_targets.py
@@ -9,7 +9,7 @@
 import itertools
 import math
 import threading
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Collection, Iterable, Mapping
 from random import Random
 
@@ -132,6 +132,16 @@
                 total += count
         return total / max(self.registered.slots, 1)
 
+    def condition(self, now_s: float) -> str:
+        """Return the state that operators see."""
+        if self.registered.leaving:
+            return "leaving"
+        if self.doubted():
+            return "doubted"
+        if now_s < self.path_until_s:
+            return "unreachable"
+        return "shedding" if now_s < self.shed_until_s else "usable"
+
     def doubted(self) -> bool:
         """Return whether the target failed and has served nothing since."""
         return self.failed_at_s is not None
@@ -209,6 +219,15 @@
         near = registered.data_centre == self.data_centre
         return _State(registered, target, near, warm_at_s, self.timers.now())
 
+    def census(self) -> dict[tuple[str, str], int]:
+        """Return the number of targets of each service in each state."""
+        now = self.timers.now()
+        with self.lock:
+            return Counter(
+                (state.registered.service, state.condition(now))
+                for state in self.states.values()
+            )
+
     # ---- choice ----
 
     def acquire(
--- a/src/lacewinglift/mesh/registry.py
+++ b/src/lacewinglift/mesh/registry.py
@@ -95,6 +95,8 @@
     missing_since_s: dict[str, float] = field(factory=dict)
     """Targets whose entry vanished around an outage of the store."""
     outage_at_s: float = float("-inf")
+    confirmed_at_s: float = float("-inf")
+    """Last time at which the store or another instance told the same or more."""
     lock: threading.RLock = field(factory=threading.RLock)
 
     def note_outage(self) -> None:
@@ -146,6 +148,7 @@
         """Record that the same targets were registered at a later revision."""
         with self.lock:
             self.revision = max(self.revision, revision)
+            self.confirmed_at_s = self.timers.now()
 
     def expire(self) -> None:
         """Drop targets whose entry did not come back after an outage."""
@@ -206,6 +209,7 @@
         changed = digest != self.digest or not self.ready
         self.digest = digest
         self.ready = True
+        self.confirmed_at_s = self.timers.now()
         if changed:
             log_info(
                 "registry_changed",
--- a/src/lacewinglift/mesh/usage.py
+++ b/src/lacewinglift/mesh/usage.py
@@ -150,6 +150,15 @@
                     bucket.fill(self.timers.now(), 1.0)
                     bucket.charge(gained)
 
+    def levels(self) -> dict[str, float]:
+        """Return the tokens of each workspace."""
+        part = self.heard_part()
+        now = self.timers.now()
+        with self._lock:
+            for bucket in self.buckets.values():
+                bucket.fill(now, part)
+            return {name: bucket.level for name, bucket in self.buckets.items()}
+
     def usages(self, full: bool) -> list[beats_pb2.Usage]:
         """Return all counts, or those that have grown lately, for other instances."""
         since_s = self.timers.now() - COUNT_REPEAT_S
@@ -227,16 +236,21 @@
 
     def take(self) -> bool:
         """Return whether one more request may be resent now, and count it."""
-        limits = self.budgets.limits
-        slack = limits.slack * SLACK_PART * self.budgets.heard_part()
         with self.budgets.lock:
-            allowed = limits.per_request * self.requests.total() + slack
-            if self.resends.total() + 1 > allowed:
+            if self.left() < 1:
                 return False
             self.own_resends += 1
             self.resends.add(1)
             return True
 
+    def left(self) -> float:
+        """Return how many requests may be resent now."""
+        limits = self.budgets.limits
+        slack = limits.slack * SLACK_PART * self.budgets.heard_part()
+        with self.budgets.lock:
+            allowed = limits.per_request * self.requests.total() + slack
+            return allowed - self.resends.total()
+
 
 class FleetRetryBudgets:
     """Retry budgets of all services, counted over all instances.
@@ -294,6 +308,11 @@
                 if full or budget.used_at_s >= since_s
             ]
 
+    def left(self) -> dict[str, float]:
+        """Return how many requests of each service may be resent now."""
+        with self.lock:
+            return {name: budget.left() for name, budget in self.services.items()}
+
     def request_rate_per_s(self) -> float:
         """Return the first attempts of the fleet per second, over the window."""
         with self.lock:
--- a/src/lacewinglift/metrics.py
+++ b/src/lacewinglift/metrics.py
@@ -1,13 +1,19 @@
 """Measurements of the request half, for Prometheus."""
 
+from collections.abc import Iterable
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
     Gauge,
     Histogram,
+    Metric,
     generate_latest,
 )
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
 
+from lacewinglift.logs import LIMITS
 from lacewinglift.outcomes import OutcomeKind
 
 LATENCY_BUCKETS_S = (
@@ -25,6 +31,31 @@
 )
 
 
+class LogCollector(Collector):
+    """Counts the lines of the logs of this process."""
+
+    def describe(self) -> Iterable[Metric]:
+        """Return nothing: events are known once they are logged."""
+        return []
+
+    def collect(self) -> Iterable[Metric]:
+        """Return the present counts."""
+        lines = CounterMetricFamily(
+            "lacewinglift_log_lines",
+            "Log lines by event: written, or left out beyond the event's rate.",
+            labels=["event", "fate"],
+        )
+        for event, (written, left_out) in sorted(LIMITS.totals().items()):
+            lines.add_metric([event, "written"], written)
+            lines.add_metric([event, "left_out"], left_out)
+        yield lines
+        yield CounterMetricFamily(
+            "lacewinglift_log_lines_dropped",
+            "Log lines dropped because the output took them too slowly.",
+            value=LIMITS.dropped(),
+        )
+
+
 class Metrics:
     """Counters and histograms of one instance.
 
@@ -58,6 +89,26 @@
             ["service", "outcome"],
             registry=self.registry,
         )
+        self.waits = Histogram(
+            "lacewinglift_wait_seconds",
+            "Time from the request's head until it may go to a target.",
+            ["service"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.attempt_latency = Histogram(
+            "lacewinglift_attempt_seconds",
+            "Time of each attempt until the head of the answer, or its failure.",
+            ["service"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.target_connections = Counter(
+            "lacewinglift_target_connections",
+            "Attempts by whether they open a connection or use a kept one.",
+            ["service", "use"],
+            registry=self.registry,
+        )
         self.retries = Counter(
             "lacewinglift_retries",
             "Requests that were sent to another target.",
@@ -80,10 +131,17 @@
             "Open connections of callers.",
             registry=self.registry,
         )
+        self.registry.register(LogCollector())
 
-    def note_attempt(self, service: str, kind: OutcomeKind) -> None:
+    def note_attempt(self, service: str, kind: OutcomeKind, latency_s: float) -> None:
         """Count one attempt at a target."""
         self.attempts.labels(service, kind.value).inc()
+        self.attempt_latency.labels(service).observe(latency_s)
+
+    def note_connection(self, service: str, opened: bool) -> None:
+        """Count a connection that is opened or kept for an attempt."""
+        use = "opened" if opened else "kept"
+        self.target_connections.labels(service, use).inc()
 
     def note_retry(self, service: str) -> None:
         """Count one resent request."""
--- /dev/null
+++ b/testing/mesh/test_telemetry.py
@@ -0,0 +1,98 @@
+"""Metrics of an instance of a mesh."""
+
+from types import SimpleNamespace
+
+import pytest
+from prometheus_client import CollectorRegistry, generate_latest
+
+from lacewinglift.configuration import Configuration, Fleet, Workspace
+from lacewinglift.errors import StoreUnavailableError
+from lacewinglift.kv import Listing
+from lacewinglift.mesh.members import MemberTable
+from lacewinglift.mesh.observers import StoreContact
+from lacewinglift.mesh.pooled_targets import PooledTargets
+from lacewinglift.mesh.registry import RegisteredTarget, TargetRegistry
+from lacewinglift.mesh.telemetry import CountedStore, MeshCollector
+from lacewinglift.mesh.usage import FleetQuota, FleetRetryBudgets, RetryLimits
+from lacewinglift.outcomes import Outcome, OutcomeKind
+from lacewinglift.timers import ManualTimers
+
+
+class FailingStore:
+    def list(self, prefix, stale=False):
+        if prefix == "lost":
+            raise StoreUnavailableError("no reply")
+        return Listing((), 1)
+
+
+@pytest.fixture
+def collector():
+    timers = ManualTimers()
+    targets = PooledTargets(timers, "a", "milano")
+    contact = StoreContact(timers)
+    quota = FleetQuota(timers, lambda: 1.0)
+    retries = FleetRetryBudgets(timers, RetryLimits(0.2, 10.0, 10.0), lambda: 1.0)
+    return MeshCollector(
+        timers,
+        MemberTable("a", timers),
+        SimpleNamespace(contact=contact),
+        TargetRegistry(timers),
+        targets,
+        quota,
+        retries,
+        CountedStore(FailingStore()),
+    )
+
+
+def scrape(collector):
+    registry = CollectorRegistry()
+    registry.register(collector)
+    return generate_latest(registry).decode()
+
+
+def test_ages_limits_and_targets_are_shown(collector):
+    """Guards against an on-call engineer who cannot see how old a belief is."""
+    house = Workspace("house", 10.0, 10)
+    collector.quota.apply(Configuration(1, Fleet("f"), {}, (), {"house": house}))
+    collector.registry.reset([], 7)
+    collector.observer.contact.note_answer()
+    collector.retries.of("cassa").note_request()
+    collector.targets.apply(
+        [
+            RegisteredTarget(f"t{n}", "cassa", f"10.0.0.{n}:80", "milano", 2, 1, 1)
+            for n in range(3)
+        ]
+    )
+    attempt = collector.targets.acquire("cassa")
+    attempt.finish(Outcome(OutcomeKind.ERROR, 0.1))
+    collector.timers.advance(4.0)
+    text = scrape(collector)
+    assert 'lacewinglift_age_seconds{of="store"} 4.0' in text
+    assert 'lacewinglift_age_seconds{of="registry"} 4.0' in text
+    assert 'lacewinglift_version{of="registry"} 7.0' in text
+    assert 'lacewinglift_targets{service="cassa",state="doubted"} 1.0' in text
+    assert 'lacewinglift_targets{service="cassa",state="usable"} 2.0' in text
+    assert 'lacewinglift_quota_tokens{workspace="house"} 10.0' in text
+    assert 'lacewinglift_resends_left{service="cassa"} 6.2' in text
+
+
+def test_store_calls_are_counted_by_how_they_end(collector):
+    """Guards against a store that turns an instance away unseen."""
+    collector.store.list("kept")
+    with pytest.raises(StoreUnavailableError):
+        collector.store.list("lost")
+    text = scrape(collector)
+    assert 'lacewinglift_store_calls_total{end="answered",kind="list"} 1.0' in text
+    end = StoreUnavailableError.code
+    assert f'lacewinglift_store_calls_total{{end="{end}",kind="list"}} 1.0' in text
+
+
+def test_series_do_not_grow_with_requests(collector):
+    """Guards against metrics that are named after requests, keys or callers."""
+    collector.targets.apply(
+        [RegisteredTarget("t0", "cassa", "10.0.0.1:80", "milano", 9, 1, 1)]
+    )
+    before = len(scrape(collector).splitlines())
+    for _ in range(50):
+        collector.targets.acquire("cassa").finish(Outcome(OutcomeKind.SUCCESS, 0.1))
+    assert len(scrape(collector).splitlines()) == before
