Add lacewinglift explain, which tells from logs why a request ended as it did

It joins the lines of a request's id with what its instance and others noted of the targets concerned, compares clocks by evidence that several instances noted, names the cause by rules in a registry, and says what the logs do not tell. The code that serves is unchanged.

--- a/src/lacewinglift/commands/status.py
+++ b/src/lacewinglift/commands/status.py
@@ -8,6 +8,7 @@
     call_instance,
     report_unreachable,
 )
+from lacewinglift.commands._tables import print_table
 from lacewinglift.errors import PeerError
 from lacewinglift.generated import fleet_pb2
 
@@ -51,7 +52,7 @@
     if options.json:
         print(json.dumps({"instances": rows}, indent=2))
     else:
-        print_table(rows)
+        print_table(COLUMNS, rows)
     return 0 if is_whole(rows) else EXIT_DEGRADED
 
 
@@ -69,13 +70,3 @@
         row["state"] == "live" and row["standing"] and not row["suspected"]
         for row in rows
     )
-
-
-def print_table(rows: list[dict[str, object]]) -> None:
-    """Print the rows in aligned columns."""
-    lines = [list(COLUMNS)]
-    lines += [[str(row[column]) for column in COLUMNS] for row in rows]
-    widths = [max(len(line[i]) for line in lines) for i in range(len(COLUMNS))]
-    for line in lines:
-        cells = [cell.ljust(width) for cell, width in zip(line, widths, strict=True)]
-        print("  ".join(cells).rstrip())
--- /dev/null
+++ b/src/lacewinglift/explaining/__init__.py
@@ -0,0 +1,1 @@
+"""Tells from logs why a request ended as it did."""
--- /dev/null
+++ b/src/lacewinglift/explaining/causes.py
@@ -0,0 +1,245 @@
+"""Why a request ended as it did, judged from its story."""
+
+from collections.abc import Callable
+
+from attrs import frozen
+
+from lacewinglift.explaining.log_lines import LogLine
+from lacewinglift.explaining.stories import Story
+
+FAILED_STATUS = 500
+# Evidence that is younger than this may not have arrived everywhere.
+EVIDENCE_TRAVEL_S = 0.05
+
+
+@frozen
+class Cause:
+    """Why a request ended as it did."""
+
+    code: str
+    text: str
+
+
+Rule = Callable[[Story], Cause | None]
+RULES: list[Rule] = []
+
+
+def rule(function: Rule) -> Rule:
+    """Register a rule; the first that names a cause decides."""
+    RULES.append(function)
+    return function
+
+
+def find_cause(story: Story) -> Cause:
+    """Return the cause that the first fitting rule names."""
+    for judge in RULES:
+        cause = judge(story)
+        if cause is not None:
+            return cause
+    return Cause("unknown", "the lines do not tell the cause")
+
+
+@rule
+def unseen(story: Story) -> Cause | None:
+    """Judge a request that no line names."""
+    if story.moments:
+        return None
+    return Cause("unseen", "no instance in these logs has read the request's head")
+
+
+@rule
+def over_limit(story: Story) -> Cause | None:
+    """Judge a request of a workspace that was over its rate."""
+    refused = _refused(story, "over_limit")
+    if refused is None:
+        return None
+    workspace = refused.fields.get("workspace", "?")
+    tokens = refused.number("tokens")
+    text = f"{workspace} had {tokens:.2f} tokens at {story.instance}"
+    if "rate_per_s" in refused.fields:
+        text += f", at a rate of {refused.fields['rate_per_s']} a second"
+    part = refused.number("heard_part", 1.0)
+    if part < 1.0:
+        text += f"; only {part:.0%} of the fleet was heard, and that part of the rate"
+        text += " may be used"
+        return Cause("over_limit_cut_off", text)
+    return Cause("over_limit", text + ": its requests came faster than its rate")
+
+
+@rule
+def not_started(story: Story) -> Cause | None:
+    """Judge a request to an instance that had no configuration yet."""
+    if _refused(story, "starting") is None:
+        return None
+    text = f"{story.instance} had no configuration or targets yet"
+    if story.around("store_lost", story.instance):
+        text += "; it had lost the store"
+    return Cause("starting", text)
+
+
+@rule
+def stopping(story: Story) -> Cause | None:
+    """Judge a request to an instance that was being stopped."""
+    cut = story.last("request_cut")
+    stop_cut = story.around("stop_cut", story.instance)
+    if _refused(story, "stopping") is None and not (cut and stop_cut):
+        return None
+    begun = story.around("stop_begins", story.instance)
+    text = f"{story.instance} was being stopped"
+    if begun:
+        text += f", since {-begun[-1].at_s:.2f} s before the request began"
+    return Cause("stopping", text)
+
+
+@rule
+def not_allowed(story: Story) -> Cause | None:
+    """Judge a request that the configuration in force does not allow."""
+    for code in ("no_route", "key_missing", "key_unknown", "workspace_forbidden"):
+        refused = _refused(story, code)
+        if refused is not None:
+            generation = refused.fields.get("generation", "?")
+            why = refused.fields.get("why", code)
+            return Cause(code, f"version {generation} was in force: {why}")
+    refused = _refused(story, "bad_request")
+    if refused is not None:
+        return Cause("bad_request", refused.fields.get("why", "not valid HTTP"))
+    return None
+
+
+@rule
+def caller_gone(story: Story) -> Cause | None:
+    """Judge a request that ended from the caller's side."""
+    cut = story.last("request_cut")
+    if cut is None or cut.fields.get("by") != "caller":
+        return None
+    after_s = cut.number("after_s")
+    why = cut.fields.get("reason", "?")
+    return Cause(
+        "caller_gone", f"ended from the caller's side after {after_s:.2f} s: {why}"
+    )
+
+
+@rule
+def no_target(story: Story) -> Cause | None:
+    """Judge a request that no target could take."""
+    refused = _refused(story, "no_target")
+    if refused is None:
+        return None
+    shed = [line for line in _failures(story) if line.fields.get("outcome") == "shed"]
+    if shed:
+        names = ", ".join(line.fields.get("target", "?") for line in shed)
+        return Cause("targets_full", f"these targets were full: {names}")
+    return Cause("no_target", refused.fields.get("why", "no usable target"))
+
+
+@rule
+def attempt_failed(story: Story) -> Cause | None:
+    """Judge a request whose last attempt at a target failed."""
+    failures = _failures(story)
+    ended = story.last("request_ended")
+    if ended is not None and ended.number("status") < FAILED_STATUS:
+        return None
+    if not failures:
+        return None
+    last = failures[-1]
+    outcome = last.fields.get("outcome", "?")
+    target = last.fields.get("target", "?")
+    text = f"{target}: {outcome} after {last.number('after_s'):.2f} s"
+    text += f" ({last.fields.get('verdict', '?')})"
+    why = last.fields.get("why", "-")
+    if why != "-":
+        text += f"; not sent again: {_REASONS.get(why, why)}"
+    text += f"; {_belief(story, target)}"
+    return Cause(f"target_{outcome}", text)
+
+
+@rule
+def target_answered_failure(story: Story) -> Cause | None:
+    """Judge a request that got a target's own failure."""
+    ended = story.last("request_ended")
+    if ended is None or ended.number("status") < FAILED_STATUS:
+        return None
+    target = ended.fields.get("target", "?")
+    text = f"{target} itself answered {ended.fields.get('status')}"
+    return Cause("target_error", f"{text}; {_belief(story, target)}")
+
+
+@rule
+def served(story: Story) -> Cause | None:
+    """Judge a request that was answered well."""
+    ended = story.last("request_ended")
+    if ended is None:
+        return None
+    text = f"{ended.fields.get('target')} answered {ended.fields.get('status')}"
+    return Cause("served", f"{text} after {ended.number('after_s'):.2f} s")
+
+
+@rule
+def instance_ended(story: Story) -> Cause | None:
+    """Judge a request whose instance ended under it."""
+    last = story.own()[-1]
+    if last.event in ("request_refused", "request_cut"):
+        return None
+    if story.restarted:
+        text = f"{story.instance} ended under the request, after {last.event}"
+        return Cause("instance_ended", text)
+    text = f"{story.instance} tells nothing after {last.event}: it ended, or its log"
+    return Cause("log_ends", f"{text} is cut")
+
+
+_REASONS = {
+    "may_have_run": "it may have run, and must not run twice",
+    "attempts": "its route allows no more attempts",
+    "retry_budget": "the fleet's retry budget was used up",
+    "time": "its time was over",
+    "no_target": "no other target could take it",
+}
+
+
+def _refused(story: Story, code: str) -> LogLine | None:
+    refused = story.last("request_refused")
+    if refused is None or refused.fields.get("code") != code:
+        return None
+    return refused
+
+
+def _failures(story: Story) -> list[LogLine]:
+    return story.own("attempt_failed")
+
+
+def _belief(story: Story, target: str) -> str:
+    """Return what was believed of a target when it was chosen."""
+    chosen = [
+        moment
+        for moment in story.moments
+        if moment.own
+        and moment.line.event == "target_chosen"
+        and moment.line.fields.get("target") == target
+    ]
+    if not chosen:
+        return "no line tells why it was chosen"
+    choice = chosen[-1]
+    known = _known_elsewhere(story, target, choice.at_s)
+    if "since_failure_s" in choice.line.fields:
+        since_s = choice.line.number("since_failure_s")
+        trusted = choice.line.fields.get("trusted", "?")
+        return f"it was in doubt for {since_s:.2f} s, with {trusted} trusted targets"
+    if known:
+        return known
+    return "nothing was known against it when it was chosen"
+
+
+def _known_elsewhere(story: Story, target: str, chosen_at_s: float) -> str:
+    """Return who knew of a failure that the choosing instance had not heard of."""
+    for moment in reversed(story.moments):
+        line = moment.line
+        if moment.own or line.fields.get("target") != target:
+            continue
+        if moment.at_s > chosen_at_s or line.instance == story.instance:
+            continue
+        if line.event in ("target_trusted", "target_returned"):
+            return ""
+        age_s = chosen_at_s - moment.at_s
+        late = "" if age_s <= EVIDENCE_TRAVEL_S else ", which should have arrived"
+        return f"{line.instance} knew of a failure {age_s * 1000:.0f} ms earlier{late}"
+    return ""
--- /dev/null
+++ b/src/lacewinglift/explaining/clock_offsets.py
@@ -0,0 +1,87 @@
+"""How far the clocks of instances differ, from what they say of the same event."""
+
+import statistics
+from collections import defaultdict
+
+from lacewinglift.explaining.log_lines import LogLine
+
+# Instances hear of the same event within this time of each other.
+SPREAD_S = 0.2
+# Field that names the instance that found out about a target first, by event.
+_SOURCES = {"target_doubted": "by", "target_trusted": "source"}
+
+_Event = tuple[str, str]
+_Pair = tuple[str, str]
+
+
+def estimate_offsets(lines: list[LogLine], reference: str) -> dict[str, float]:
+    """Return by how many seconds each clock is ahead of the reference's.
+
+    Parameters
+    ----------
+    lines : list of LogLine
+        Lines of all instances.
+    reference : str
+        Instance whose clock counts.
+
+    Returns
+    -------
+    offsets : dict of str to float
+        Instances that share no event with others are left out.
+    """
+    offsets = {reference: 0.0}
+    ahead = _pairwise_offsets(lines)
+    waiting = [reference]
+    while waiting:
+        known = waiting.pop(0)
+        for (first, second), ahead_s in ahead.items():
+            if first == known and second not in offsets:
+                offsets[second] = offsets[known] + ahead_s
+                waiting.append(second)
+    return offsets
+
+
+def _pairwise_offsets(lines: list[LogLine]) -> dict[_Pair, float]:
+    """Return by how much the second clock of each pair is ahead of the first."""
+    found: dict[_Pair, float] = {}
+    for (source, other), differences in _differences(lines).items():
+        ahead_s = _densest(differences)
+        found[source, other] = ahead_s
+        found.setdefault((other, source), -ahead_s)
+    return found
+
+
+def _differences(lines: list[LogLine]) -> dict[_Pair, list[float]]:
+    """Return the differences of all times at which an event may be the same."""
+    own: dict[tuple[str, _Event], list[float]] = defaultdict(list)
+    heard: list[tuple[str, str, _Event, float]] = []
+    for line in lines:
+        field_name = _SOURCES.get(line.event)
+        if field_name is None:
+            continue
+        source = line.fields.get(field_name, "")
+        event = (line.event, line.fields.get("target", ""))
+        if source == line.instance:
+            own[source, event].append(line.time_s)
+        else:
+            heard.append((source, line.instance, event, line.time_s))
+    differences: dict[_Pair, list[float]] = defaultdict(list)
+    for source, other, event, heard_s in heard:
+        for seen_s in own[source, event]:
+            differences[source, other].append(heard_s - seen_s)
+    return {pair: values for pair, values in differences.items() if values}
+
+
+def _densest(values: list[float]) -> float:
+    """Return the middle of the most values that lie within `SPREAD_S`.
+
+    The same target may be doubted again and again; only differences between two
+    notes of the same doubt lie close together.
+    """
+    ordered = sorted(values)
+    best: list[float] = []
+    for index, first in enumerate(ordered):
+        close = [value for value in ordered[index:] if value - first <= SPREAD_S]
+        if len(close) > len(best):
+            best = close
+    return statistics.median(best)
--- /dev/null
+++ b/src/lacewinglift/explaining/log_lines.py
@@ -0,0 +1,78 @@
+"""Reads the lines that `lacewinglift.logs` writes."""
+
+import json
+import re
+from collections.abc import Iterable, Iterator
+
+from attrs import define, field, frozen
+
+# A line may stand behind a prefix of whoever collected it.
+_START = re.compile(r"\btime=\d")
+_PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|[^\s"]+)(?=\s|$)')
+
+
+@frozen
+class LogLine:
+    """One event of one instance."""
+
+    time_s: float
+    """Time of day at the instance, in seconds since 1970."""
+    instance: str
+    event: str
+    fields: dict[str, str]
+
+    def number(self, name: str, default: float = 0.0) -> float:
+        """Return a field as a number."""
+        try:
+            return float(self.fields[name])
+        except (KeyError, ValueError):
+            return default
+
+
+@define(eq=False)
+class LogSet:
+    """Lines of all files, and what could not be read."""
+
+    lines: list[LogLine] = field(factory=list)
+    unreadable: dict[str, int] = field(factory=dict)
+    """Number of broken lines of each file."""
+
+    def add_file(self, name: str, texts: Iterable[str]) -> None:
+        """Take in the lines of one file; lines without an event are passed over."""
+        for text in texts:
+            if _START.search(text) is None and "event=" not in text:
+                continue
+            line = parse_line(text)
+            if line is None:
+                self.unreadable[name] = self.unreadable.get(name, 0) + 1
+            else:
+                self.lines.append(line)
+
+
+def parse_line(text: str) -> LogLine | None:
+    """Return a line, or None if it is cut or not one of ours."""
+    start = _START.search(text)
+    if start is None or not text.endswith("\n"):
+        return None
+    fields = dict(_read_pairs(text[start.start() :]))
+    try:
+        time_s = float(fields.pop("time"))
+        event = fields.pop("event")
+    except (KeyError, ValueError):
+        return None
+    fields.pop("level", None)
+    return LogLine(time_s, fields.pop("instance", "-"), event, fields)
+
+
+def _read_pairs(text: str) -> Iterator[tuple[str, str]]:
+    for name, value in _PAIR.findall(text):
+        yield name, _unquote(value)
+
+
+def _unquote(value: str) -> str:
+    if not value.startswith('"'):
+        return value
+    try:
+        return json.loads(value)
+    except json.JSONDecodeError:
+        return value
--- /dev/null
+++ b/src/lacewinglift/explaining/stories.py
@@ -0,0 +1,202 @@
+"""The story of one request, over the logs of all instances."""
+
+from collections import Counter
+
+from attrs import define, field, frozen
+
+from lacewinglift.explaining.clock_offsets import estimate_offsets
+from lacewinglift.explaining.log_lines import LogLine, LogSet
+
+# How long before the request began something may have happened that bears on it.
+BEFORE_S = 10.0
+ENDINGS = frozenset({"request_ended", "request_refused", "request_cut"})
+# Events of the instance itself that bear on each of its requests.
+INSTANCE_EVENTS = frozenset(
+    {
+        "configuration_in_force",
+        "instance_ready",
+        "instance_started",
+        "instance_stopped",
+        "process_was_paused",
+        "standing_gained",
+        "standing_lost",
+        "stop_begins",
+        "stop_cut",
+        "store_lost",
+        "store_regained",
+    }
+)
+TARGET_EVENTS = frozenset(
+    {"target_doubted", "target_ejected", "target_failed", "target_returned"}
+    | {"target_trusted"}
+)
+
+
+@frozen
+class Moment:
+    """One line of a story."""
+
+    at_s: float
+    """Seconds since the first line of the request, by the clock of its instance."""
+    line: LogLine
+    own: bool
+    """Whether the line is of the request itself."""
+
+
+@define(eq=False)
+class Story:
+    """What the logs tell about one request.
+
+    Attributes
+    ----------
+    request_id : str
+        Id of the request.
+    moments : list of Moment
+        Lines of the request and those that bear on it, in order of time.
+    missing : list of str
+        What the logs do not tell.
+    restarted : bool
+        Whether the instance was started again before it told how the request ended.
+    """
+
+    request_id: str
+    moments: list[Moment] = field(factory=list)
+    missing: list[str] = field(factory=list)
+    restarted: bool = False
+
+    def own(self, event: str | None = None) -> list[LogLine]:
+        """Return the lines of the request, all or those of one event."""
+        return [
+            moment.line
+            for moment in self.moments
+            if moment.own and event in (None, moment.line.event)
+        ]
+
+    def last(self, event: str) -> LogLine | None:
+        """Return the last line of the request of an event."""
+        lines = self.own(event)
+        return lines[-1] if lines else None
+
+    def around(self, event: str, instance: str) -> list[Moment]:
+        """Return the lines of an event of an instance that bear on the request."""
+        return [
+            moment
+            for moment in self.moments
+            if moment.line.event == event and moment.line.instance == instance
+        ]
+
+    @property
+    def instance(self) -> str:
+        """Return the instance that the request came to."""
+        lines = self.own()
+        return lines[0].instance if lines else "-"
+
+
+def tell_story(logs: LogSet, request_id: str) -> Story:
+    """Return what the logs tell about a request.
+
+    Parameters
+    ----------
+    logs : LogSet
+        Lines of as many instances as there are.
+    request_id : str
+        Id of one attempt of a caller.
+    """
+    own = [line for line in logs.lines if line.fields.get("id") == request_id]
+    story = Story(request_id)
+    if not own:
+        story.missing.append(f"no line names the request {request_id}")
+        story.missing += _file_gaps(logs)
+        return story
+    own.sort(key=lambda line: line.time_s)
+    # An id that is used at several instances is told by the clock of the first.
+    reference = own[0].instance
+    offsets = estimate_offsets(logs.lines, reference)
+    story.moments = _moments(logs, own, offsets)
+    if own[-1].event not in ENDINGS:
+        story.restarted = _restarted_after(logs, own[-1])
+    story.missing = _gaps(logs, story, own, offsets)
+    return story
+
+
+def _moments(
+    logs: LogSet, own: list[LogLine], offsets: dict[str, float]
+) -> list[Moment]:
+    begin_s = own[0].time_s
+    end_s = own[-1].time_s
+    instances = {line.instance for line in own}
+    targets = {line.fields["target"] for line in own if "target" in line.fields}
+    moments = []
+    for line in logs.lines:
+        is_own = line in own
+        at_s = line.time_s - offsets.get(line.instance, 0.0)
+        if is_own:
+            moments.append(Moment(at_s - begin_s, line, own=True))
+        elif begin_s - BEFORE_S <= at_s <= end_s and (
+            _bears_on(line, instances, targets)
+        ):
+            moments.append(Moment(at_s - begin_s, line, own=False))
+    return sorted(moments, key=lambda moment: moment.at_s)
+
+
+def _bears_on(line: LogLine, instances: set[str], targets: set[str]) -> bool:
+    if line.event in INSTANCE_EVENTS:
+        return line.instance in instances
+    if line.event not in TARGET_EVENTS or line.fields.get("target") not in targets:
+        return False
+    # Of the others only the one that found out is needed.
+    source = line.fields.get("by") or line.fields.get("source") or line.instance
+    return line.instance in instances or source == line.instance
+
+
+def _gaps(
+    logs: LogSet, story: Story, own: list[LogLine], offsets: dict[str, float]
+) -> list[str]:
+    gaps = []
+    if own[-1].event not in ENDINGS:
+        gaps.append(_open_end(story, own[-1]))
+    if own[0].event not in ("request_admitted", "request_refused"):
+        gaps.append("no line tells how the request was admitted")
+    for name in sorted({line.instance for line in logs.lines} - offsets.keys()):
+        gaps.append(f"the clock of {name} could not be compared; its times may be off")
+    return gaps + _left_out(logs, own) + _file_gaps(logs)
+
+
+def _restarted_after(logs: LogSet, last: LogLine) -> bool:
+    return any(
+        line.event == "instance_started"
+        and line.instance == last.instance
+        and line.time_s > last.time_s
+        for line in logs.lines
+    )
+
+
+def _open_end(story: Story, last: LogLine) -> str:
+    if story.restarted:
+        return f"{last.instance} was started again before the request ended"
+    return f"no line of {last.instance} tells how the request ended"
+
+
+def _left_out(logs: LogSet, own: list[LogLine]) -> list[str]:
+    """Return which lines the instances of the request left out for their number."""
+    instances = {line.instance for line in own}
+    counts: Counter[str] = Counter()
+    for line in logs.lines:
+        near = own[0].time_s - 1.0 <= line.time_s <= own[-1].time_s + 2.0
+        if not near or line.instance not in instances:
+            continue
+        if line.event == "log_lines_left_out":
+            counts[line.fields.get("of", "?")] += int(line.number("count"))
+        elif line.event == "log_lines_dropped":
+            counts["any event"] += int(line.number("count"))
+    return [
+        f"{count} lines of {event} were left out about then"
+        for event, count in sorted(counts.items())
+    ]
+
+
+def _file_gaps(logs: LogSet) -> list[str]:
+    return [
+        f"{name}: {count} lines are cut or unreadable"
+        for name, count in sorted(logs.unreadable.items())
+    ]
--- a/src/lacewinglift/main.py
+++ b/src/lacewinglift/main.py
@@ -8,7 +8,7 @@
 from lacewinglift import __version__
 from lacewinglift.errors import LacewingliftError
 
-COMMANDS = ("serve", "check", "publish", "status", "dump", "digest")
+COMMANDS = ("serve", "check", "publish", "status", "dump", "digest", "explain")
 
 EXIT_CODES = """\
 exit codes:
--- /dev/null
+++ b/testing/test_explaining.py
@@ -0,0 +1,262 @@
+"""`lacewinglift explain`, on lines as instances write them."""
+
+import json
+
+import pytest
+
+from lacewinglift.explaining.causes import find_cause
+from lacewinglift.explaining.clock_offsets import estimate_offsets
+from lacewinglift.explaining.log_lines import LogSet, parse_line
+from lacewinglift.explaining.stories import tell_story
+from lacewinglift.logs import format_event
+from lacewinglift.main import main
+
+BEGIN_S = 1_000_000.0
+
+
+def write(at_s, instance, event, **fields):
+    text = format_event(event, fields)
+    return f"time={BEGIN_S + at_s:.3f} level=info instance={instance} {text}\n"
+
+
+def admitted(at_s, instance="a", **fields):
+    fields = {"workspace": "house", "tokens": 3.0, "rate_per_s": 9.0, **fields}
+    return write(
+        at_s,
+        instance,
+        "request_admitted",
+        id="r",
+        service="cassa",
+        generation=4,
+        **fields,
+    )
+
+
+def chosen(at_s, instance="a", target="t1", **fields):
+    return write(
+        at_s,
+        instance,
+        "target_chosen",
+        id="r",
+        service="cassa",
+        target=target,
+        **fields,
+    )
+
+
+def failed(at_s, outcome, why="-", target="t1", after_s=0.1):
+    return write(
+        at_s,
+        "a",
+        "attempt_failed",
+        id="r",
+        service="cassa",
+        target=target,
+        outcome=outcome,
+        verdict="may_have_run",
+        after_s=after_s,
+        why=why,
+    )
+
+
+def refused(at_s, code, status, **fields):
+    return write(
+        at_s,
+        "a",
+        "request_refused",
+        id="r",
+        path="/cassa",
+        code=code,
+        status=status,
+        generation=4,
+        **fields,
+    )
+
+
+def ended(at_s, status, target="t1"):
+    return write(
+        at_s, "a", "request_ended", id="r", target=target, status=status, after_s=at_s
+    )
+
+
+def explain(*lines):
+    logs = LogSet()
+    logs.add_file("a.log", lines)
+    story = tell_story(logs, "r")
+    return story, find_cause(story)
+
+
+STORIES = {
+    "over_limit": [
+        refused(0, "over_limit", 429, workspace="house", tokens=-1.5, rate_per_s=7.0)
+    ],
+    "over_limit_cut_off": [
+        refused(0, "over_limit", 429, workspace="house", tokens=0.2, heard_part=0.4)
+    ],
+    "starting": [
+        write(-1, "a", "store_lost", code="store_unavailable", reason="refused"),
+        refused(0, "starting", 503),
+    ],
+    "stopping": [
+        write(-2, "a", "stop_begins", bound_s=5.2),
+        refused(0, "stopping", 503),
+    ],
+    "no_route": [refused(0, "no_route", 404, why="no route leads to /x")],
+    "key_unknown": [refused(0, "key_unknown", 401, why="the key is not known")],
+    "bad_request": [refused(0, "bad_request", 400, why="two lengths")],
+    "targets_full": [
+        admitted(0),
+        chosen(0),
+        failed(0.01, "shed", "no_target"),
+        refused(0.02, "no_target", 503),
+    ],
+    "no_target": [admitted(0), refused(0, "no_target", 503, why="no usable target")],
+    "target_timeout": [
+        admitted(0),
+        chosen(0),
+        failed(3, "timeout", "time"),
+        refused(3, "target_timeout", 504),
+    ],
+    "target_cut": [
+        admitted(0),
+        chosen(0),
+        failed(1, "cut", "may_have_run"),
+        refused(1, "target_failed", 502),
+    ],
+    "target_error": [admitted(0), chosen(0), ended(0.1, 500)],
+    "served": [
+        admitted(0),
+        chosen(0),
+        failed(0.1, "error"),
+        chosen(0.1, target="t2"),
+        ended(0.6, 200, "t2"),
+    ],
+    "caller_gone": [
+        admitted(0),
+        chosen(0),
+        write(1, "a", "request_cut", id="r", by="caller", reason="gone", after_s=1.0),
+    ],
+    "instance_ended": [
+        admitted(0),
+        chosen(0),
+        write(5, "a", "instance_started", incarnation=2, callers="x"),
+    ],
+    "log_ends": [admitted(0), chosen(0)],
+    "unseen": [write(0, "a", "instance_ready", generation=4)],
+}
+
+
+@pytest.mark.parametrize("code", STORIES)
+def test_cause_is_named(code):
+    """Guards against a failed request whose lines do not lead to its cause."""
+    _, cause = explain(*STORIES[code])
+    assert cause.code == code
+
+
+def test_retry_budget_is_told_apart_from_attempts():
+    """Guards against a wrong lever being turned after a failure."""
+    lines = [admitted(0), chosen(0), failed(0.1, "error", "retry_budget")]
+    _, cause = explain(*lines, ended(0.2, 500))
+    assert "retry budget was used up" in cause.text
+
+
+def test_evidence_that_had_not_arrived_is_named():
+    """Guards against blaming the choice when another instance knew already.
+
+    Instance b found the target failing 20 ms before a chose it; b's clock is 100 s
+    ahead, which shows from an earlier doubt that both have noted.
+    """
+    story, cause = explain(
+        write(-5.0 + 100, "b", "target_doubted", target="t9", by="b"),
+        write(-4.998, "a", "target_doubted", target="t9", by="b"),
+        write(-0.02 + 100, "b", "target_doubted", target="t1", by="b"),
+        admitted(0),
+        chosen(0),
+        ended(0.1, 500),
+    )
+    assert "b knew of a failure" in cause.text
+    moments = [m for m in story.moments if m.line.instance == "b"]
+    assert moments[0].at_s == pytest.approx(-0.02, abs=0.005)
+
+
+def test_target_that_was_chosen_in_doubt_is_named():
+    """Guards against a trial that looks like ignorance."""
+    _, cause = explain(
+        admitted(0), chosen(0, since_failure_s=1.5, trusted=0), ended(0.1, 500)
+    )
+    assert "in doubt for 1.50 s, with 0 trusted targets" in cause.text
+
+
+def test_repeated_doubts_of_one_target_do_not_mislead_the_clocks():
+    """Guards against pairing different doubts when lines of one log are missing."""
+    lines = []
+    for number in range(8):
+        at_s = number * 3.0
+        lines.append(write(at_s, "a", "target_doubted", target="t1", by="a"))
+        if number not in (0, 3):
+            lines.append(
+                write(at_s + 41.002, "b", "target_doubted", target="t1", by="a")
+            )
+    logs = LogSet()
+    logs.add_file("both.log", lines)
+    offsets = estimate_offsets(logs.lines, "a")
+    assert offsets["b"] == pytest.approx(41.0, abs=0.01)
+
+
+def test_missing_parts_are_said():
+    """Guards against a story that looks whole though its end is missing."""
+    story, cause = explain(admitted(0), chosen(0), ended(0.2, 200)[:40])
+    assert cause.code == "log_ends"
+    assert "no line of a tells how the request ended" in story.missing
+    assert "a.log: 1 lines are cut or unreadable" in story.missing
+
+
+def test_left_out_lines_are_said():
+    """Guards against a flood whose missing lines nobody notices."""
+    story, _ = explain(
+        admitted(0),
+        write(0.5, "a", "log_lines_left_out", of="target_chosen", count=12),
+        ended(0.2, 200),
+    )
+    assert "12 lines of target_chosen were left out about then" in story.missing
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "event=request_ended id=r\n",
+        "time=12.5 level=info instance=a eve",
+        "time=x event=request_ended\n",
+        "Traceback (most recent call last):\n",
+    ],
+)
+def test_lines_that_are_cut_or_not_ours_are_no_lines(text):
+    """Guards against half a line that is taken for a whole one."""
+    assert parse_line(text) is None
+
+
+def test_values_come_back_as_they_were_logged():
+    """Guards against values with spaces and quotes that lose their end."""
+    reason = 'the "store" said: no = never'
+    text = "0.5 host-1 " + write(0, "a", "store_lost", code="x", reason=reason)
+    assert parse_line(text).fields == {"code": "x", "reason": reason}
+
+
+def test_command_prints_the_story_and_its_json(tmp_path, capsys):
+    """Guards against a command that only its authors can use."""
+    path = tmp_path / "a.log"
+    path.write_text("".join(STORIES["target_error"]))
+    assert main(["explain", "--id", "r", str(path)]) == 0
+    printed = capsys.readouterr().out
+    assert "cause: target_error: t1 itself answered 500" in printed
+    assert main(["explain", "--id", "r", "--json", str(path)]) == 0
+    fields = json.loads(capsys.readouterr().out)
+    assert fields["cause"]["code"] == "target_error"
+    assert [m["event"] for m in fields["moments"]] == [
+        "request_admitted",
+        "target_chosen",
+        "request_ended",
+    ]
+    assert main(["explain", "--id", "other", str(path)]) == 1
+    assert main(["explain", "--id", "r", str(tmp_path / "none.log")]) == 3
