--- a/src/lacewinglift/explaining/causes.py
+++ b/src/lacewinglift/explaining/causes.py
@@ -87,7 +87,11 @@
     begun = story.around("stop_begins", story.instance)
     text = f"{story.instance} was being stopped"
     if begun:
-        text += f", since {-begun[-1].at_s:.2f} s before the request began"
+        at_s = begun[-1].at_s
+        side = "before" if at_s < 0 else "after"
+        text += f", since {abs(at_s):.2f} s {side} the request began"
+    if cut is not None:
+        text += "; it was cut when the time for the stop was over"
     return Cause("stopping", text)
 
 
--- a/src/lacewinglift/explaining/stories.py
+++ b/src/lacewinglift/explaining/stories.py
@@ -7,8 +7,10 @@
 from lacewinglift.explaining.clock_offsets import estimate_offsets
 from lacewinglift.explaining.log_lines import LogLine, LogSet
 
-# How long before the request began something may have happened that bears on it.
+# How long before the request began, and after it ended, something may have happened
+# that bears on it.
 BEFORE_S = 10.0
+AFTER_S = 0.5
 ENDINGS = frozenset({"request_ended", "request_refused", "request_cut"})
 # Events of the instance itself that bear on each of its requests.
 INSTANCE_EVENTS = frozenset(
@@ -125,20 +127,33 @@
     begin_s = own[0].time_s
     end_s = own[-1].time_s
     instances = {line.instance for line in own}
-    targets = {line.fields["target"] for line in own if "target" in line.fields}
+    targets = _targets(own)
     moments = []
     for line in logs.lines:
         is_own = line in own
         at_s = line.time_s - offsets.get(line.instance, 0.0)
         if is_own:
             moments.append(Moment(at_s - begin_s, line, own=True))
-        elif begin_s - BEFORE_S <= at_s <= end_s and (
+        elif begin_s - BEFORE_S <= at_s <= end_s + AFTER_S and (
             _bears_on(line, instances, targets)
         ):
             moments.append(Moment(at_s - begin_s, line, own=False))
     return sorted(moments, key=lambda moment: moment.at_s)
 
 
+def _targets(own: list[LogLine]) -> set[str]:
+    return {line.fields["target"] for line in own if "target" in line.fields}
+
+
+def _speakers(logs: LogSet, targets: set[str]) -> set[str]:
+    """Return the instances that noted something about some targets."""
+    return {
+        line.instance
+        for line in logs.lines
+        if line.event in TARGET_EVENTS and line.fields.get("target") in targets
+    }
+
+
 def _bears_on(line: LogLine, instances: set[str], targets: set[str]) -> bool:
     if line.event in INSTANCE_EVENTS:
         return line.instance in instances
@@ -157,7 +172,8 @@
         gaps.append(_open_end(story, own[-1]))
     if own[0].event not in ("request_admitted", "request_refused"):
         gaps.append("no line tells how the request was admitted")
-    for name in sorted({line.instance for line in logs.lines} - offsets.keys()):
+    targets = _targets(own)
+    for name in sorted(_speakers(logs, targets) - offsets.keys()):
         gaps.append(f"the clock of {name} could not be compared; its times may be off")
     return gaps + _left_out(logs, own) + _file_gaps(logs)
 
--- a/testing/adapter/test_process.py
+++ b/testing/adapter/test_process.py
@@ -1,157 +1,16 @@
 """The real program of the users' machines, before stand-ins of their platform."""
 
 import contextlib
-import http.client
-import json
-import os
-import pathlib
 import signal
 import socket
-import subprocess
-import sys
 import time
 
-import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, HasLength, LessThan
 
+from testing.adapter.machines import HOSTS, PORTS
 from testing.standins.platform_store import PlatformStore
 from testing.standins.request_half import wait_until
-from testing.standins.scripted_targets import ScriptedTarget, answer, serve_answers
-
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-# One loopback address a machine, since each listens on the same ports.
-HOSTS = ("127.0.3.1", "127.0.3.2", "127.0.3.3")
-PORTS = {"frontend": 18388, "ready": 18384, "control": 18381, "directory": 18383}
-START_TIMEOUT_S = 20.0
-
-
-def serve(received):
-    """Answer as a target that knows whose request it is."""
-    ids = [f"Request-Id: {value}" for value in received.values("request-id")]
-    return answer(200, b"sold", "Server-Signature: s", *ids)
-
-
-class Machines:
-    """Processes on loopback addresses, with the store that they share."""
-
-    def __init__(self, folder):
-        self.folder = folder
-        self.store = PlatformStore()
-        self.target = ScriptedTarget(serve_answers(serve))
-        self.processes = {}
-        self.store_addresses = dict.fromkeys(HOSTS, self.store.address)
-        self.put_configuration(1)
-        self.put_target("i-1")
-
-    def put_configuration(self, version, **route):
-        specification = {
-            "host": "shop.example",
-            "prefix": "/sales/",
-            "kind": "unsafe",
-            "timeout_ms": 4000,
-            "service": "tills",
-            "attempts": 2,
-            **route,
-        }
-        resources = [
-            {
-                "resource_kind": "routes",
-                "metadata": {"name": "r"},
-                "specification": specification,
-            },
-            {
-                "resource_kind": "tenants",
-                "metadata": {"name": "house"},
-                "specification": {"api_keys": ["key-1"], "rate_per_s": 100},
-            },
-        ]
-        fields = {"version": f"r{version}", "resources": resources}
-        self.store.put("op/config", fields)
-
-    def put_target(self, name, state="ready", sequence=1):
-        info = {"service": "tills", "version": "v1", "zone": "milano", "slots": 4}
-        status = {"state": state, "sequence": sequence, "warmup_remaining_ms": 0}
-        entry = {
-            "address": self.target.address,
-            "born": 1,
-            "server_info": info,
-            "status": status,
-        }
-        self.store.put(f"servers/{name}", entry)
-
-    def start(self, host):
-        path = self.folder / f"{host}.json"
-        fields = {
-            "node": f"frontend-{host}",
-            "ip_address": host,
-            "zone": "milano",
-            "listen_addresses": {k: f"{host}:{v}" for k, v in PORTS.items()},
-            "internal_port_range": [17560, 17575],
-            "seeds": [f"{HOSTS[0]}:{PORTS['control']}"],
-            "bounds": ["grace_s=6", "budget_ratio=0.2", "budget_slack=20"],
-            "platform": {"address": self.store_addresses[host]},
-        }
-        path.write_text(json.dumps(fields))
-        log = open(self.folder / f"{host}.log", "ab")  # noqa: SIM115
-        self.processes[host] = subprocess.Popen(
-            [sys.executable, "platform/serve.py"],
-            cwd=ROOT,
-            env={**os.environ, "LACEWINGLIFT_NODE_FILE": str(path)},
-            stdout=log,
-            stderr=log,
-        )
-
-    def start_all(self):
-        for host in HOSTS:
-            self.start(host)
-        for host in HOSTS:
-            self.wait_ready(host)
-
-    def wait_ready(self, host):
-        assert wait_until(lambda: self.is_ready(host), START_TIMEOUT_S)
-
-    def is_ready(self, host):
-        with contextlib.suppress(OSError):
-            return self.get(host, "ready", "/readiness")[0] == 200
-        return False
-
-    def get(self, host, port, path, method="GET", **headers):
-        connection = http.client.HTTPConnection(host, PORTS[port], timeout=5)
-        try:
-            connection.request(method, path, headers=headers)
-            response = connection.getresponse()
-            return response.status, response.read(), response.headers
-        finally:
-            connection.close()
-
-    def sell(self, host, request_id="r-1", key="key-1", path="/sales/1"):
-        headers = {
-            "Host": "shop.example",
-            "Request-Id": request_id,
-            "Request-Deadline": "3000",
-            "Authorization": f"Bearer {key}",
-        }
-        return self.get(host, "frontend", path, "POST", **headers)
-
-    def directory(self, host):
-        path = "/resolution?name=shop.example&region=nord&zone=milano"
-        status, body, _ = self.get(host, "directory", path)
-        return json.loads(body) if status == 200 else {}
-
-    def close(self):
-        for process in self.processes.values():
-            process.kill()
-            process.wait()
-        self.target.close()
-        self.store.close()
-
-
-@pytest.fixture
-def machines(tmp_path):
-    machines = Machines(tmp_path)
-    yield machines
-    machines.close()
 
 
 def test_request_is_translated_for_callers_and_targets(machines):
