Write logs to standard output, not to absl's standard error

Found by the tool that measures what logs cost; the new test of test_log_output.py fails without the change. Times in lines have microseconds, and a cut request names its reason as other lines do.

--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -800,4 +800,4 @@
         return _AttemptFailedError(kind, verdict, message)
 
     def _cancelled(self) -> ExchangeCancelledError:
-        return ExchangeCancelledError(str(self.exchange.reason))
+        return ExchangeCancelledError(self.exchange.reason.value)
--- a/src/lacewinglift/log_output.py
+++ b/src/lacewinglift/log_output.py
@@ -7,7 +7,7 @@
 from collections import deque
 from typing import TextIO
 
-from absl import logging
+from absl import flags, logging
 
 from lacewinglift.logs import LIMITS
 
@@ -54,6 +54,10 @@
     def flush(self) -> None:
         """Return at once; lines are written as they come."""
 
+    def close(self) -> None:
+        """Write what is queued; called at the end of the process."""
+        self.finish()
+
     def finish(self, wait_s: float = STOP_WAIT_S) -> None:
         """Wait until all lines are written, for `wait_s` at most."""
         with self._changed:
@@ -106,7 +110,7 @@
     def format(self, record: standard_logging.LogRecord) -> str:
         """Return the line of a record."""
         line = (
-            f"time={record.created:.3f} level={record.levelname.lower()}"
+            f"time={record.created:.6f} level={record.levelname.lower()}"
             f"{self.prefix} {record.getMessage()}"
         )
         if record.exc_info:
@@ -127,6 +131,8 @@
         Lowest level that is written.
     """
     output = LogOutput(raw)
+    # absl writes to standard error until its flags are parsed; there are none here.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.python_handler.stream = output
--- a/testing/test_log_output.py
+++ b/testing/test_log_output.py
@@ -2,6 +2,8 @@
 
 import io
 import logging as standard_logging
+import subprocess
+import sys
 import threading
 
 import pytest
@@ -53,6 +55,22 @@
     assert lines[-1].endswith("level=warning event=log_lines_dropped count=15")
 
 
+def test_lines_go_to_standard_output_only():
+    """Guards against lines on standard error, whose writes block."""
+    program = (
+        "import sys\n"
+        "from lacewinglift.log_output import start_logging\n"
+        "from lacewinglift.logs import log_warning\n"
+        "start_logging('a', sys.stdout)\n"
+        "log_warning('store_lost', code='x', reason='y')\n"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, check=True
+    )
+    assert done.stderr == ""
+    assert done.stdout.endswith("instance=a event=store_lost code=x reason=y\n")
+
+
 def test_output_that_is_closed_ends_no_thread():
     """Guards against a process that fails once nobody reads its output."""
     raw = io.StringIO()
@@ -94,6 +112,6 @@
     record.created = 12.5
     line = LineFormatter("a").format(record)
     assert line.startswith(
-        "time=12.500 level=error instance=a event=endpoint_failed tr"
+        "time=12.500000 level=error instance=a event=endpoint_failed tr"
     )
     assert "\n" not in line
--- /dev/null
+++ b/tools/measure_logs.py
@@ -0,0 +1,152 @@
+"""Measure what the logs cost: processor time, latency, lines, a reader that stalls.
+
+Each case runs the request half of an instance in a process of its own, before targets
+in the same process, and sends requests at a steady rate.
+"""
+
+import argparse
+import json
+import os
+import pathlib
+import statistics
+import subprocess
+import sys
+import threading
+import time
+
+from attrs import asdict, define
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT / "src"), str(ROOT)]
+
+from lacewinglift import logs  # noqa: E402
+from lacewinglift.log_output import start_logging  # noqa: E402
+from testing.standins.request_half import request_bytes, running_half  # noqa: E402
+from testing.standins.scripted_targets import (  # noqa: E402
+    ScriptedTarget,
+    answer,
+    serve_answers,
+)
+
+CASES = ("off", "on", "stalled")
+CALLERS = 4
+WARM_UP_REQUESTS = 50
+
+
+class NoLines(logs.LineLimits):
+    """Admits no line."""
+
+    def admit(self, event: str) -> bool:
+        return False
+
+
+@define
+class Result:
+    """What one case has shown."""
+
+    case: str
+    rate_per_s: float
+    requests: int
+    processor_us: float
+    """Processor time for each request, callers and targets included."""
+    p50_ms: float
+    p99_ms: float
+    lines_per_s: float
+    left_out: int
+    dropped: int
+
+
+def send(half, count: int, interval_s: float, latencies_s: list[float]) -> None:
+    with half.connect() as sock:
+        due_s = time.monotonic()
+        for number in range(count):
+            time.sleep(max(due_s - time.monotonic(), 0.0))
+            due_s += interval_s
+            started_s = time.monotonic()
+            headers = [f"X-Request-Id: {threading.get_ident()}-{number}"]
+            sock.sendall(request_bytes("GET", "/cassa", *headers))
+            sock.recv(65536)
+            latencies_s.append(time.monotonic() - started_s)
+
+
+def run_callers(half, rate_per_s: float, duration_s: float) -> list[float]:
+    latencies_s: list[float] = []
+    count = int(rate_per_s * duration_s / CALLERS)
+    threads = [
+        threading.Thread(
+            target=send, args=(half, count, CALLERS / rate_per_s, latencies_s)
+        )
+        for _ in range(CALLERS)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return latencies_s
+
+
+def run_case(case: str, rate_per_s: float, duration_s: float) -> Result:
+    output = start_logging("a", sys.stdout, "error" if case == "off" else "info")
+    if case == "off":
+        logs.LIMITS = NoLines()
+    target = ScriptedTarget(serve_answers(lambda seen: answer(200, b"sold")))
+    with running_half([target.address]) as half:
+        run_callers(half, rate_per_s, WARM_UP_REQUESTS / rate_per_s)
+        before = sum(written for written, _ in logs.LIMITS.totals().values())
+        started_s = time.process_time()
+        latencies_s = run_callers(half, rate_per_s, duration_s)
+        spent_s = time.process_time() - started_s
+        totals = logs.LIMITS.totals().values()
+    target.close()
+    percentiles = statistics.quantiles(latencies_s, n=100)
+    return Result(
+        case,
+        rate_per_s,
+        len(latencies_s),
+        spent_s / len(latencies_s) * 1e6,
+        percentiles[49] * 1000,
+        percentiles[98] * 1000,
+        (sum(written for written, _ in totals) - before) / duration_s,
+        sum(left_out for _, left_out in totals),
+        output.dropped,
+    )
+
+
+def measure(case: str, options: argparse.Namespace, rate_per_s: float) -> dict:
+    """Run a case in a process whose output is read, or not read at all."""
+    command = [sys.executable, __file__, "--case", case, "--rate", str(rate_per_s)]
+    command += ["--duration", str(options.duration)]
+    process = subprocess.Popen(
+        command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True
+    )
+    if case != "stalled":
+        drain = threading.Thread(target=process.stdout.read, daemon=True)
+        drain.start()
+    result = json.loads(process.stderr.readline())
+    process.kill()
+    process.wait()
+    return result
+
+
+def parse_options() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rate", type=float, default=20.0, help="requests a second")
+    parser.add_argument("--duration", type=float, default=10.0, help="seconds a case")
+    parser.add_argument("--case", choices=CASES, help="run one case in this process")
+    return parser.parse_args()
+
+
+def main() -> int:
+    options = parse_options()
+    if options.case is not None:
+        result = run_case(options.case, options.rate, options.duration)
+        print(json.dumps(asdict(result)), file=sys.stderr, flush=True)
+        os._exit(0)
+    for rate_per_s in (options.rate, options.rate * 10):
+        for case in CASES:
+            print(json.dumps(measure(case, options, rate_per_s)), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
