Let the base file set host, kind, attempts, timeout and weights of a route

The mesh had these settings, but the product's own files, schema, check and segments did not know them. Records of routes without them are encoded as before. Priority and objective are left out of the files until something acts on them.

--- a/src/lacewinglift/_records.py
+++ b/src/lacewinglift/_records.py
@@ -3,17 +3,27 @@
 import math
 import sys
 
-from lacewinglift.configuration import Fleet, Route, Service, Target, Workspace
+from lacewinglift.configuration import (
+    DEFAULT_ATTEMPTS,
+    Fleet,
+    Route,
+    Service,
+    ServiceWeight,
+    Target,
+    Workspace,
+)
 from lacewinglift.errors import ConfigurationError
 from lacewinglift.generated.configuration_pb2 import (
     FleetRecord,
     RouteRecord,
     ServiceRecord,
+    ServiceWeightRecord,
     TargetRecord,
     WorkspaceRecord,
 )
 
 DIGEST_BYTES = 32
+GREATEST_ATTEMPTS = 10
 
 
 def fleet_record(fleet: Fleet) -> FleetRecord:
@@ -122,23 +132,48 @@
         service=route.service,
         open=route.open,
         workspaces=route.workspaces,
+        host=route.host or "",
+        idempotent=route.idempotent,
+        max_attempts=_unless_default(route.max_attempts, DEFAULT_ATTEMPTS),
+        timeout_s=route.timeout_s or 0.0,
+        split=[
+            ServiceWeightRecord(service=part.service, weight=part.weight)
+            for part in route.split
+        ],
     )
 
 
+def _unless_default(value: int, default: int) -> int:
+    return 0 if value == default else value
+
+
 def route_of(record: RouteRecord) -> Route:
     """Return the route in `record`."""
     _require(record.prefix.startswith("/"), "a route has no valid prefix")
     _require(bool(record.service), "a route has no service")
     restricted = bool(record.workspaces)
     _require(not (record.open and restricted), "an open route is for some workspaces")
+    _require(record.max_attempts <= GREATEST_ATTEMPTS, "a route has many attempts")
+    _require(0 <= record.timeout_s < math.inf, "a route has no valid timeout")
     return Route(
         prefix=record.prefix,
         service=sys.intern(record.service),
         open=record.open,
         workspaces=tuple(sys.intern(name) for name in record.workspaces),
+        host=record.host or None,
+        idempotent=record.idempotent if record.HasField("idempotent") else None,
+        max_attempts=record.max_attempts or DEFAULT_ATTEMPTS,
+        timeout_s=record.timeout_s or None,
+        split=tuple(_weight_of(part) for part in record.split),
     )
 
 
+def _weight_of(record: ServiceWeightRecord) -> ServiceWeight:
+    _require(bool(record.service), "a part of a route has no service")
+    _require(0 < record.weight < math.inf, "a part of a route has no valid weight")
+    return ServiceWeight(sys.intern(record.service), record.weight)
+
+
 def workspace_record(workspace: Workspace) -> WorkspaceRecord:
     """Return the record of `workspace`."""
     return WorkspaceRecord(
--- a/src/lacewinglift/checks.py
+++ b/src/lacewinglift/checks.py
@@ -16,6 +16,7 @@
     Fleet,
     Route,
     Service,
+    ServiceWeight,
     Target,
     Workspace,
 )
@@ -140,7 +141,7 @@
             for name, entry in sorted(merged["services"].items())
         },
         routes=tuple(
-            Route(prefix=prefix, **_with_tuples(entry))
+            _build_route(prefix, entry)
             for prefix, entry in sorted(merged["routes"].items())
         ),
         workspaces={
@@ -266,6 +267,17 @@
     return _with_types(Service, {"name": name, "targets": targets, **known})
 
 
+def _build_route(prefix: str, entry: dict[str, Any]) -> Route:
+    known = _with_tuples(entry)
+    weights = sorted(entry.get("split", {}).items())
+    known["split"] = tuple(ServiceWeight(name, float(each)) for name, each in weights)
+    if "max_attempts" in known:
+        known["max_attempts"] = int(known["max_attempts"])
+    if "timeout_s" in known:
+        known["timeout_s"] = float(known["timeout_s"])
+    return Route(prefix=prefix, **known)
+
+
 def _build_workspace(name: str, entry: dict[str, Any]) -> Workspace:
     digests = tuple(bytes.fromhex(digest) for digest in entry.get("key_digests", ()))
     known = {**entry, "name": name, "key_digests": tuple(sorted(digests))}
@@ -408,6 +420,16 @@
             hint = nearest(route["service"], services)
             message = f"no service is named {route['service']!r}{hint}"
             yield ("routes", prefix, "service"), message
+        split = route.get("split", {})
+        for name in sorted(split.keys() - services):
+            message = f"no service is named {name!r}{nearest(name, services)}"
+            yield ("routes", prefix, "split", name), message
+        if split and route["service"] not in split:
+            yield (
+                ("routes", prefix, "split"),
+                f"'split' has no weight for {route['service']!r}; add it, or name one "
+                "of its services in 'service'",
+            )
         if route.get("open") and "workspaces" in route:
             yield (
                 ("routes", prefix, "workspaces"),
--- a/src/lacewinglift/configuration.py
+++ b/src/lacewinglift/configuration.py
@@ -12,6 +12,9 @@
     return hashlib.sha256(key.encode("utf-8", "surrogateescape")).digest()
 
 
+DEFAULT_ATTEMPTS = 3
+
+
 @frozen
 class Target:
     """One back end of a service."""
@@ -66,7 +69,7 @@
     """Host of the route, in lower case; None stands for any."""
     idempotent: bool | None = None
     """Whether requests may run more than once; None judges by the method."""
-    max_attempts: int = 3
+    max_attempts: int = DEFAULT_ATTEMPTS
     """Targets to which one request may be sent."""
     free_refusals: int = 0
     """Targets that may refuse to run a request before attempts are charged."""
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -15,7 +15,7 @@
 from urllib3.util.wait import wait_for_read
 
 from lacewinglift.bodies import PIECE_BYTES, CallerGoneError, RequestBody
-from lacewinglift.configuration import Service, Target
+from lacewinglift.configuration import DEFAULT_ATTEMPTS, Service, Target
 from lacewinglift.dialects import OWN_DIALECT, Dialect
 from lacewinglift.exchanges import CancelReason, Exchange
 from lacewinglift.headers import BadRequestError, Headers, headers_to_caller
@@ -30,7 +30,6 @@
 from lacewinglift.refusals import RefusalError, refuse
 from lacewinglift.retries import (
     IDEMPOTENT_METHODS,
-    MAX_ATTEMPTS,
     RetryBudget,
     may_resend,
 )
@@ -129,7 +128,7 @@
     """Whether the time for the answer also covers the upload of a large body."""
     idempotent: bool | None = None
     """Whether the request may run more than once; None judges by the method."""
-    max_attempts: int = MAX_ATTEMPTS
+    max_attempts: int = DEFAULT_ATTEMPTS
     free_refusals: int = 0
     """Attempts that may end as not run before `max_attempts` is charged."""
     request_id: str | None = None
--- a/src/lacewinglift/retries.py
+++ b/src/lacewinglift/retries.py
@@ -6,7 +6,6 @@
 from lacewinglift.verdicts import Verdict
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
-MAX_ATTEMPTS = 3
 RETRIES_PER_REQUEST = 0.1
 RETRIES_PER_S = 3.0
 # Lets the requests that were sent to a target in the moment it failed be sent
--- a/src/lacewinglift/segments.py
+++ b/src/lacewinglift/segments.py
@@ -386,7 +386,7 @@
     def routes(self, services: dict[str, Service]) -> tuple[Route, ...]:
         found = self._entries("routes", lambda content: content.routes, route_of)
         for route in found:
-            if route.service not in services:
+            if any(name not in services for name in (route.service, *route.services())):
                 raise ConfigurationError(f"route {route.prefix!r} has no service")
         by_prefix = {route.prefix: route for route in found}
         return tuple(_unique("routes", by_prefix, found).values())
--- a/testing/test_checks.py
+++ b/testing/test_checks.py
@@ -78,6 +78,16 @@
     assert configuration.route_for("/public/x").open
 
 
+def test_settings_of_a_route(load):
+    """Guards against a route that is repeated, or waited for, in another way."""
+    settings = '"host": "shop.example", "idempotent": false, "max_attempts": 2, '
+    settings += '"timeout_s": 2, "open": true'
+    configuration = load(BASE.replace('"open": true', settings))
+    route = configuration.route_for("/public/x", "shop.example")
+    assert (route.idempotent, route.max_attempts, route.timeout_s) == (False, 2, 2.0)
+    assert configuration.route_for("/public/x", "other.example") is None
+
+
 @pytest.mark.parametrize(
     ("old", "new", "expected"),
     [
@@ -97,6 +107,24 @@
         ),
         ('"t", "slots"', '"t", "leaving": true, "slots"', "base:5 'orders': the floor"),
         ('"service": "orders", "w', '"service": "order", "w', "mean 'orders'"),
+        (
+            '"open": true',
+            '"timeout_s": 0',
+            "base:15 'timeout_s' cannot be 0; .*sec",
+        ),
+        ('"open": true', '"max_attempts": 11', "base:15 'max_attempts' cannot be 11"),
+        ('"open": true', '"host": "Shop"', "base:15 'host' cannot be .*lower case"),
+        (
+            '"open": true',
+            '"split": {"orders": 1, "other": 1}',
+            "base:15 no service is named 'other'",
+        ),
+        (
+            '"open": true',
+            '"split": {"a": 1, "b": 1}',
+            "base:15 'split' has no weight for 'orders'",
+        ),
+        ('"open": true', '"split": {"orders": 1}', "base:15 .*split"),
         ('["w1"]', '["w1", "w9"]', "base:14 no workspace is named 'w9'"),
         ('"open": true', '"open": true, "workspaces": ["w2"]', "base:15 .*is open"),
         ('"/public"', '"/public/"', "base:15 .*cannot be a name here"),
--- a/testing/test_segments.py
+++ b/testing/test_segments.py
@@ -10,6 +10,7 @@
     Fleet,
     Route,
     Service,
+    ServiceWeight,
     Target,
     Workspace,
     digest_key,
@@ -46,6 +47,18 @@
         Route(f"/r{number}", f"s{number}", open=number == 0)
         for number in range(services)
     )
+    routes += (
+        Route(
+            "/split",
+            "s0",
+            host="shop.example",
+            idempotent=False,
+            max_attempts=2,
+            timeout_s=1.5,
+            split=(ServiceWeight("s0", 3.0), ServiceWeight("s1", 0.5)),
+        ),
+        Route("/idempotent", "s0", idempotent=True),
+    )
     tenants = {f"w{number}": make_workspace(number) for number in range(workspaces)}
     return Configuration(3, Fleet("f", ("m", "t")), built, routes, tenants)
 
