Keep an observer's pause finite after a thousand failures in a row

0.1 * 2**1024 is no float: after some 17 minutes without the store the thread ended with an OverflowError and the instance never watched the store again. Found while writing the test of the back-off that is reset by an answer; both tests are new, one failed first.

--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -32,6 +32,7 @@
 # Pause after a failed call: the first retry comes soon, as bounds run from then.
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 1.0
+RETRY_DOUBLINGS = 4
 # Time after the start in which an instance listens for others before it reads the
 # store itself.
 LISTEN_FIRST_S = 1.0
@@ -243,7 +244,8 @@
                 self.contact.note_failure(error)
                 self.registry.note_outage()
                 time.sleep(min(RETRY_FIRST_S * 2**failures, RETRY_MAX_S))
-                failures += 1
+                # 2 to the power of a thousand failures would be no float.
+                failures = min(failures + 1, RETRY_DOUBLINGS)
             except Exception:
                 log_exception("observer_failed")
                 time.sleep(RETRY_MAX_S)
--- a/testing/mesh/test_observers.py
+++ b/testing/mesh/test_observers.py
@@ -173,3 +173,42 @@
     )
     observer._first_read()
     assert_that(store.calls, Equals(["config"]))
+
+
+@pytest.fixture
+def pauses(monkeypatch):
+    """Pauses between the turns of an observer's loop, in place of waiting."""
+    taken = []
+    monkeypatch.setattr("lacewinglift.mesh.observers.time.sleep", taken.append)
+    return taken
+
+
+def run_turns(observer, turns):
+    """Run a loop that ends each turn as `turns` says: True for an answer."""
+    remaining = list(turns)
+
+    def loop():
+        if not remaining:
+            observer.stopped = True
+        elif remaining.pop(0):
+            observer.timers.advance(0.01)
+            observer.contact.note_answer()
+            observer.timers.advance(0.01)
+        raise StoreUnavailableError("down")
+
+    observer.on_duty.set()
+    observer._run(loop)
+
+
+def test_store_that_is_away_for_long_is_still_asked_each_second(fleet, pauses):
+    """Guards against a thread that ends because its pause can no longer be computed."""
+    run_turns(fleet["f0"], [False] * 1100)
+    assert_that(pauses, HasLength(1100))
+    assert_that(pauses[:6], Equals([0.1, 0.2, 0.4, 0.8, 1.0, 1.0]))
+    assert_that(set(pauses[6:]), Equals({1.0}))
+
+
+def test_answer_of_the_store_ends_the_long_pauses(fleet, pauses):
+    """Guards against an observer that is slow for good after an outage."""
+    run_turns(fleet["f0"], [False, False, False, True, False])
+    assert_that(pauses, Equals([0.1, 0.2, 0.4, 0.1, 0.2]))
