--- /dev/null
+++ b/src/lacewinglift/mesh/following.py
@@ -0,0 +1,64 @@
+"""When to fetch what another instance knows better."""
+
+from collections.abc import Callable
+
+from attrs import define
+
+from lacewinglift.generated import beats_pb2
+from lacewinglift.mesh.registry import TargetRegistry
+from lacewinglift.timers import Timers
+
+# An instance that watches the store hears of a change within a few tenths of a second
+# of the others. Later than that its watch has gone silent, which the watch itself
+# notices only seconds later.
+WATCH_LAG_S = 0.4
+
+
+@define(eq=False)
+class Follower:
+    """Compares this instance's configuration and targets with those of others.
+
+    Attributes
+    ----------
+    timers : Timers
+        Clock.
+    registry : TargetRegistry
+        Targets as this instance knows them.
+    generation : callable
+        Returns the generation of the configuration in force here.
+    reads_store : callable
+        Tells whether the store tells this instance of changes itself.
+    """
+
+    timers: Timers
+    registry: TargetRegistry
+    generation: Callable[[], int]
+    reads_store: Callable[[], bool]
+    behind_since_s: float | None = None
+    """Time since which another instance has known of newer targets."""
+
+    def is_behind(self, beat: beats_pb2.Beat) -> bool:
+        """Return whether the sender of a datagram has something to fetch."""
+        newer_targets = self._has_newer_targets(beat)
+        return newer_targets or beat.configuration_version > self.generation()
+
+    def _has_newer_targets(self, beat: beats_pb2.Beat) -> bool:
+        registry = self.registry
+        if beat.registry_revision < registry.revision or not beat.registry_revision:
+            return False
+        if beat.registry_digest == registry.digest:
+            registry.note_agreement(beat.registry_revision)
+            self.behind_since_s = None
+            return False
+        if not self.reads_store() or not registry.ready:
+            return True
+        return self._lags()
+
+    def _lags(self) -> bool:
+        now = self.timers.now()
+        if (
+            self.behind_since_s is None
+            or self.behind_since_s < self.registry.changed_at_s
+        ):
+            self.behind_since_s = now
+        return now - self.behind_since_s >= WATCH_LAG_S
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -18,6 +18,7 @@
 from lacewinglift.logs import REPORT_INTERVAL_S, log_info, report_left_out
 from lacewinglift.mesh.beats import Audience, BeatExchange
 from lacewinglift.mesh.directory import Directory
+from lacewinglift.mesh.following import Follower
 from lacewinglift.mesh.members import AddressList, Member, MemberTable
 from lacewinglift.mesh.observers import Codec, Observer, try_read_configuration
 from lacewinglift.mesh.pooled_targets import PooledTargets
@@ -130,6 +131,12 @@
         self.addresses = AddressList(self.timers, settings.seeds, settings.beat_address)
         self.store = self._open_store()
         self.observer = self._make_observer()
+        self.follower = Follower(
+            self.timers,
+            self.registry,
+            self.holder.generation,
+            self.observer.reads_store,
+        )
         self.snapshots = SnapshotExchange(
             settings.fetch_address,
             SnapshotService(self.make_snapshot),
@@ -382,13 +389,7 @@
 
     def _follow(self, member: Member, beat: beats_pb2.Beat) -> None:
         """Fetch what another instance knows better."""
-        older = beat.configuration_version > self.holder.generation()
-        if beat.registry_revision >= self.registry.revision:
-            if beat.registry_digest == self.registry.digest:
-                self.registry.note_agreement(beat.registry_revision)
-            elif not self.observer.reads_store() or not self.registry.ready:
-                older = older or beat.registry_revision > 0
-        if not older:
+        if not self.follower.is_behind(beat):
             return
         request = beats_pb2.SnapshotRequest(
             configuration_version=self.holder.generation(),
--- a/src/lacewinglift/mesh/registry.py
+++ b/src/lacewinglift/mesh/registry.py
@@ -95,6 +95,7 @@
     missing_since_s: dict[str, float] = field(factory=dict)
     """Targets whose entry vanished around an outage of the store."""
     outage_at_s: float = float("-inf")
+    changed_at_s: float = float("-inf")
     confirmed_at_s: float = float("-inf")
     """Last time at which the store or another instance told the same or more."""
     lock: threading.RLock = field(factory=threading.RLock)
@@ -211,6 +212,7 @@
         self.ready = True
         self.confirmed_at_s = self.timers.now()
         if changed:
+            self.changed_at_s = self.timers.now()
             log_info(
                 "registry_changed",
                 revision=self.revision,
