--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -297,12 +297,11 @@
     def make_snapshot(self, request: beats_pb2.SnapshotRequest) -> beats_pb2.Snapshot:
         """Return the registry, and the configuration if the caller's is older."""
         snapshot = self.registry.snapshot()
-        snapshot.configuration_version = self.holder.generation()
-        if request.configuration_version < snapshot.configuration_version:
+        if request.configuration_version < self.holder.generation():
             snapshot.configuration = self.holder.value
         return snapshot
 
-    def take_snapshot(self, snapshot: beats_pb2.Snapshot, address: str) -> None:
+    def take_snapshot(self, snapshot: beats_pb2.Snapshot) -> None:
         """Take in what another instance knows."""
         if snapshot.configuration:
             self.take_configuration(snapshot.configuration)
@@ -329,7 +328,6 @@
             observer=self.observer.on_duty.is_set(),
             evidence=self.targets.evidence(),
             loads=loads,
-            has_loads=bool(loads),
         )
         if loads:
             self.beats.note_use()
@@ -391,10 +389,8 @@
         """Fetch what another instance knows better."""
         if not self.follower.is_behind(beat):
             return
-        request = beats_pb2.SnapshotRequest(
-            configuration_version=self.holder.generation(),
-            registry_digest=self.registry.digest,
-        )
+        generation = self.holder.generation()
+        request = beats_pb2.SnapshotRequest(configuration_version=generation)
         self.snapshots.fetch(member.description.fetch_address, request)
 
     def _keep_house(self) -> None:
--- a/src/lacewinglift/mesh/members.py
+++ b/src/lacewinglift/mesh/members.py
@@ -135,7 +135,7 @@
                 log_info("member_state", member=beat.instance, state=state)
             known.beat = beat
             known.heard_at_s = now
-            if beat.has_loads:
+            if beat.loads:
                 known.active_at_s = now
             return known
 
--- a/src/lacewinglift/mesh/registry.py
+++ b/src/lacewinglift/mesh/registry.py
@@ -173,7 +173,6 @@
         with self.lock:
             return beats_pb2.Snapshot(
                 registry_revision=self.revision,
-                registry_digest=self.digest,
                 targets=[target.to_message() for target in self.targets.values()],
             )
 
--- a/src/lacewinglift/mesh/snapshots.py
+++ b/src/lacewinglift/mesh/snapshots.py
@@ -61,14 +61,14 @@
     service : SnapshotService
         Answers them.
     on_snapshot : callable
-        Takes in what was fetched, with the address that it came from.
+        Takes in what was fetched.
     """
 
     def __init__(
         self,
         address: str,
         service: SnapshotService,
-        on_snapshot: Callable[[beats_pb2.Snapshot, str], None],
+        on_snapshot: Callable[[beats_pb2.Snapshot], None],
     ) -> None:
         self.address = address
         self.service = service
@@ -104,7 +104,7 @@
     async def _fetch(self, address: str, request: beats_pb2.SnapshotRequest) -> None:
         try:
             reply = await fetch_snapshot(address, request)
-            self.on_snapshot(reply, address)
+            self.on_snapshot(reply)
         except _FETCH_ERRORS as error:
             log_info("snapshot_fetch_failed", peer=address, reason=repr(error))
         except Exception:
