--- a/src/lacewinglift/control.py
+++ b/src/lacewinglift/control.py
@@ -13,6 +13,7 @@
 from lacewinglift.identity import Identity
 from lacewinglift.ledger import LedgerHolder
 from lacewinglift.logs import log_exception, log_info, log_warning
+from lacewinglift.loops import LoopRunner
 from lacewinglift.members import HEARTBEAT_INTERVAL_S, Members
 from lacewinglift.peers import (
     CALL_TIMEOUT_S,
@@ -86,30 +87,21 @@
         self.dump_state = lambda: "{}"
         self.fetching: set[str] = set()
         self.background: set[asyncio.Task] = set()
-        self.loop = asyncio.new_event_loop()
-        self.stopping = asyncio.Event()
-        self.started = threading.Event()
-        self.failure: BaseException | None = None
-        self.thread = threading.Thread(target=self._run, name="control", daemon=True)
+        self.runner = LoopRunner("control", self._main)
         self.distribution.subscribe(self._configuration_changed)
 
     def start(self) -> None:
         """Start the loop; raises what kept it from listening."""
-        self.thread.start()
-        self.started.wait()
-        if self.failure is not None:
-            raise self.failure
+        self.runner.start()
 
     def stop(self) -> None:
         """End all tasks, streams and the loop."""
-        if self.thread.is_alive():
-            self.loop.call_soon_threadsafe(self.stopping.set)
-            self.thread.join()
+        self.runner.stop()
 
     def set_state(self, state: fleet_pb2.InstanceState) -> None:
         """Announce a new state of this instance to all peers."""
         self.identity.state = state
-        self.loop.call_soon_threadsafe(self.links.wake_all)
+        self.runner.loop.call_soon_threadsafe(self.links.wake_all)
 
     def give_back_shares(self) -> None:
         """Wait until the ledger holds nothing for this instance, for a while.
@@ -132,7 +124,7 @@
             incarnation=self.identity.incarnation,
         )
         future = asyncio.run_coroutine_threadsafe(
-            self._borrow(member.peer_address, request), self.loop
+            self._borrow(member.peer_address, request), self.runner.loop
         )
         try:
             return future.result(BORROW_TIMEOUT_S)
@@ -198,17 +190,6 @@
 
     # The loop.
 
-    def _run(self) -> None:
-        asyncio.set_event_loop(self.loop)
-        try:
-            self.loop.run_until_complete(self._main())
-        except BaseException as error:
-            self.failure = error
-            log_exception("control_failed")
-        finally:
-            self.started.set()
-            self.loop.close()
-
     async def _main(self) -> None:
         store = Store(self.store_address, self.timers)
         self.store = store
@@ -233,13 +214,13 @@
         dialer = Dialer(self.identity, self.members, self.links, self)
         service = PeerService(self.links, self.members, self)
         server = await serve_peers(service, self.identity.peer_address)
-        self.started.set()
+        self.runner.started.set()
         tasks = [
             asyncio.create_task(self.store_duty.run()),
             asyncio.create_task(allocation.run()),
             asyncio.create_task(self._tick(dialer)),
         ]
-        await self.stopping.wait()
+        await self.runner.stopping.wait()
         for task in [*tasks, *self.background]:
             task.cancel()
         await asyncio.gather(*tasks, *self.background, return_exceptions=True)
@@ -280,7 +261,7 @@
         self.standing.apply_ledger(ledger)
         self._announce_ledger()
         # Loans made under the division before it are over by then.
-        self.loop.call_later(SETTLING_S, self._announce_ledger)
+        self.runner.loop.call_later(SETTLING_S, self._announce_ledger)
 
     def _announce_ledger(self) -> None:
         version = self.holder.version()
--- /dev/null
+++ b/src/lacewinglift/loops.py
@@ -0,0 +1,52 @@
+"""Asyncio loops on threads of their own."""
+
+import asyncio
+import threading
+from collections.abc import Awaitable, Callable
+
+from lacewinglift.logs import log_exception
+
+
+class LoopRunner:
+    """A loop that runs one coroutine; `start`, then `stop` once.
+
+    Parameters
+    ----------
+    name : str
+        Name of the thread.
+    main : callable
+        Returns the coroutine. It sets `started` once it listens, and ends when
+        `stopping` is set.
+    """
+
+    def __init__(self, name: str, main: Callable[[], Awaitable[None]]) -> None:
+        self.main = main
+        self.loop = asyncio.new_event_loop()
+        self.stopping = asyncio.Event()
+        self.started = threading.Event()
+        self.failure: BaseException | None = None
+        self.thread = threading.Thread(target=self._run, name=name, daemon=True)
+
+    def start(self) -> None:
+        """Start the loop; raises what kept it from listening."""
+        self.thread.start()
+        self.started.wait()
+        if self.failure is not None:
+            raise self.failure
+
+    def stop(self) -> None:
+        """Let the coroutine end, and wait for that."""
+        if self.thread.is_alive():
+            self.loop.call_soon_threadsafe(self.stopping.set)
+            self.thread.join()
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self.loop)
+        try:
+            self.loop.run_until_complete(self.main())
+        except BaseException as error:
+            self.failure = error
+            log_exception("loop_failed", thread=self.thread.name)
+        finally:
+            self.started.set()
+            self.loop.close()
--- a/src/lacewinglift/mesh/snapshots.py
+++ b/src/lacewinglift/mesh/snapshots.py
@@ -11,6 +11,7 @@
 from lacewinglift.generated import beats_pb2
 from lacewinglift.generated.beats_grpc import SnapshotsBase, SnapshotsStub
 from lacewinglift.logs import log_exception, log_info
+from lacewinglift.loops import LoopRunner
 from lacewinglift.socket_addresses import split_address
 
 FETCH_TIMEOUT_S = 1.0
@@ -73,25 +74,17 @@
         self.address = address
         self.service = service
         self.on_snapshot = on_snapshot
-        self.loop = asyncio.new_event_loop()
         self.fetching = False
         self.lock = threading.Lock()
-        self.started = threading.Event()
-        self.failure: OSError | None = None
-        self.thread = threading.Thread(target=self._run, name="snapshots", daemon=True)
+        self.runner = LoopRunner("snapshots", self._serve)
 
     def start(self) -> None:
         """Listen; raises OSError for an address in use."""
-        self.thread.start()
-        self.started.wait()
-        if self.failure is not None:
-            raise self.failure
+        self.runner.start()
 
     def stop(self) -> None:
         """End the loop."""
-        if self.thread.is_alive():
-            self.loop.call_soon_threadsafe(self.loop.stop)
-            self.thread.join()
+        self.runner.stop()
 
     def fetch(self, address: str, request: beats_pb2.SnapshotRequest) -> None:
         """Fetch in the background, unless a fetch is under way."""
@@ -99,7 +92,9 @@
             if self.fetching:
                 return
             self.fetching = True
-        asyncio.run_coroutine_threadsafe(self._fetch(address, request), self.loop)
+        asyncio.run_coroutine_threadsafe(
+            self._fetch(address, request), self.runner.loop
+        )
 
     async def _fetch(self, address: str, request: beats_pb2.SnapshotRequest) -> None:
         try:
@@ -113,18 +108,11 @@
             with self.lock:
                 self.fetching = False
 
-    def _run(self) -> None:
-        asyncio.set_event_loop(self.loop)
+    async def _serve(self) -> None:
         server = Server([self.service])
         host, port = split_address(self.address)
-        try:
-            self.loop.run_until_complete(server.start(host, port))
-        except OSError as error:
-            self.failure = error
-            self.started.set()
-            return
-        self.started.set()
-        self.loop.run_forever()
+        await server.start(host, port)
+        self.runner.started.set()
+        await self.runner.stopping.wait()
         server.close()
-        self.loop.run_until_complete(server.wait_closed())
-        self.loop.close()
+        await server.wait_closed()
--- a/testing/test_control.py
+++ b/testing/test_control.py
@@ -107,7 +107,7 @@
         ],
     )
     asyncio.run_coroutine_threadsafe(
-        first.offer_configuration(request), first.loop
+        first.offer_configuration(request), first.runner.loop
     ).result(5.0)
     seconds = elapsed_until(cell, lambda: cell.generations() == [2] * 4)
     assert_that(seconds, LessThan(CHANGE_BOUND_S))
