Derive metrics from the configuration in force, and count heard members in one pass

The collector held copies of the generation and of its time. The configuration in force has a module of its own. Store calls are timed by the timer service.

--- a/src/lacewinglift/explaining/stories.py
+++ b/src/lacewinglift/explaining/stories.py
@@ -29,8 +29,13 @@
     }
 )
 TARGET_EVENTS = frozenset(
-    {"target_doubted", "target_ejected", "target_failed", "target_returned"}
-    | {"target_trusted"}
+    {
+        "target_doubted",
+        "target_ejected",
+        "target_failed",
+        "target_returned",
+        "target_trusted",
+    }
 )
 
 
@@ -114,7 +119,7 @@
     # An id that is used at several instances is told by the clock of the first.
     reference = own[0].instance
     offsets = estimate_offsets(logs.lines, reference)
-    story.moments = _moments(logs, own, offsets)
+    story.moments = _moments(logs, request_id, own, offsets)
     if own[-1].event not in ENDINGS:
         story.restarted = _restarted_after(logs, own[-1])
     story.missing = _gaps(logs, story, own, offsets)
@@ -122,7 +127,7 @@
 
 
 def _moments(
-    logs: LogSet, own: list[LogLine], offsets: dict[str, float]
+    logs: LogSet, request_id: str, own: list[LogLine], offsets: dict[str, float]
 ) -> list[Moment]:
     begin_s = own[0].time_s
     end_s = own[-1].time_s
@@ -130,14 +135,11 @@
     targets = _targets(own)
     moments = []
     for line in logs.lines:
-        is_own = line in own
         at_s = line.time_s - offsets.get(line.instance, 0.0)
-        if is_own:
-            moments.append(Moment(at_s - begin_s, line, own=True))
-        elif begin_s - BEFORE_S <= at_s <= end_s + AFTER_S and (
-            _bears_on(line, instances, targets)
-        ):
-            moments.append(Moment(at_s - begin_s, line, own=False))
+        is_own = line.fields.get("id") == request_id
+        near = begin_s - BEFORE_S <= at_s <= end_s + AFTER_S
+        if is_own or (near and _bears_on(line, instances, targets)):
+            moments.append(Moment(at_s - begin_s, line, is_own))
     return sorted(moments, key=lambda moment: moment.at_s)
 
 
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -6,7 +6,6 @@
 from lacewinglift.addresses import AddressBook
 from lacewinglift.admission import Decision
 from lacewinglift.concurrency import ConcurrencyLimits
-from lacewinglift.configuration import Configuration
 from lacewinglift.dialects import Dialect
 from lacewinglift.errors import SettingsError
 from lacewinglift.exchanges import ExchangeWatch
@@ -19,6 +18,7 @@
 from lacewinglift.mesh.beats import Audience, BeatExchange
 from lacewinglift.mesh.directory import Directory
 from lacewinglift.mesh.following import Follower
+from lacewinglift.mesh.holders import ConfigurationHolder
 from lacewinglift.mesh.members import AddressList, Member, MemberTable
 from lacewinglift.mesh.observers import Codec, Observer, try_read_configuration
 from lacewinglift.mesh.pooled_targets import PooledTargets
@@ -39,9 +39,9 @@
 WORKERS_STOP_S = 0.2
 # Datagrams at the start that describe this instance, then every so many.
 FIRST_INTRODUCTIONS = 6
+INTRODUCE_EVERY = 3
 # Time in which several new instances are greeted together.
 GREETING_DELAY_S = 0.1
-INTRODUCE_EVERY = 3
 # Peers named in one datagram, so that its size does not grow with the fleet; more at
 # first, so that instances that start together find each other at once.
 PEERS_NAMED = 6
@@ -49,33 +49,6 @@
 MAX_STORE_AGE_MS = 2**31
 
 
-class ConfigurationHolder:
-    """The configuration in force; its generation never goes back."""
-
-    def __init__(self) -> None:
-        self.configuration: Configuration | None = None
-        self.value = b""
-        self.lock = threading.Lock()
-
-    def current(self) -> Configuration | None:
-        """Return the configuration in force."""
-        return self.configuration
-
-    def generation(self) -> int:
-        """Return the generation in force; 0 before the first."""
-        configuration = self.configuration
-        return 0 if configuration is None else configuration.generation
-
-    def replace(self, configuration: Configuration, value: bytes) -> bool:
-        """Put a configuration into force if it is newer."""
-        with self.lock:
-            if configuration.generation <= self.generation():
-                return False
-            self.value = value
-            self.configuration = configuration
-            return True
-
-
 class AlwaysStanding:
     """Lets an instance serve keyed routes while it is cut off from the fleet."""
 
@@ -112,7 +85,7 @@
         self.told_state: int | None = None
         self.random = Random()
         self.metrics = Metrics()
-        self.holder = ConfigurationHolder()
+        self.holder = ConfigurationHolder(self.timers)
         self.started = threading.Event()
         self.members = MemberTable(settings.instance, self.timers)
         self.beats = BeatExchange(settings.beat_address, self, self.timers)
@@ -156,17 +129,18 @@
             self.observer.on_duty.is_set,
             self.retries.request_rate_per_s,
         )
-        self.collector = MeshCollector(
+        collector = MeshCollector(
             self.timers,
             self.members,
-            self.observer,
+            self.observer.contact,
+            self.holder,
             self.registry,
             self.targets,
             self.quota,
             self.retries,
             self.store,
         )
-        self.metrics.registry.register(self.collector)
+        self.metrics.registry.register(collector)
         self.frontend = Frontend(settings, self._make_parts(dialect))
         self.frontend.server.shutdown_timeout = WORKERS_STOP_S
         self.frontend.server.finishing_idle_s = FINISHING_IDLE_S
@@ -180,7 +154,7 @@
                 f"store_driver {settings.store_driver!r} is not known; use one of "
                 f"{known}"
             )
-        return CountedStore(driver(settings.store_address))
+        return CountedStore(driver(settings.store_address), self.timers)
 
     def _make_observer(self) -> Observer:
         settings = self.settings
@@ -276,8 +250,6 @@
         if configuration is None or not self.holder.replace(configuration, value):
             return
         self.quota.apply(configuration)
-        self.collector.generation = configuration.generation
-        self.collector.configured_at_s = self.timers.now()
         if configuration.idle_timeout_s is not None:
             self.frontend.server.timeout = configuration.idle_timeout_s
         log_info(
--- a/src/lacewinglift/mesh/members.py
+++ b/src/lacewinglift/mesh/members.py
@@ -96,6 +96,10 @@
         """Return the name of the instance."""
         return self.beat.instance
 
+    def is_heard(self, now_s: float) -> bool:
+        """Return whether the instance was heard lately."""
+        return now_s - self.heard_at_s <= HEARD_WITHIN_S
+
 
 @define(eq=False)
 class MemberTable:
@@ -158,7 +162,7 @@
     def heard(self) -> list[Member]:
         """Return the members that were heard lately."""
         now = self.timers.now()
-        return [m for m in self.known() if now - m.heard_at_s <= HEARD_WITHIN_S]
+        return [member for member in self.known() if member.is_heard(now)]
 
     def active(self) -> list[Member]:
         """Return the members that had requests in progress lately."""
@@ -167,8 +171,10 @@
 
     def heard_part(self) -> float:
         """Return the part of the fleet that this instance hears, with itself."""
-        known = len(self.known()) + 1
-        return (len(self.heard()) + 1) / known
+        now = self.timers.now()
+        known = self.known()
+        heard = sum(member.is_heard(now) for member in known)
+        return (heard + 1) / (len(known) + 1)
 
 
 def _is_newer(beat: beats_pb2.Beat, known: Member, now_s: float) -> bool:
--- a/src/lacewinglift/mesh/telemetry.py
+++ b/src/lacewinglift/mesh/telemetry.py
@@ -1,6 +1,5 @@
 """What an instance of a mesh believes, and how old it is, for Prometheus."""
 
-import time
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
@@ -12,8 +11,9 @@
 
 from lacewinglift.errors import LacewingliftError
 from lacewinglift.kv import Changes, KeyValueStore, Listing
+from lacewinglift.mesh.holders import ConfigurationHolder
 from lacewinglift.mesh.members import MemberTable
-from lacewinglift.mesh.observers import Observer
+from lacewinglift.mesh.observers import StoreContact
 from lacewinglift.mesh.pooled_targets import PooledTargets
 from lacewinglift.mesh.registry import TargetRegistry
 from lacewinglift.mesh.usage import FleetQuota, FleetRetryBudgets
@@ -27,10 +27,13 @@
     ----------
     store : KeyValueStore
         Client that makes the calls.
+    timers : Timers
+        Clock.
     """
 
-    def __init__(self, store: KeyValueStore) -> None:
+    def __init__(self, store: KeyValueStore, timers: Timers) -> None:
         self.store = store
+        self.timers = timers
         self.calls: Counter[tuple[str, str]] = Counter()
         self.seconds: Counter[str] = Counter()
 
@@ -60,7 +63,7 @@
 
     @contextmanager
     def _counted(self, kind: str) -> Iterator[None]:
-        started_s = time.monotonic()
+        started_s = self.timers.now()
         end = "failed"
         try:
             yield
@@ -70,7 +73,7 @@
             raise
         finally:
             self.calls[kind, end] += 1
-            self.seconds[kind] += time.monotonic() - started_s
+            self.seconds[kind] += self.timers.now() - started_s
 
 
 @define(eq=False)
@@ -82,15 +85,13 @@
 
     timers: Timers
     members: MemberTable
-    observer: Observer
+    contact: StoreContact
+    holder: ConfigurationHolder
     registry: TargetRegistry
     targets: PooledTargets
     quota: FleetQuota
     retries: FleetRetryBudgets
     store: CountedStore
-    configured_at_s: float | None = None
-    """Time at which the configuration in force was put into force."""
-    generation: int = 0
 
     def describe(self) -> Iterable[Metric]:
         """Return nothing: names are known once they are collected."""
@@ -113,10 +114,10 @@
             labels=["of"],
         )
         now = self.timers.now()
-        ages.add_metric(["store"], now - self.observer.contact.answered_at_s)
+        ages.add_metric(["store"], now - self.contact.answered_at_s)
         ages.add_metric(["registry"], now - self.registry.confirmed_at_s)
-        if self.configured_at_s is not None:
-            ages.add_metric(["configuration"], now - self.configured_at_s)
+        if self.holder.replaced_at_s is not None:
+            ages.add_metric(["configuration"], now - self.holder.replaced_at_s)
         heard = [now - member.heard_at_s for member in self.members.known()]
         if heard:
             ages.add_metric(["most_silent_member"], max(heard))
@@ -126,7 +127,7 @@
         versions = GaugeMetricFamily(
             "lacewinglift_version", "Version in force.", labels=["of"]
         )
-        versions.add_metric(["configuration"], self.generation)
+        versions.add_metric(["configuration"], self.holder.generation())
         versions.add_metric(["registry"], self.registry.revision)
         return versions
 
--- a/testing/mesh/test_telemetry.py
+++ b/testing/mesh/test_telemetry.py
@@ -1,13 +1,12 @@
 """Metrics of an instance of a mesh."""
 
-from types import SimpleNamespace
-
 import pytest
 from prometheus_client import CollectorRegistry, generate_latest
 
 from lacewinglift.configuration import Configuration, Fleet, Workspace
 from lacewinglift.errors import StoreUnavailableError
 from lacewinglift.kv import Listing
+from lacewinglift.mesh.holders import ConfigurationHolder
 from lacewinglift.mesh.members import MemberTable
 from lacewinglift.mesh.observers import StoreContact
 from lacewinglift.mesh.pooled_targets import PooledTargets
@@ -35,12 +34,13 @@
     return MeshCollector(
         timers,
         MemberTable("a", timers),
-        SimpleNamespace(contact=contact),
+        contact,
+        ConfigurationHolder(timers),
         TargetRegistry(timers),
         targets,
         quota,
         retries,
-        CountedStore(FailingStore()),
+        CountedStore(FailingStore(), timers),
     )
 
 
@@ -53,9 +53,11 @@
 def test_ages_limits_and_targets_are_shown(collector):
     """Guards against an on-call engineer who cannot see how old a belief is."""
     house = Workspace("house", 10.0, 10)
-    collector.quota.apply(Configuration(1, Fleet("f"), {}, (), {"house": house}))
+    configuration = Configuration(4, Fleet("f"), {}, (), {"house": house})
+    collector.holder.replace(configuration, b"")
+    collector.quota.apply(configuration)
     collector.registry.reset([], 7)
-    collector.observer.contact.note_answer()
+    collector.contact.note_answer()
     collector.retries.of("cassa").note_request()
     collector.targets.apply(
         [
@@ -69,6 +71,8 @@
     text = scrape(collector)
     assert 'lacewinglift_age_seconds{of="store"} 4.0' in text
     assert 'lacewinglift_age_seconds{of="registry"} 4.0' in text
+    assert 'lacewinglift_age_seconds{of="configuration"} 4.0' in text
+    assert 'lacewinglift_version{of="configuration"} 4.0' in text
     assert 'lacewinglift_version{of="registry"} 7.0' in text
     assert 'lacewinglift_targets{service="cassa",state="doubted"} 1.0' in text
     assert 'lacewinglift_targets{service="cassa",state="usable"} 2.0' in text
