Compute loads and trust once a choice, and split the loop over attempts

A choice of a target added up the loads of all candidates three times and judged their trust twice. What a request has tried is state of its run instead of parameters. No change of behaviour.

--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -443,54 +443,71 @@
         self.workspace_name = workspace_name
         self.deadline_s = deadline_s
         self.verdict = Verdict.NOT_RUN
+        self.tried: set[str] = set()
         self.refused = 0
+        """Attempts that targets refused to run."""
+        self.failure: _AttemptFailedError | None = None
+        """Failure that a refusal would name."""
         self.call: _Call
 
     def forward(self) -> Answer:
         budget = self.forwarder.budget(self.service.name)
         budget.note_request()
-        tried: set[str] = set()
-        failure: _AttemptFailedError | None = None
         while True:
-            if self._remaining_s() <= 0:
-                raise self._give_up("time", failure or self._too_late(), len(tried))
-            last_attempt = self.request.max_attempts - 1
-            charged = self._charged(len(tried))
-            repeatable = self.request.repeatable and charged < last_attempt
-            attempt = self.forwarder.table.acquire(self.service.name, tried, repeatable)
-            if attempt is None:
-                raise self._give_up("no_target", failure, len(tried))
-            tried.add(attempt.target.name)
-            self._log_choice(attempt, len(tried), repeatable)
-            if failure is not None and self.forwarder.on_retry is not None:
-                self.forwarder.on_retry(self.service.name)
-            answer = None
-            try:
-                answer = self._attempt(attempt)
-                last = self._answer_failure(answer)
-            except _AttemptFailedError as error:
-                answer, last = None, error
-            if answer is not None:
-                answer.attempts = len(tried)
-            if last is None:
+            attempt = self._next_attempt()
+            answer, failure = self._try(attempt)
+            if failure is None:
                 return answer
-            if failure is None or failure.verdict is Verdict.NOT_RUN:
-                # The refusal names the attempt that may have run, if there is one.
-                failure = last
-            if last.verdict is Verdict.NOT_RUN:
-                self.refused += 1
-            charged = self._charged(len(tried))
-            reason = self._reason_to_stop(last, charged, budget)
-            self._log_failure(attempt.target.name, last, reason)
-            if reason is not None:
+            self._note_failure(failure)
+            reason = self._reason_to_stop(failure, budget)
+            self._log_failure(attempt.target.name, failure, reason)
+            if reason is None:
                 if answer is not None:
-                    return answer
-                raise self._give_up(reason, failure, len(tried))
+                    answer.close()
+                continue
             if answer is not None:
-                answer.close()
+                return answer
+            raise self._give_up(reason)
 
-    def _charged(self, attempts: int) -> int:
-        return attempts - min(self.refused, self.request.free_refusals)
+    def _next_attempt(self) -> Attempt:
+        """Choose a target that was not tried yet; raises RefusalError without one."""
+        if self._remaining_s() <= 0:
+            self.failure = self.failure or self._too_late()
+            raise self._give_up("time")
+        last_attempt = self.request.max_attempts - 1
+        repeatable = self.request.repeatable and self._charged() < last_attempt
+        table = self.forwarder.table
+        attempt = table.acquire(self.service.name, self.tried, repeatable)
+        if attempt is None:
+            raise self._give_up("no_target")
+        self.tried.add(attempt.target.name)
+        self._log_choice(attempt, repeatable)
+        if self.failure is not None and self.forwarder.on_retry is not None:
+            self.forwarder.on_retry(self.service.name)
+        return attempt
+
+    def _try(
+        self, attempt: Attempt
+    ) -> tuple[Answer | None, _AttemptFailedError | None]:
+        """Return the answer of a target, and why it should be replaced by another's."""
+        try:
+            answer = self._attempt(attempt)
+            failure = self._answer_failure(answer)
+        except _AttemptFailedError as error:
+            return None, error
+        answer.attempts = len(self.tried)
+        return answer, failure
+
+    def _note_failure(self, failure: _AttemptFailedError) -> None:
+        if self.failure is None or self.failure.verdict is Verdict.NOT_RUN:
+            # The refusal names the attempt that may have run, if there is one.
+            self.failure = failure
+        if failure.verdict is Verdict.NOT_RUN:
+            self.refused += 1
+
+    def _charged(self) -> int:
+        """Return the attempts that count towards the most that are allowed."""
+        return len(self.tried) - min(self.refused, self.request.free_refusals)
 
     def _answer_failure(self, answer: Answer) -> _AttemptFailedError | None:
         """Return why an answer should be replaced by that of another target."""
@@ -508,25 +525,25 @@
         return _AttemptFailedError(OutcomeKind.ERROR, Verdict.MAY_HAVE_RUN, message)
 
     def _reason_to_stop(
-        self, failure: _AttemptFailedError, attempts: int, budget: Budget
+        self, failure: _AttemptFailedError, budget: Budget
     ) -> str | None:
         """Return why the request is not sent again, or None."""
         if self._remaining_s() <= 0:
             return "time"
-        if attempts >= self.request.max_attempts:
+        if self._charged() >= self.request.max_attempts:
             return "attempts"
         replayable = self.request.body.replayable
         if not may_resend(self.request.repeatable, failure.verdict, replayable):
             return "may_have_run"
         return None if budget.take() else "retry_budget"
 
-    def _log_choice(self, attempt: Attempt, number: int, repeatable: bool) -> None:
+    def _log_choice(self, attempt: Attempt, repeatable: bool) -> None:
         log_info(
             "target_chosen",
             id=self.request.logged_id,
             service=self.service.name,
             target=attempt.target.name,
-            attempt=number,
+            attempt=len(self.tried),
             repeatable=repeatable,
             left_s=self._remaining_s(),
             **attempt.basis(),
@@ -548,17 +565,15 @@
             why=reason or "-",
         )
 
-    def _give_up(
-        self, reason: str, failure: _AttemptFailedError | None, attempts: int
-    ) -> RefusalError:
+    def _give_up(self, reason: str) -> RefusalError:
         """Return the refusal of a request that is not sent again, and log it."""
-        error = self._refusal(failure)
+        error = self._refusal(self.failure)
         log_info(
             "request_given_up",
             id=self.request.logged_id,
             service=self.service.name,
             why=reason,
-            attempts=attempts,
+            attempts=len(self.tried),
             code=error.refusal.code,
             verdict=error.refusal.verdict.value,
         )
--- a/src/lacewinglift/mesh/pooled_targets.py
+++ b/src/lacewinglift/mesh/pooled_targets.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 from random import Random
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from lacewinglift.configuration import Target
 from lacewinglift.generated import beats_pb2
@@ -147,6 +147,34 @@
         return self.failed_at_s is not None
 
 
+@frozen
+class _Candidate:
+    """A target that may get a request."""
+
+    state: _State
+    load: float
+    """Requests in flight for each slot, over all instances."""
+    trusted: bool
+
+
+def _evidence_for(
+    chosen: _Candidate, usable: list[_Candidate], now_s: float
+) -> dict[str, object]:
+    """Return what a choice was based on, as fields of a log line."""
+    state = chosen.state
+    evidence: dict[str, object] = {
+        "load": chosen.load,
+        "near": state.near,
+        "usable": len(usable),
+        "trusted": sum(each.trusted for each in usable),
+        "known_s": now_s - state.known_at_s,
+    }
+    if state.failed_at_s is not None:
+        evidence["since_failure_s"] = now_s - state.failed_at_s
+        evidence["served_since_failure"] = state.served
+    return evidence
+
+
 class PooledTargets:
     """Registered targets with shared evidence; the `Table` of a forwarder.
 
@@ -239,17 +267,12 @@
         """Choose a target that is not in `exclude`, or None."""
         now = self.timers.now()
         with self.lock:
-            usable = [
-                state
-                for state in self.by_service.get(service_name, [])
-                if not state.registered.leaving
-                and state.target.name not in exclude
-                and state.load(now) < MAX_LOAD
-            ]
-            state = self._choose(usable, repeatable, now)
-            if state is None:
+            usable = self._candidates(service_name, exclude, now)
+            chosen = self._choose(usable, repeatable, now)
+            if chosen is None:
                 return None
-            evidence = self._evidence_for(state, usable, now)
+            state = chosen.state
+            evidence = _evidence_for(chosen, usable, now)
             attempt = PooledAttempt(
                 state.target, now, state, self, repeatable, evidence
             )
@@ -257,53 +280,67 @@
             state.pending.add(attempt)
             return attempt
 
-    def _evidence_for(
-        self, state: _State, usable: list[_State], now_s: float
-    ) -> dict[str, object]:
-        evidence: dict[str, object] = {
-            "load": state.load(now_s),
-            "near": state.near,
-            "usable": len(usable),
-            "trusted": sum(self._trusted(s, now_s, HOLD_OFF_S) for s in usable),
-            "known_s": now_s - state.known_at_s,
-        }
-        if state.failed_at_s is not None:
-            evidence["since_failure_s"] = now_s - state.failed_at_s
-            evidence["served_since_failure"] = state.served
-        return evidence
+    def _candidates(
+        self, service_name: str, exclude: Collection[str], now_s: float
+    ) -> list[_Candidate]:
+        """Return the targets that may get a request."""
+        found = []
+        for state in self.by_service.get(service_name, []):
+            if state.registered.leaving or state.target.name in exclude:
+                continue
+            load = state.load(now_s)
+            if load < MAX_LOAD:
+                trusted = self._trusted(state, now_s, HOLD_OFF_S)
+                found.append(_Candidate(state, load, trusted))
+        return found
 
     def _choose(
-        self, usable: list[_State], repeatable: bool, now_s: float
-    ) -> _State | None:
+        self, usable: list[_Candidate], repeatable: bool, now_s: float
+    ) -> _Candidate | None:
         if not usable:
             return None
-        if repeatable:
-            due = [s for s in usable if s.doubted() and now_s >= s.trial_at_s]
-            if due:
-                state = min(due, key=lambda s: s.trial_at_s)
-                state.trial_at_s = now_s + TRIAL_AFTER_S
-                return state
-        trusted = [s for s in usable if self._trusted(s, now_s, HOLD_OFF_S)]
-        if all(s.load(now_s) >= FULL_LOAD for s in trusted):
-            trusted = [s for s in usable if self._trusted(s, now_s, HOLD_OFF_FULL_S)]
+        trial = self._trial(usable, now_s) if repeatable else None
+        if trial is not None:
+            return trial
+        trusted = [each for each in usable if each.trusted]
+        if all(each.load >= FULL_LOAD for each in trusted):
+            trusted = [
+                each
+                for each in usable
+                if self._trusted(each.state, now_s, HOLD_OFF_FULL_S)
+            ]
         if trusted:
             return self._least_loaded(trusted, now_s)
         # Nothing is trusted: the target that failed longest ago is the likeliest
         # to have recovered.
-        return min(usable, key=lambda s: (s.shed_until_s > now_s, self._blame_s(s)))
+        return min(usable, key=lambda each: self._distrust(each.state, now_s))
+
+    def _trial(self, usable: list[_Candidate], now_s: float) -> _Candidate | None:
+        """Return the doubted target whose trial is due first, and count the trial."""
+        due = [
+            each
+            for each in usable
+            if each.state.doubted() and now_s >= each.state.trial_at_s
+        ]
+        if not due:
+            return None
+        chosen = min(due, key=lambda each: each.state.trial_at_s)
+        chosen.state.trial_at_s = now_s + TRIAL_AFTER_S
+        return chosen
 
     def _trusted(self, state: _State, now_s: float, hold_off_s: float) -> bool:
         if now_s < state.path_until_s or now_s < state.shed_until_s:
             return False
         return state.failed_at_s is None or now_s - state.failed_at_s >= hold_off_s
 
-    def _blame_s(self, state: _State) -> float:
+    def _distrust(self, state: _State, now_s: float) -> tuple[bool, float]:
         failed_at_s = state.failed_at_s or 0.0
-        return max(failed_at_s, state.path_until_s - PATH_HOLD_OFF_S)
+        blamed_at_s = max(failed_at_s, state.path_until_s - PATH_HOLD_OFF_S)
+        return state.shed_until_s > now_s, blamed_at_s
 
-    def _least_loaded(self, states: list[_State], now_s: float) -> _State:
-        def cost(state: _State) -> tuple[float, float]:
-            load = state.load(now_s)
+    def _least_loaded(self, usable: list[_Candidate], now_s: float) -> _Candidate:
+        def cost(candidate: _Candidate) -> tuple[float, float]:
+            state, load = candidate.state, candidate.load
             if not state.near:
                 load += self._far_penalty(state.registered.service)
             if now_s < state.warm_at_s:
@@ -312,7 +349,7 @@
                 load += NEW_CONNECTION_PENALTY
             return load, self.random.random()
 
-        return min(states, key=cost)
+        return min(usable, key=cost)
 
     def _far_penalty(self, service: str) -> float:
         answer_bytes = self.answer_bytes.get(service, 0.0)
