--- a/src/lacewinglift/mesh/heartbeats.py
+++ b/src/lacewinglift/mesh/heartbeats.py
@@ -15,6 +15,7 @@
 
 from lacewinglift.generated import beats_pb2
 from lacewinglift.logs import log_info, log_warning
+from lacewinglift.mesh.traffic import Direction, MeshTraffic, MessageKind
 from lacewinglift.socket_addresses import split_address
 from lacewinglift.timers import Timers
 
@@ -63,12 +64,21 @@
         Builds the heartbeats to send and processes the received ones.
     timers : Timers
         Clock.
+    traffic : MeshTraffic
+        Counts the datagrams.
     """
 
-    def __init__(self, address: str, handler: HeartbeatHandler, timers: Timers) -> None:
+    def __init__(
+        self,
+        address: str,
+        handler: HeartbeatHandler,
+        timers: Timers,
+        traffic: MeshTraffic,
+    ) -> None:
         self.address = address
         self.handler = handler
         self.timers = timers
+        self.traffic = traffic
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.condition = threading.Condition()
         self.stopped = False
@@ -150,6 +160,7 @@
                 self._record_send_error(address, error)
             else:
                 self.send_errors.pop(address, None)
+                self.traffic.record(MessageKind.HEARTBEAT, Direction.SENT, len(data))
 
     def _record_send_error(self, address: str, error: OSError) -> None:
         reason = str(error)
@@ -161,6 +172,9 @@
         while not self.stopped:
             data = self._receive()
             if data is not None:
+                self.traffic.record(
+                    MessageKind.HEARTBEAT, Direction.RECEIVED, len(data)
+                )
                 self._dispatch(data)
         self.socket.close()
 
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -26,6 +26,7 @@
 from lacewinglift.mesh.snapshots import SnapshotExchange, SnapshotService
 from lacewinglift.mesh.target_table import MeshTargetTable
 from lacewinglift.mesh.telemetry import InstrumentedStore, MeshCollector
+from lacewinglift.mesh.traffic import MeshTraffic
 from lacewinglift.metrics import Metrics
 from lacewinglift.request_handler import RequestComponents
 from lacewinglift.shutdown import Shutdown, ShutdownState, StopReport
@@ -92,8 +93,9 @@
         self.configuration_holder = ConfigurationHolder(self.timers)
         self.started = threading.Event()
         self.members = MemberTable(settings.instance, self.timers)
+        self.traffic = MeshTraffic()
         self.heartbeats = HeartbeatExchange(
-            settings.heartbeat_address, self, self.timers
+            settings.heartbeat_address, self, self.timers, self.traffic
         )
         self.members.on_join = self.schedule_full_heartbeat
         self.targets = MeshTargetTable(
@@ -120,7 +122,7 @@
         )
         self.snapshots = SnapshotExchange(
             settings.fetch_address,
-            SnapshotService(self.build_snapshot),
+            SnapshotService(self.build_snapshot, self.traffic),
             self.apply_snapshot,
         )
         self.shutdown = Shutdown(
@@ -147,6 +149,8 @@
             self.quota,
             self.retry_budgets,
             self.store,
+            self.snapshots,
+            self.traffic,
         )
         self.metrics.registry.register(collector)
         self.frontend = Frontend(settings, self._build_request_components(dialect))
--- a/src/lacewinglift/mesh/snapshots.py
+++ b/src/lacewinglift/mesh/snapshots.py
@@ -12,6 +12,7 @@
 from lacewinglift.generated.beats_grpc import SnapshotsBase, SnapshotsStub
 from lacewinglift.logs import log_exception, log_info
 from lacewinglift.loops import LoopRunner
+from lacewinglift.mesh.traffic import Direction, MeshTraffic, MessageKind
 from lacewinglift.socket_addresses import split_address
 
 FETCH_TIMEOUT_S = 1.0
@@ -25,19 +26,26 @@
     ----------
     build_snapshot : callable
         Returns the snapshot for a request.
+    traffic : MeshTraffic
+        Counts the snapshots.
     """
 
     def __init__(
         self,
         build_snapshot: Callable[[beats_pb2.SnapshotRequest], beats_pb2.Snapshot],
+        traffic: MeshTraffic,
     ) -> None:
         self.build_snapshot = build_snapshot
+        self.traffic = traffic
 
     async def Fetch(self, stream: Stream) -> None:
         """Send the configuration and the registry known to this instance."""
         request = await stream.recv_message()
-        if request is not None:
-            await stream.send_message(self.build_snapshot(request))
+        if request is None:
+            return
+        snapshot = self.build_snapshot(request)
+        self.traffic.record(MessageKind.SNAPSHOT, Direction.SENT, snapshot.ByteSize())
+        await stream.send_message(snapshot)
 
 
 async def fetch_snapshot(
@@ -75,6 +83,7 @@
         self.service = service
         self.on_snapshot = on_snapshot
         self.fetching = False
+        self.failed_fetches = 0
         self.lock = threading.Lock()
         self.runner = LoopRunner("snapshots", self._serve)
 
@@ -99,8 +108,12 @@
     async def _fetch(self, address: str, request: beats_pb2.SnapshotRequest) -> None:
         try:
             reply = await fetch_snapshot(address, request)
+            self.service.traffic.record(
+                MessageKind.SNAPSHOT, Direction.RECEIVED, reply.ByteSize()
+            )
             self.on_snapshot(reply)
         except _FETCH_ERRORS as error:
+            self.failed_fetches += 1
             log_info("snapshot_fetch_failed", peer=address, reason=repr(error))
         except Exception:
             log_exception("snapshot_rejected", peer=address)
--- a/src/lacewinglift/mesh/telemetry.py
+++ b/src/lacewinglift/mesh/telemetry.py
@@ -6,7 +6,11 @@
 
 from attrs import define
 from prometheus_client import Metric
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    SummaryMetricFamily,
+)
 from prometheus_client.registry import Collector
 
 from lacewinglift.errors import LacewingliftError
@@ -16,7 +20,9 @@
 from lacewinglift.mesh.members import MemberTable
 from lacewinglift.mesh.observers import StoreContact
 from lacewinglift.mesh.registry import TargetRegistry
+from lacewinglift.mesh.snapshots import SnapshotExchange
 from lacewinglift.mesh.target_table import MeshTargetTable
+from lacewinglift.mesh.traffic import MeshTraffic
 from lacewinglift.timers import Timers
 
 
@@ -92,6 +98,8 @@
     quota: FleetQuota
     retry_budgets: FleetRetryBudgets
     store: InstrumentedStore
+    snapshots: SnapshotExchange
+    traffic: MeshTraffic
 
     def describe(self) -> Iterable[Metric]:
         """Return nothing: metric names are known only once they are collected."""
@@ -106,6 +114,9 @@
         yield self._tokens()
         yield self._resends()
         yield from self._store_calls()
+        yield from self.traffic.collect()
+        yield self._failed_fetches()
+        yield self._timer_delays()
 
     def _ages(self) -> Metric:
         ages = GaugeMetricFamily(
@@ -174,6 +185,22 @@
             left.add_metric([service], count)
         return left
 
+    def _failed_fetches(self) -> Metric:
+        return CounterMetricFamily(
+            "lacewinglift_snapshot_fetches_failed",
+            "Fetches of a snapshot from another instance that failed.",
+            value=self.snapshots.failed_fetches,
+        )
+
+    def _timer_delays(self) -> Metric:
+        delays = self.timers.delays
+        return SummaryMetricFamily(
+            "lacewinglift_timer_delay_seconds",
+            "Time by which timer callbacks started late.",
+            count_value=delays.count,
+            sum_value=delays.total_s,
+        )
+
     def _store_calls(self) -> Iterable[Metric]:
         calls = CounterMetricFamily(
             "lacewinglift_store_calls",
--- a/src/lacewinglift/metrics.py
+++ b/src/lacewinglift/metrics.py
@@ -122,6 +122,12 @@
             ["reason"],
             registry=self.registry,
         )
+        self.response_bytes = Counter(
+            "lacewinglift_response_bytes",
+            "Body bytes of targets' responses sent to callers, by service.",
+            ["service"],
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "lacewinglift_requests_in_flight",
             "Requests in progress.",
--- a/src/lacewinglift/request_handler.py
+++ b/src/lacewinglift/request_handler.py
@@ -424,6 +424,8 @@
     def _log_request_end(
         self, response: ForwardedResponse, workspace_name: str | None
     ) -> None:
+        sent_bytes = self.components.metrics.response_bytes.labels(self.service_name)
+        sent_bytes.inc(response.body_bytes)
         log_info(
             "request_ended",
             id=self.logged_id,
--- a/src/lacewinglift/timers.py
+++ b/src/lacewinglift/timers.py
@@ -27,12 +27,27 @@
         self.cancelled = True
 
 
+@define(eq=False)
+class TimerDelays:
+    """Time by which callbacks started after they were due."""
+
+    count: int = 0
+    total_s: float = 0.0
+
+    def record(self, delay_s: float) -> None:
+        """Count one callback."""
+        self.count += 1
+        self.total_s += delay_s
+
+
 class Timers(Protocol):
     """Clock and scheduler shared by all components.
 
     Callbacks run one at a time and must not block.
     """
 
+    delays: TimerDelays
+
     def now(self) -> float:
         """Return monotonic time in seconds; it advances while a process is paused."""
         ...
@@ -73,6 +88,7 @@
 
     def __init__(self) -> None:
         self.schedule = _Schedule()
+        self.delays = TimerDelays()
         self.condition = threading.Condition()
         self.stopped = False
         self.thread = threading.Thread(target=self._run, name="timers", daemon=True)
@@ -127,9 +143,12 @@
     def _wait_for_due(self) -> Subscription | None:
         with self.condition:
             while not self.stopped:
-                popped = self.schedule.pop_due(self.now())
+                now = self.now()
+                popped = self.schedule.pop_due(now)
                 if popped is not None:
-                    return popped[1]
+                    due, subscription = popped
+                    self.delays.record(now - due)
+                    return subscription
                 due = self.schedule.next_due()
                 timeout = None if due is None else max(due - self.now(), 0.0)
                 self.condition.wait(timeout)
@@ -148,6 +167,7 @@
     def __init__(self, start_s: float = 1000.0) -> None:
         self.time_s = start_s
         self.schedule = _Schedule()
+        self.delays = TimerDelays()
 
     def now(self) -> float:
         """Return the current manual time in seconds."""
--- a/testing/mesh/test_telemetry.py
+++ b/testing/mesh/test_telemetry.py
@@ -11,8 +11,10 @@
 from lacewinglift.mesh.members import MemberTable
 from lacewinglift.mesh.observers import StoreContact
 from lacewinglift.mesh.registry import RegisteredTarget, TargetRegistry
+from lacewinglift.mesh.snapshots import SnapshotExchange, SnapshotService
 from lacewinglift.mesh.target_table import MeshTargetTable
 from lacewinglift.mesh.telemetry import InstrumentedStore, MeshCollector
+from lacewinglift.mesh.traffic import Direction, MeshTraffic, MessageKind
 from lacewinglift.outcomes import Outcome, OutcomeKind
 from lacewinglift.timers import ManualTimers
 
@@ -41,6 +43,12 @@
         quota,
         retry_budgets,
         InstrumentedStore(FailingStore(), timers),
+        SnapshotExchange(
+            "127.0.0.1:0",
+            SnapshotService(lambda request: None, MeshTraffic()),
+            lambda snapshot: None,
+        ),
+        MeshTraffic(),
     )
 
 
@@ -100,3 +108,24 @@
     for _ in range(50):
         collector.targets.acquire("cassa").finish(Outcome(OutcomeKind.SUCCESS, 0.1))
     assert len(scrape(collector).splitlines()) == before
+
+
+def test_traffic_between_instances_is_exported(collector):
+    """Guards against a full link whose cause no metric shows.
+
+    Heartbeats, snapshots and responses to callers share the link of an instance.
+    """
+    collector.traffic.record(MessageKind.HEARTBEAT, Direction.SENT, 600)
+    collector.traffic.record(MessageKind.HEARTBEAT, Direction.SENT, 400)
+    collector.traffic.record(MessageKind.SNAPSHOT, Direction.RECEIVED, 9000)
+    collector.snapshots.failed_fetches = 3
+    collector.timers.delays.record(0.25)
+    text = scrape(collector)
+    for line in (
+        'lacewinglift_mesh_messages_total{direction="sent",kind="heartbeat"} 2.0',
+        'lacewinglift_mesh_bytes_total{direction="sent",kind="heartbeat"} 1000.0',
+        'lacewinglift_mesh_bytes_total{direction="received",kind="snapshot"} 9000.0',
+        "lacewinglift_snapshot_fetches_failed_total 3.0",
+        "lacewinglift_timer_delay_seconds_sum 0.25",
+    ):
+        assert line in text
