--- a/src/lacewinglift/mesh/heartbeats.py
+++ b/src/lacewinglift/mesh/heartbeats.py
@@ -132,13 +132,25 @@
             with self.condition:
                 recipients = self._wait_for_due()
                 stopped = self.stopped
-            self._send(recipients)
+            self.send(recipients)
             if stopped:
                 return
 
     def _wait_for_due(self) -> Recipients:
         while True:
-            now = self.timers.now()
+            recipients = self.take_due()
+            if recipients is not None:
+                return recipients
+            left_s = min(self.due_s.values()) - self.timers.now()
+            self.condition.wait(max(left_s, 0.0))
+
+    def take_due(self) -> Recipients | None:
+        """Return the recipients of the heartbeat that is due now, and schedule on.
+
+        Returns None if no heartbeat is due.
+        """
+        now = self.timers.now()
+        with self.condition:
             if self.stopped or now >= self.due_s[Recipients.ALL]:
                 self.due_s[Recipients.ALL] = now + HEARTBEAT_INTERVAL_S
                 self.due_s[Recipients.ACTIVE] = math.inf
@@ -146,9 +158,10 @@
             if now >= self.due_s[Recipients.ACTIVE]:
                 self.due_s[Recipients.ACTIVE] = math.inf
                 return Recipients.ACTIVE
-            self.condition.wait(max(min(self.due_s.values()) - now, 0.0))
+        return None
 
-    def _send(self, recipients: Recipients) -> None:
+    def send(self, recipients: Recipients) -> None:
+        """Send one heartbeat to a group of instances."""
         data = self.handler.build_heartbeat(recipients).SerializeToString()
         if len(data) > MAX_DATAGRAM_BYTES:
             log_warning("beat_too_long", bytes=len(data))
@@ -175,7 +188,7 @@
                 self.traffic.record(
                     MessageKind.HEARTBEAT, Direction.RECEIVED, len(data)
                 )
-                self._dispatch(data)
+                self.dispatch(data)
         self.socket.close()
 
     def _receive(self) -> bytes | None:
@@ -189,7 +202,8 @@
             log_info("beat_receive_failed", reason=error)
             return None
 
-    def _dispatch(self, data: bytes) -> None:
+    def dispatch(self, data: bytes) -> None:
+        """Decode a datagram and pass the heartbeat to the handler."""
         try:
             heartbeat = beats_pb2.Beat.FromString(data)
         except DecodeError as error:
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -30,7 +30,7 @@
 from lacewinglift.metrics import Metrics
 from lacewinglift.request_handler import RequestComponents
 from lacewinglift.shutdown import Shutdown, ShutdownState, StopReport
-from lacewinglift.timers import ThreadTimers
+from lacewinglift.timers import ThreadTimers, Timers
 
 HOUSEKEEPING_INTERVAL_S = 0.25
 # Idle connections are closed after this time once no new ones are accepted. It is
@@ -72,6 +72,8 @@
         Decodes the values of the store.
     dialect : Dialect
         Header names of callers and targets.
+    timers : Timers, default=None
+        Clock and scheduler; a `ThreadTimers` by default.
 
     Raises
     ------
@@ -79,10 +81,16 @@
         If no store driver has the name that the settings give.
     """
 
-    def __init__(self, settings: MeshSettings, codec: Codec, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        settings: MeshSettings,
+        codec: Codec,
+        dialect: Dialect,
+        timers: Timers | None = None,
+    ) -> None:
         self.settings = settings
         self.codec = codec
-        self.timers = ThreadTimers()
+        self.timers = timers or ThreadTimers()
         self.incarnation = self.timers.wall_ms()
         self.sequence = 0
         self.heartbeats_to_all = 0
--- /dev/null
+++ b/testing/mesh/test_fleet_traffic.py
@@ -0,0 +1,70 @@
+"""Traffic between the instances of a large fleet, on slow links."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import LessThan
+
+from testing.mesh.simulated_fleet import STEP_S, SimulatedFleet
+
+SLOW_LINK_BYTES_PER_S = 5_000_000 / 8
+CALLER_RATE_PER_S = 344.0
+PROBE_RATE_PER_S = 1.0
+MEAN_RESPONSE_BYTES = 12_000
+# The users' bound for a change of the configuration on the grown sites.
+CONFIGURATION_BOUND_S = 2.5
+# The users' pages count an instance as slowed if its packets wait longer than this.
+MAX_LINK_WAIT_S = 0.5
+
+
+@pytest.fixture
+def fleet():
+    return SimulatedFleet(94, SLOW_LINK_BYTES_PER_S)
+
+
+def run(fleet, duration_s):
+    fleet.run(duration_s, CALLER_RATE_PER_S, PROBE_RATE_PER_S, MEAN_RESPONSE_BYTES)
+
+
+def test_heartbeats_leave_room_for_responses_on_slow_links(fleet):
+    """Load: 94 instances on links of 5 Mbit/s, of which callers use a quarter.
+
+    Guards against heartbeats that fill the link of an instance, so that responses
+    wait until their timeout: occasional requests to all instances must not make all
+    of them recipients of the frequent heartbeats.
+    """
+    run(fleet, 4.0)
+    waits_s = [link.max_wait_s for link in fleet.links.values()]
+    assert_that(max(waits_s), LessThan(MAX_LINK_WAIT_S))
+
+
+def test_configuration_reaches_all_instances_over_slow_links(fleet):
+    """Load: 94 instances on links of 5 Mbit/s learn of a version from three observers.
+
+    Guards against snapshots that all instances fetch at once from the same observers,
+    whose links they share until all fetches time out.
+    """
+    run(fleet, 1.0)
+    started_s = fleet.timers.now()
+    for instance in fleet.instances[:3]:
+        instance.apply_configuration(fleet.configuration_value(2))
+    while fleet.generations() != {2}:
+        run(fleet, STEP_S)
+        assert_that(fleet.timers.now() - started_s, LessThan(CONFIGURATION_BOUND_S))
+
+
+def test_frequent_heartbeats_do_not_grow_with_instances_that_serve_no_callers():
+    """Load: the same callers in fleets of 36 and of 72 instances.
+
+    Guards against traffic that grows with the square of the fleet: each further
+    instance may cost another one heartbeat a second.
+    """
+    rates = []
+    for size in (36, 72):
+        fleet = SimulatedFleet(size, SLOW_LINK_BYTES_PER_S)
+        fleet.run(2.0, 100.0, PROBE_RATE_PER_S, MEAN_RESPONSE_BYTES)
+        before = fleet.datagram_counts()
+        fleet.run(2.0, 100.0, PROBE_RATE_PER_S, MEAN_RESPONSE_BYTES)
+        after = fleet.datagram_counts()
+        rates.append(max(after[name] - before[name] for name in after) / 2.0)
+    # Of the heartbeats of one a second, a window of 2 s holds three at most.
+    assert_that(rates[1] - rates[0], LessThan(36 * 1.5))
