Send frequent heartbeats only between instances that serve callers

Seen by callers: on the grown sites requests were held past their route's timeout and went to targets after the caller had left (CONFIG, GONE). Cause: an instance counted as active for 3 s after any request in progress, and the operator's tests of the configuration reach every instance. At 94 instances each busy one sent 0.4 to 0.6 KB to 93 others ten times a second and after each failure, over a link of 5 Mbit/s that also carries responses. Now an instance says itself whether it is active: callers are sent to it, or it has a quarter of the rate for which one more is selected. Datagrams to active instances have a rate limit, of which periodic ones use half. Why it works: the frequent exchange grows with the traffic of callers, not with the size of the fleet.

--- a/src/lacewinglift/mesh/directory.py
+++ b/src/lacewinglift/mesh/directory.py
@@ -13,8 +13,12 @@
 from lacewinglift.generated import beats_pb2
 from lacewinglift.mesh.members import MemberTable, select_across_data_centres
 from lacewinglift.mesh.settings import MeshSettings
+from lacewinglift.timers import Timers
 
 MAX_SELECTED_INSTANCES = 64
+# Whether this instance is selected is computed again after this time. Callers use the
+# addresses that they were given for seconds anyway.
+OWN_SELECTION_LIFETIME_S = 0.2
 # With this many selected instances in its own data centre, a caller gets no others:
 # its traffic then stays in the data centre, and one instance may still fail.
 NEAR_INSTANCES_MIN = 2
@@ -51,6 +55,8 @@
         Returns whether this instance watches the store for the others.
     request_rate_per_s : callable
         Returns the request rate of the whole fleet.
+    timers : Timers
+        Clock.
     """
 
     def __init__(
@@ -60,12 +66,16 @@
         is_ready: Callable[[], bool],
         is_observer: Callable[[], bool],
         request_rate_per_s: Callable[[], float],
+        timers: Timers,
     ) -> None:
         self.settings = settings
         self.members = members
         self.is_ready = is_ready
         self.is_observer = is_observer
         self.request_rate_per_s = request_rate_per_s
+        self.timers = timers
+        self.own_selected = False
+        self.checked_at_s = -math.inf
 
     def resolve(self, data_centre: str | None) -> Resolution | None:
         """Return the addresses for a caller; None while no ready instance is known.
@@ -84,6 +94,15 @@
         addresses = tuple(candidate.caller_address for candidate in chosen)
         return Resolution(addresses, self.settings.address_lifetime_s)
 
+    def selects_own_instance(self) -> bool:
+        """Return whether callers are sent to this instance."""
+        now = self.timers.now()
+        if now - self.checked_at_s > OWN_SELECTION_LIFETIME_S:
+            own_name = self.settings.instance
+            self.own_selected = own_name in {c.name for c in self._select_instances()}
+            self.checked_at_s = now
+        return self.own_selected
+
     def _select_instances(self) -> list[_Candidate]:
         candidates = {c.name: c for c in self._ready_candidates()}
         if not candidates:
--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -22,6 +22,8 @@
 # Fraction of the retry slack that is used. The rest covers resends that instances make
 # before they receive each other's counts.
 USABLE_SLACK_FRACTION = 0.6
+# Window of the request rate of this instance alone.
+RECENT_REQUESTS_S = 3.0
 # A count is repeated in heartbeats for this long, since datagrams can be lost.
 COUNT_REPEAT_S = 2.0
 # Longest wait for a token. A refusal costs the caller more than this wait. A workspace
@@ -244,6 +246,7 @@
         """Count a first attempt."""
         with self.budgets.lock:
             self.own_requests += 1
+            self.budgets.recent_own_requests.add(1)
             self.requests.add(1)
             self.last_request_at_s = self.budgets.timers.now()
 
@@ -289,6 +292,7 @@
         self.reachable_fraction = reachable_fraction
         self.budgets: dict[str, ServiceRetryBudget] = {}
         self.peer_counters = PeerCounters()
+        self.recent_own_requests = SlidingWindowCounter(timers, RECENT_REQUESTS_S)
         self.lock = threading.RLock()
 
     def budget_for(self, service: str) -> ServiceRetryBudget:
@@ -329,6 +333,11 @@
         with self.lock:
             return {name: budget.remaining() for name, budget in self.budgets.items()}
 
+    def own_request_rate_per_s(self) -> float:
+        """Return the recent rate of first attempts of this instance."""
+        with self.lock:
+            return self.recent_own_requests.total() / RECENT_REQUESTS_S
+
     def request_rate_per_s(self) -> float:
         """Return the rate of first attempts of the whole fleet over the window."""
         with self.lock:
--- a/src/lacewinglift/mesh/heartbeats.py
+++ b/src/lacewinglift/mesh/heartbeats.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from attrs import define
 from google.protobuf.message import DecodeError
 
 from lacewinglift.generated import beats_pb2
@@ -21,8 +22,15 @@
 
 # Interval of heartbeats to all instances.
 HEARTBEAT_INTERVAL_S = 1.0
-# Interval of heartbeats between instances that have requests in progress.
+# Shortest interval of heartbeats between instances that serve callers.
 ACTIVE_HEARTBEAT_INTERVAL_S = 0.1
+# Rate of the datagrams to the instances that serve callers. It bounds the share of the
+# link and of the processor that a heartbeat to many of them takes. The periodic ones
+# use half of it, so that evidence rarely waits.
+MAX_ACTIVE_DATAGRAMS_PER_S = 200.0
+PERIODIC_DATAGRAMS_PER_S = MAX_ACTIVE_DATAGRAMS_PER_S / 2
+# Number of these datagrams that may be sent at once after a pause.
+ACTIVE_DATAGRAMS_BURST = 100.0
 # Delay before evidence is sent, so that events close together share a datagram.
 BATCH_DELAY_S = 0.005
 RECEIVE_TIMEOUT_S = 0.5
@@ -34,7 +42,7 @@
 
     ALL = "all"
     ACTIVE = "active"
-    """Instances that recently had requests in progress."""
+    """Instances that recently had a share of the callers' requests."""
 
 
 class HeartbeatHandler(Protocol):
@@ -53,6 +61,30 @@
         ...
 
 
+@define(eq=False)
+class DatagramBudget:
+    """Token bucket for datagrams; the last send may overdraw it."""
+
+    level: float = ACTIVE_DATAGRAMS_BURST
+    refilled_at_s: float = 0.0
+
+    def refill(self, now_s: float) -> None:
+        """Add the tokens since the last refill."""
+        increase = (now_s - self.refilled_at_s) * MAX_ACTIVE_DATAGRAMS_PER_S
+        self.level = min(self.level + increase, ACTIVE_DATAGRAMS_BURST)
+        self.refilled_at_s = now_s
+
+    def spend(self, count: int, now_s: float) -> None:
+        """Record that datagrams were sent."""
+        self.refill(now_s)
+        self.level -= count
+
+    def available_at_s(self, now_s: float) -> float:
+        """Return the time from which datagrams may be sent again."""
+        self.refill(now_s)
+        return now_s + max(-self.level, 0.0) / MAX_ACTIVE_DATAGRAMS_PER_S
+
+
 class HeartbeatExchange:
     """Sends and receives heartbeats, each on its own thread.
 
@@ -83,6 +115,8 @@
         self.condition = threading.Condition()
         self.stopped = False
         self.due_s = {recipients: 0.0 for recipients in Recipients}
+        self.active_budget = DatagramBudget()
+        self.active_interval_s = ACTIVE_HEARTBEAT_INTERVAL_S
         self.send_errors: dict[str, str] = {}
         """Error of the last heartbeat, by address that it could not be sent to."""
         self.threads: list[threading.Thread] = []
@@ -118,11 +152,14 @@
 
     def schedule_active_heartbeat(self) -> None:
         """Send a heartbeat to the active instances within their interval."""
-        self._schedule(Recipients.ACTIVE, ACTIVE_HEARTBEAT_INTERVAL_S)
+        self._schedule(Recipients.ACTIVE, self.active_interval_s)
 
     def _schedule(self, recipients: Recipients, delay_s: float) -> None:
-        due_s = self.timers.now() + delay_s
+        now = self.timers.now()
+        due_s = now + delay_s
         with self.condition:
+            if recipients is Recipients.ACTIVE:
+                due_s = max(due_s, self.active_budget.available_at_s(now))
             if due_s < self.due_s[recipients]:
                 self.due_s[recipients] = due_s
                 self.condition.notify()
@@ -166,7 +203,10 @@
         if len(data) > MAX_DATAGRAM_BYTES:
             log_warning("beat_too_long", bytes=len(data))
             return
-        for address in self.handler.recipient_addresses(recipients):
+        addresses = self.handler.recipient_addresses(recipients)
+        if recipients is Recipients.ACTIVE:
+            self._spend_on_active(len(addresses))
+        for address in addresses:
             try:
                 self.socket.sendto(data, split_address(address))
             except OSError as error:
@@ -175,6 +215,13 @@
                 self.send_errors.pop(address, None)
                 self.traffic.record(MessageKind.HEARTBEAT, Direction.SENT, len(data))
 
+    def _spend_on_active(self, count: int) -> None:
+        with self.condition:
+            self.active_budget.spend(count, self.timers.now())
+            self.active_interval_s = max(
+                ACTIVE_HEARTBEAT_INTERVAL_S, count / PERIODIC_DATAGRAMS_PER_S
+            )
+
     def _record_send_error(self, address: str, error: OSError) -> None:
         reason = str(error)
         if self.send_errors.get(address) != reason:
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -51,6 +51,9 @@
 MAX_GOSSIPED_PEERS = 6
 MAX_INITIAL_GOSSIPED_PEERS = 48
 MAX_STORE_AGE_MS = 2**31
+# Part of the rate for which callers are sent to one more instance, from which on an
+# instance counts as active although callers are not sent to it, or no longer.
+ACTIVE_RATE_FRACTION = 0.25
 
 
 class AlwaysStanding:
@@ -146,6 +149,7 @@
             self.is_ready,
             self.observer.watching.is_set,
             self.retry_budgets.request_rate_per_s,
+            self.timers,
         )
         collector = MeshCollector(
             self.timers,
@@ -261,9 +265,25 @@
 
     def admit(self, workspace: object) -> Decision:
         """Decide whether one more request of a workspace is admitted."""
-        self.heartbeats.schedule_active_heartbeat()
+        self._schedule_active_heartbeat()
         return self.quota.admit(workspace)
 
+    def is_active(self) -> bool:
+        """Return whether this instance has a share of the callers' requests.
+
+        Other instances get a few requests too, by which operators test the
+        configuration. These do not count, or all instances of a fleet would exchange
+        frequent heartbeats.
+        """
+        if self.directory.selects_own_instance():
+            return True
+        rate_per_s = self.retry_budgets.own_request_rate_per_s()
+        return rate_per_s >= ACTIVE_RATE_FRACTION * self.settings.instance_rate_per_s
+
+    def _schedule_active_heartbeat(self) -> None:
+        if self.is_active():
+            self.heartbeats.schedule_active_heartbeat()
+
     # ---- configuration and registry ----
 
     def apply_configuration(self, value: bytes) -> None:
@@ -324,9 +344,10 @@
             observer=self.observer.watching.is_set(),
             evidence=self.targets.evidence(),
             loads=loads,
+            active=self.is_active(),
         )
         if loads:
-            self.heartbeats.schedule_active_heartbeat()
+            self._schedule_active_heartbeat()
         full = recipients is Recipients.ALL and self._is_full_heartbeat_due(
             heartbeat.state
         )
--- a/src/lacewinglift/mesh/members.py
+++ b/src/lacewinglift/mesh/members.py
@@ -14,7 +14,7 @@
 # An instance without a heartbeat for this long counts as unreachable: callers are not
 # sent to it and it is not chosen as observer.
 MEMBER_TIMEOUT_S = 2.5
-# An instance counts as active for this long after it reported requests in progress.
+# An instance counts as active for this long after it reported that it is.
 ACTIVE_TIMEOUT_S = 3.0
 # An unreachable instance may still admit requests, so its fraction of the quotas stays
 # reserved for this long.
@@ -89,7 +89,7 @@
     description: beats_pb2.Description
     last_heartbeat_at_s: float
     last_active_at_s: float = float("-inf")
-    """Last time at which the instance reported requests in progress."""
+    """Last time at which the instance reported a share of the callers' requests."""
     last_evidence_number: int = 0
     """Number of the last event of this incarnation that was applied."""
 
@@ -143,7 +143,7 @@
                 log_info("member_state", member=heartbeat.instance, state=state)
             member.heartbeat = heartbeat
             member.last_heartbeat_at_s = now
-            if heartbeat.loads:
+            if heartbeat.active:
                 member.last_active_at_s = now
             return member
 
@@ -172,7 +172,7 @@
         return [member for member in self.known() if member.is_reachable(now)]
 
     def active(self) -> list[Member]:
-        """Return the members that recently had requests in progress."""
+        """Return the members that recently had a share of the callers' requests."""
         now = self.timers.now()
         return [m for m in self.known() if now - m.last_active_at_s <= ACTIVE_TIMEOUT_S]
 
--- a/testing/mesh/simulated_fleet.py
+++ b/testing/mesh/simulated_fleet.py
@@ -11,7 +11,7 @@
 from lacewinglift.dialects import DEFAULT_DIALECT
 from lacewinglift.kv import Listing, store_driver
 from lacewinglift.mesh.heartbeats import Recipients
-from lacewinglift.mesh.instance import MeshInstance
+from lacewinglift.mesh.instance import INITIAL_FULL_HEARTBEATS, MeshInstance
 from lacewinglift.mesh.registry import RegisteredTarget
 from lacewinglift.mesh.settings import MeshSettings
 from lacewinglift.mesh.snapshots import FETCH_TIMEOUT_S
@@ -30,6 +30,10 @@
 # Share of the targets that fail nine in ten requests at any time.
 FAILING_TARGETS = 0.1
 FAILURE_SHARE = 0.9
+# Sizes of the responses to callers, and how often each occurs: recordings, look-ups
+# and downloads of the grown Pilarossi site.
+RESPONSE_BYTES = (1500, 5000, 90_000)
+RESPONSE_WEIGHTS = (207, 99, 38)
 STORE_DRIVER = "simulated"
 
 
@@ -200,9 +204,13 @@
         )
 
     def _introduce(self):
-        """Deliver a full heartbeat of each instance to all others, past the links."""
+        """Deliver a full heartbeat of each instance to all others, past the links.
+
+        The fleet is then past its start, whose heartbeats name many peers.
+        """
         for instance in self.instances:
             heartbeat = instance.build_heartbeat(Recipients.ALL)
+            instance.heartbeats_to_all = INITIAL_FULL_HEARTBEATS
             for other in self.instances:
                 if other is not instance:
                     other.members.receive(heartbeat)
@@ -214,6 +222,12 @@
             b"%d " % generation + Random(generation).randbytes(size // 2).hex().encode()
         )
 
+    def assume_request_rate(self, rate_per_s):
+        """Let all instances believe that callers have sent requests at a rate."""
+        for instance in self.instances:
+            budget = instance.retry_budgets.budget_for(SERVICE)
+            budget.requests.add(int(rate_per_s * budget.requests.window_s))
+
     def at(self, time_s, action):
         """Run `action` at a time."""
         heapq.heappush(self.pending, (time_s, next(self.counter), action))
@@ -236,14 +250,14 @@
 
         self.at(started_s + LATENCY_S, lambda: send_chunk(snapshot.ByteSize()))
 
-    def run(self, duration_s, caller_rate_per_s, probe_rate_per_s, response_bytes):
+    def run(self, duration_s, caller_rate_per_s, probe_rate_per_s):
         """Let callers send requests, and operators probe each instance.
 
         Callers ask the directory where to connect; probes go to every instance.
         """
         end_s = self.timers.now() + duration_s
         while self.timers.now() < end_s:
-            self._start_requests(caller_rate_per_s, probe_rate_per_s, response_bytes)
+            self._start_requests(caller_rate_per_s, probe_rate_per_s)
             for instance in self.instances:
                 while (recipients := instance.heartbeats.take_due()) is not None:
                     instance.heartbeats.send(recipients)
@@ -257,11 +271,12 @@
             action()
         self.timers.advance(end_s - self.timers.now())
 
-    def _start_requests(self, caller_rate_per_s, probe_rate_per_s, response_bytes):
+    def _start_requests(self, caller_rate_per_s, probe_rate_per_s):
         self.due_requests["callers"] += caller_rate_per_s * STEP_S
         while self.due_requests["callers"] >= 1.0:
             self.due_requests["callers"] -= 1.0
-            self._start_request(self._choose_for_caller(), response_bytes)
+            size = self.random.choices(RESPONSE_BYTES, RESPONSE_WEIGHTS)[0]
+            self._start_request(self._choose_for_caller(), size)
         for instance in self.instances:
             if self.random.random() < probe_rate_per_s * STEP_S:
                 self._start_request(instance, 100)
--- a/testing/mesh/test_directory.py
+++ b/testing/mesh/test_directory.py
@@ -55,9 +55,9 @@
 
 
 @pytest.fixture
-def directory(members):
+def directory(members, timers):
     directory = Directory(
-        SETTINGS, members, lambda: False, lambda: False, lambda: directory.rate
+        SETTINGS, members, lambda: False, lambda: False, lambda: directory.rate, timers
     )
     directory.rate = 0.0
     return directory
@@ -84,9 +84,11 @@
     assert_that(len(directory.resolve("torino").addresses), GreaterThan(5))
 
 
-def test_all_callers_of_a_data_centre_get_the_same_instances(directory, members):
+def test_all_callers_of_a_data_centre_get_the_same_instances(
+    directory, members, timers
+):
     """Guards against every caller connecting to a different set of instances."""
-    other = Directory(SETTINGS, members, lambda: False, bool, lambda: 0.0)
+    other = Directory(SETTINGS, members, lambda: False, bool, lambda: 0.0, timers)
     assert_that(other.resolve("verona"), Equals(directory.resolve("verona")))
 
 
--- a/testing/mesh/test_fleet_traffic.py
+++ b/testing/mesh/test_fleet_traffic.py
@@ -9,7 +9,6 @@
 SLOW_LINK_BYTES_PER_S = 5_000_000 / 8
 CALLER_RATE_PER_S = 344.0
 PROBE_RATE_PER_S = 1.0
-MEAN_RESPONSE_BYTES = 12_000
 # The users' bound for a change of the configuration on the grown sites.
 CONFIGURATION_BOUND_S = 2.5
 # The users' pages count an instance as slowed if its packets wait longer than this.
@@ -18,11 +17,13 @@
 
 @pytest.fixture
 def fleet():
-    return SimulatedFleet(94, SLOW_LINK_BYTES_PER_S)
+    fleet = SimulatedFleet(94, SLOW_LINK_BYTES_PER_S)
+    fleet.assume_request_rate(CALLER_RATE_PER_S)
+    return fleet
 
 
 def run(fleet, duration_s):
-    fleet.run(duration_s, CALLER_RATE_PER_S, PROBE_RATE_PER_S, MEAN_RESPONSE_BYTES)
+    fleet.run(duration_s, CALLER_RATE_PER_S, PROBE_RATE_PER_S)
 
 
 def test_heartbeats_leave_room_for_responses_on_slow_links(fleet):
@@ -61,9 +62,9 @@
     rates = []
     for size in (36, 72):
         fleet = SimulatedFleet(size, SLOW_LINK_BYTES_PER_S)
-        fleet.run(2.0, 100.0, PROBE_RATE_PER_S, MEAN_RESPONSE_BYTES)
+        fleet.run(2.0, 100.0, PROBE_RATE_PER_S)
         before = fleet.datagram_counts()
-        fleet.run(2.0, 100.0, PROBE_RATE_PER_S, MEAN_RESPONSE_BYTES)
+        fleet.run(2.0, 100.0, PROBE_RATE_PER_S)
         after = fleet.datagram_counts()
         rates.append(max(after[name] - before[name] for name in after) / 2.0)
     # Of the heartbeats of one a second, a window of 2 s holds three at most.
--- /dev/null
+++ b/testing/mesh/test_heartbeats.py
@@ -0,0 +1,98 @@
+"""Rate of the heartbeats of one instance."""
+
+import pytest
+from attrs import define, field
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, LessThan
+
+from lacewinglift.generated import beats_pb2
+from lacewinglift.mesh.heartbeats import (
+    ACTIVE_DATAGRAMS_BURST,
+    BATCH_DELAY_S,
+    MAX_ACTIVE_DATAGRAMS_PER_S,
+    HeartbeatExchange,
+    Recipients,
+)
+from lacewinglift.mesh.traffic import MeshTraffic
+from lacewinglift.timers import ManualTimers
+
+STEP_S = 0.005
+
+
+@define
+class Peers:
+    """Handler with a number of active instances; stands in for the socket too."""
+
+    active: int
+    sent: list = field(factory=list)
+
+    def build_heartbeat(self, recipients):
+        return beats_pb2.Beat(instance="f1", sequence=1)
+
+    def recipient_addresses(self, recipients):
+        count = self.active if recipients is Recipients.ACTIVE else 0
+        return [f"10.0.0.{number}:81" for number in range(count)]
+
+    def sendto(self, data, address):
+        self.sent.append(address)
+
+
+@pytest.fixture
+def timers():
+    return ManualTimers()
+
+
+def make_exchange(timers, active):
+    peers = Peers(active)
+    exchange = HeartbeatExchange("10.0.0.250:81", peers, timers, MeshTraffic())
+    exchange.socket.close()
+    exchange.socket = peers
+    exchange.take_due()
+    return exchange, peers
+
+
+def advance(exchange, timers, duration_s):
+    """Advance time in steps and send what is due in each."""
+    for _ in range(round(duration_s / STEP_S)):
+        timers.advance(STEP_S)
+        recipients = exchange.take_due()
+        if recipients is not None:
+            exchange.send(recipients)
+
+
+def test_evidence_is_sent_at_once_to_a_few_instances(timers):
+    """Guards against evidence that waits for the interval of the heartbeats."""
+    exchange, peers = make_exchange(timers, active=10)
+    timers.advance(0.5)
+    exchange.send_to_active_soon()
+    advance(exchange, timers, BATCH_DELAY_S + STEP_S)
+    assert_that(len(peers.sent), Equals(10))
+
+
+def test_many_failures_do_not_exceed_the_datagram_rate(timers):
+    """Load: an instance sees a failure each 5 ms and sends to 60 instances.
+
+    Guards against evidence that fills the link while many targets fail.
+    """
+    exchange, peers = make_exchange(timers, active=60)
+    for _ in range(1000):
+        exchange.send_to_active_soon()
+        advance(exchange, timers, STEP_S)
+    allowed = 5.0 * MAX_ACTIVE_DATAGRAMS_PER_S + ACTIVE_DATAGRAMS_BURST + 60
+    assert_that(len(peers.sent), LessThan(allowed + 1))
+
+
+def test_periodic_heartbeats_leave_half_of_the_rate_to_evidence(timers):
+    """Load: 60 instances serve callers, and none of the targets fails.
+
+    Guards against periodic heartbeats that use the whole rate, so that evidence waits.
+    """
+    exchange, peers = make_exchange(timers, active=60)
+    for _ in range(1000):
+        exchange.schedule_active_heartbeat()
+        advance(exchange, timers, STEP_S)
+    # The first two follow each other sooner, as the recipients are not counted yet.
+    first = 2 * 60
+    assert_that(
+        len(peers.sent), LessThan(5.0 * MAX_ACTIVE_DATAGRAMS_PER_S / 2 + first + 1)
+    )
