Select enough instances for callers from the first second of traffic

Seen by callers: late and failed requests in the first ten seconds of traffic on the grown sites, all at the same few instances. Cause: the number of instances that callers are told to use followed a mean of 10 s, so that a fleet without traffic began with nine, and callers keep their addresses for 3 to 9 s. The nine got up to 38 requests a second each; one is selected for 16. Now the rate also counts over 2 s and from the first request after a pause, and a third of the instances is selected until it is settled. The fixture of test_directory states the rate that its tests name; their bounds stay.

--- a/src/lacewinglift/mesh/directory.py
+++ b/src/lacewinglift/mesh/directory.py
@@ -12,10 +12,14 @@
 
 from lacewinglift.generated import beats_pb2
 from lacewinglift.mesh.members import MemberTable, select_across_data_centres
+from lacewinglift.mesh.request_rate import RateEstimate
 from lacewinglift.mesh.settings import MeshSettings
 from lacewinglift.timers import Timers
 
 MAX_SELECTED_INSTANCES = 64
+# Fraction of the ready instances that are selected at least while there are no requests
+# or their rate is not settled, since callers keep their addresses for seconds.
+INITIAL_FRACTION = 1 / 3
 # Whether this instance is selected is computed again after this time. Callers use the
 # addresses that they were given for seconds anyway.
 OWN_SELECTION_LIFETIME_S = 0.2
@@ -53,8 +57,8 @@
         Returns whether this instance can serve requests.
     is_observer : callable
         Returns whether this instance watches the store for the others.
-    request_rate_per_s : callable
-        Returns the request rate of the whole fleet.
+    request_rate : callable
+        Returns the estimated request rate of the whole fleet.
     timers : Timers
         Clock.
     """
@@ -65,14 +69,14 @@
         members: MemberTable,
         is_ready: Callable[[], bool],
         is_observer: Callable[[], bool],
-        request_rate_per_s: Callable[[], float],
+        request_rate: Callable[[], RateEstimate],
         timers: Timers,
     ) -> None:
         self.settings = settings
         self.members = members
         self.is_ready = is_ready
         self.is_observer = is_observer
-        self.request_rate_per_s = request_rate_per_s
+        self.request_rate = request_rate
         self.timers = timers
         self.own_selected = False
         self.checked_at_s = -math.inf
@@ -109,7 +113,7 @@
             return []
         data_centres = {c.data_centre for c in candidates.values()}
         minimum = self.settings.min_selected_per_data_centre * len(data_centres)
-        needed = self.request_rate_per_s() / self.settings.instance_rate_per_s
+        needed = self._needed_instances(len(candidates))
         count = min(max(minimum, math.ceil(needed)), MAX_SELECTED_INSTANCES)
         # Observers already have the work of watching the store, so they are selected
         # only if there are too few others.
@@ -120,6 +124,11 @@
         )
         return [candidates[name] for name in chosen]
 
+    def _needed_instances(self, ready: int) -> float:
+        rate = self.request_rate()
+        needed = rate.per_s / self.settings.instance_rate_per_s
+        return needed if rate.settled else max(needed, INITIAL_FRACTION * ready)
+
     def _ready_candidates(self) -> list[_Candidate]:
         candidates = [
             _Candidate(
--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -7,7 +7,6 @@
 """
 
 import threading
-from collections import deque
 from collections.abc import Callable
 
 from attrs import define, evolve, field, frozen
@@ -15,10 +14,10 @@
 from lacewinglift.admission import OVER_LIMIT, Decision
 from lacewinglift.configuration import Configuration, Workspace
 from lacewinglift.generated import beats_pb2
+from lacewinglift.mesh.request_rate import RateEstimate, RequestRate
+from lacewinglift.mesh.sliding_window import SlidingWindowCounter
 from lacewinglift.timers import Timers
 
-# Length of the intervals by which a sliding window drops old counts.
-WINDOW_RESOLUTION_S = 0.5
 # Fraction of the retry slack that is used. The rest covers resends that instances make
 # before they receive each other's counts.
 USABLE_SLACK_FRACTION = 0.6
@@ -190,34 +189,6 @@
     return evolve(known, rate_per_s=workspace.rate_per_s, burst=burst, level=level)
 
 
-@define(eq=False)
-class SlidingWindowCounter:
-    """Sum of the counts that were added within the last `window_s`."""
-
-    timers: Timers
-    window_s: float
-    intervals: deque = field(factory=deque)
-    running_total: int = 0
-
-    def add(self, count: int) -> None:
-        """Add a count at the present time."""
-        interval_number = int(self.timers.now() / WINDOW_RESOLUTION_S)
-        if self.intervals and self.intervals[-1][0] == interval_number:
-            self.intervals[-1][1] += count
-        else:
-            self.intervals.append([interval_number, count])
-        self.running_total += count
-
-    def total(self) -> int:
-        """Return the sum over the window."""
-        oldest_interval_number = int(
-            (self.timers.now() - self.window_s) / WINDOW_RESOLUTION_S
-        )
-        while self.intervals and self.intervals[0][0] < oldest_interval_number:
-            self.running_total -= self.intervals.popleft()[1]
-        return self.running_total
-
-
 @frozen
 class RetryLimits:
     """Limit of the resends of a service by the fleet in any window.
@@ -247,6 +218,7 @@
         with self.budgets.lock:
             self.own_requests += 1
             self.budgets.recent_own_requests.add(1)
+            self.budgets.recent_rate.add(1)
             self.requests.add(1)
             self.last_request_at_s = self.budgets.timers.now()
 
@@ -293,6 +265,7 @@
         self.budgets: dict[str, ServiceRetryBudget] = {}
         self.peer_counters = PeerCounters()
         self.recent_own_requests = SlidingWindowCounter(timers, RECENT_REQUESTS_S)
+        self.recent_rate = RequestRate(timers)
         self.lock = threading.RLock()
 
     def budget_for(self, service: str) -> ServiceRetryBudget:
@@ -313,6 +286,7 @@
                 resends = counts.update(f"{count.service} resends", count.resends)
                 budget.requests.add(requests)
                 budget.resends.add(resends)
+                self.recent_rate.add(requests)
 
     def resend_counts(self, full: bool) -> list[beats_pb2.ResendCount]:
         """Return all counts, or the recently increased ones, to send to others."""
@@ -338,8 +312,13 @@
         with self.lock:
             return self.recent_own_requests.total() / RECENT_REQUESTS_S
 
-    def request_rate_per_s(self) -> float:
-        """Return the rate of first attempts of the whole fleet over the window."""
+    def request_rate(self) -> RateEstimate:
+        """Return the rate of first attempts of the whole fleet.
+
+        It follows a rise within a second or two, and a fall only over the window.
+        """
         with self.lock:
             total = sum(budget.requests.total() for budget in self.budgets.values())
-            return total / self.limits.window_s
+            recent = self.recent_rate.estimate()
+            long_term_per_s = total / self.limits.window_s
+            return RateEstimate(max(long_term_per_s, recent.per_s), recent.settled)
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -163,7 +163,7 @@
             self.members,
             self.is_ready,
             self.observer.watching.is_set,
-            self.retry_budgets.request_rate_per_s,
+            self.retry_budgets.request_rate,
             self.timers,
         )
         collector = MeshCollector(
--- a/testing/mesh/test_directory.py
+++ b/testing/mesh/test_directory.py
@@ -13,6 +13,7 @@
     MemberTable,
     PeerAddresses,
 )
+from lacewinglift.mesh.request_rate import RateEstimate
 from lacewinglift.mesh.settings import MeshSettings
 from lacewinglift.timers import ManualTimers
 
@@ -57,9 +58,15 @@
 @pytest.fixture
 def directory(members, timers):
     directory = Directory(
-        SETTINGS, members, lambda: False, lambda: False, lambda: directory.rate, timers
+        SETTINGS,
+        members,
+        lambda: False,
+        lambda: False,
+        lambda: RateEstimate(directory.rate, directory.rate_settled),
+        timers,
     )
-    directory.rate = 0.0
+    directory.rate = 100.0
+    directory.rate_settled = True
     return directory
 
 
@@ -84,11 +91,22 @@
     assert_that(len(directory.resolve("torino").addresses), GreaterThan(5))
 
 
+def test_a_third_of_the_instances_is_used_until_the_rate_is_settled(directory):
+    """Guards against a few instances that get all of the first requests of a fleet."""
+    directory.rate = 0.0
+    directory.rate_settled = False
+    assert_that(directory.resolve("elsewhere").addresses, HasLength(12))
+    directory.rate = 20 * SETTINGS.instance_rate_per_s
+    assert_that(directory.resolve("elsewhere").addresses, HasLength(20))
+
+
 def test_all_callers_of_a_data_centre_get_the_same_instances(
     directory, members, timers
 ):
     """Guards against every caller connecting to a different set of instances."""
-    other = Directory(SETTINGS, members, lambda: False, bool, lambda: 0.0, timers)
+    other = Directory(
+        SETTINGS, members, lambda: False, bool, directory.request_rate, timers
+    )
     assert_that(other.resolve("verona"), Equals(directory.resolve("verona")))
 
 
--- a/testing/mesh/test_fleet_limits.py
+++ b/testing/mesh/test_fleet_limits.py
@@ -10,8 +10,8 @@
     FleetQuota,
     FleetRetryBudgets,
     RetryLimits,
-    SlidingWindowCounter,
 )
+from lacewinglift.mesh.sliding_window import SlidingWindowCounter
 from lacewinglift.timers import ManualTimers
 
 HOUSE = Workspace("house", rate_per_s=10.0, burst=10)
--- a/testing/mesh/test_fleet_traffic.py
+++ b/testing/mesh/test_fleet_traffic.py
@@ -2,7 +2,7 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import LessThan
+from testtools.matchers import GreaterThan, LessThan
 
 from testing.mesh.simulated_fleet import STEP_S, SimulatedFleet
 
@@ -16,10 +16,14 @@
 
 
 @pytest.fixture
-def fleet():
-    fleet = SimulatedFleet(94, SLOW_LINK_BYTES_PER_S)
-    fleet.assume_request_rate(CALLER_RATE_PER_S)
-    return fleet
+def idle_fleet():
+    return SimulatedFleet(94, SLOW_LINK_BYTES_PER_S)
+
+
+@pytest.fixture
+def fleet(idle_fleet):
+    idle_fleet.assume_request_rate(CALLER_RATE_PER_S)
+    return idle_fleet
 
 
 def run(fleet, duration_s):
@@ -69,3 +73,21 @@
         rates.append(max(after[name] - before[name] for name in after) / 2.0)
     # Of the heartbeats of one a second, a window of 2 s holds three at most.
     assert_that(rates[1] - rates[0], LessThan(36 * 1.5))
+
+
+def test_callers_are_spread_over_enough_instances_from_the_start(idle_fleet):
+    """Load: 344 requests a second reach a fleet that has had no callers.
+
+    Guards against a selection that follows the traffic only after seconds: callers
+    keep their addresses for seconds, and the few instances selected at first get
+    several times the rate that one is selected for.
+    """
+    asked = idle_fleet.instances[0]
+    selected_counts = []
+    for _ in range(4):
+        run(idle_fleet, 0.5)
+        selected_counts.append(len(asked.directory.resolve(None).addresses))
+    needed = CALLER_RATE_PER_S / asked.settings.instance_rate_per_s
+    # Half of what is needed leaves each at twice its rate, for less than a second.
+    assert_that(min(selected_counts), GreaterThan(needed / 2))
+    assert_that(selected_counts[-1], GreaterThan(0.8 * needed))
