Send a full heartbeat to instances that join, not to the whole fleet

Cause: each instance that joined made every other one send its description, 48 peers and the counts of all workspaces to the whole fleet, and each third heartbeat did the same. Both grow with the square of the fleet. Now a full heartbeat goes to the instances that joined, and to every sixth of the others in turn; the rest get a brief one. Six of them are full to all after a start, but name six peers instead of 48.

--- a/src/lacewinglift/mesh/heartbeats.py
+++ b/src/lacewinglift/mesh/heartbeats.py
@@ -8,10 +8,10 @@
 import math
 import socket
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
-from attrs import define
+from attrs import define, frozen
 from google.protobuf.message import DecodeError
 
 from lacewinglift.generated import beats_pb2
@@ -33,6 +33,9 @@
 ACTIVE_DATAGRAMS_BURST = 100.0
 # Delay before evidence is sent, so that events close together share a datagram.
 BATCH_DELAY_S = 0.005
+# Delay of the heartbeat to instances that joined, so that one serves all that join
+# within this time.
+JOIN_BATCH_DELAY_S = 0.1
 RECEIVE_TIMEOUT_S = 0.5
 MAX_DATAGRAM_BYTES = 60_000
 
@@ -43,23 +46,29 @@
     ALL = "all"
     ACTIVE = "active"
     """Instances that recently had a share of the callers' requests."""
+    NEWCOMERS = "newcomers"
+    """Instances that have just joined."""
+
+
+@frozen
+class OutgoingHeartbeat:
+    """A heartbeat and the addresses to send it to."""
+
+    heartbeat: beats_pb2.Beat
+    addresses: Sequence[str]
 
 
 class HeartbeatHandler(Protocol):
     """Builds the heartbeats to send and processes the received ones."""
 
-    def build_heartbeat(self, recipients: "Recipients") -> beats_pb2.Beat:
-        """Return the next heartbeat of this instance."""
+    def build_heartbeats(self, recipients: "Recipients") -> list["OutgoingHeartbeat"]:
+        """Return the next heartbeats of this instance to a group of instances."""
         ...
 
     def receive_heartbeat(self, heartbeat: beats_pb2.Beat) -> None:
         """Process a heartbeat of another instance."""
         ...
 
-    def recipient_addresses(self, recipients: "Recipients") -> list[str]:
-        """Return the addresses to send a heartbeat to."""
-        ...
-
 
 @define(eq=False)
 class DatagramBudget:
@@ -114,7 +123,8 @@
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.condition = threading.Condition()
         self.stopped = False
-        self.due_s = {recipients: 0.0 for recipients in Recipients}
+        self.due_s = {recipients: math.inf for recipients in Recipients}
+        self.due_s[Recipients.ALL] = 0.0
         self.active_budget = DatagramBudget()
         self.active_interval_s = ACTIVE_HEARTBEAT_INTERVAL_S
         self.send_errors: dict[str, str] = {}
@@ -154,6 +164,10 @@
         """Send a heartbeat to the active instances within their interval."""
         self._schedule(Recipients.ACTIVE, self.active_interval_s)
 
+    def send_to_newcomers_soon(self) -> None:
+        """Send a heartbeat to the instances that have joined, several at once."""
+        self._schedule(Recipients.NEWCOMERS, JOIN_BATCH_DELAY_S)
+
     def _schedule(self, recipients: Recipients, delay_s: float) -> None:
         now = self.timers.now()
         due_s = now + delay_s
@@ -192,21 +206,25 @@
                 self.due_s[Recipients.ALL] = now + HEARTBEAT_INTERVAL_S
                 self.due_s[Recipients.ACTIVE] = math.inf
                 return Recipients.ALL
-            if now >= self.due_s[Recipients.ACTIVE]:
-                self.due_s[Recipients.ACTIVE] = math.inf
-                return Recipients.ACTIVE
+            for recipients in (Recipients.ACTIVE, Recipients.NEWCOMERS):
+                if now >= self.due_s[recipients]:
+                    self.due_s[recipients] = math.inf
+                    return recipients
         return None
 
     def send(self, recipients: Recipients) -> None:
-        """Send one heartbeat to a group of instances."""
-        data = self.handler.build_heartbeat(recipients).SerializeToString()
+        """Send a heartbeat to each instance of a group."""
+        for outgoing in self.handler.build_heartbeats(recipients):
+            if recipients is Recipients.ACTIVE:
+                self._spend_on_active(len(outgoing.addresses))
+            self._send_to_each(outgoing)
+
+    def _send_to_each(self, outgoing: OutgoingHeartbeat) -> None:
+        data = outgoing.heartbeat.SerializeToString()
         if len(data) > MAX_DATAGRAM_BYTES:
             log_warning("beat_too_long", bytes=len(data))
             return
-        addresses = self.handler.recipient_addresses(recipients)
-        if recipients is Recipients.ACTIVE:
-            self._spend_on_active(len(addresses))
-        for address in addresses:
+        for address in outgoing.addresses:
             try:
                 self.socket.sendto(data, split_address(address))
             except OSError as error:
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -17,7 +17,12 @@
 from lacewinglift.mesh.configuration_holder import ConfigurationHolder
 from lacewinglift.mesh.directory import Directory
 from lacewinglift.mesh.fleet_limits import FleetQuota, FleetRetryBudgets
-from lacewinglift.mesh.heartbeats import HeartbeatExchange, Recipients
+from lacewinglift.mesh.full_heartbeats import FullHeartbeatSchedule
+from lacewinglift.mesh.heartbeats import (
+    HeartbeatExchange,
+    OutgoingHeartbeat,
+    Recipients,
+)
 from lacewinglift.mesh.members import MemberTable, PeerAddresses
 from lacewinglift.mesh.observers import Codec, Observer, try_read_configuration
 from lacewinglift.mesh.registry import TargetRegistry, from_message
@@ -44,18 +49,11 @@
 DRAINING_IDLE_TIMEOUT_S = 0.2
 # Time for worker threads to end once all requests are finished or cut.
 WORKER_SHUTDOWN_TIMEOUT_S = 0.2
-# A full heartbeat holds the description of this instance, addresses of peers and all
-# counts. The first heartbeats to all instances are full, then every n-th one.
-INITIAL_FULL_HEARTBEATS = 6
-FULL_HEARTBEAT_EVERY = 3
-# Delay of the full heartbeat after a member joined, so that one heartbeat serves all
-# members that join within this time.
-JOIN_BATCH_DELAY_S = 0.1
 # Limit of the peers named in one heartbeat, so that its size does not grow with the
-# fleet. It is higher in the initial heartbeats, so that instances that start together
-# find each other at once.
+# fleet. It is higher in heartbeats to instances that have just joined, so that those
+# that start together find each other at once.
 MAX_GOSSIPED_PEERS = 6
-MAX_INITIAL_GOSSIPED_PEERS = 48
+MAX_GOSSIPED_PEERS_TO_NEWCOMERS = 48
 MAX_STORE_AGE_MS = 2**31
 # Part of the rate for which callers are sent to one more instance, from which on an
 # instance counts as active although callers are not sent to it, or no longer.
@@ -102,9 +100,7 @@
         self.timers = timers or ThreadTimers()
         self.incarnation = self.timers.wall_ms()
         self.sequence = 0
-        self.heartbeats_to_all = 0
-        """Heartbeats sent to all; lowered when a member joins, so the next is full."""
-        self.last_sent_state: int | None = None
+        self.full_heartbeats = FullHeartbeatSchedule()
         self.random = Random()
         self.metrics = Metrics()
         self.configuration_holder = ConfigurationHolder(self.timers)
@@ -114,7 +110,7 @@
         self.heartbeats = HeartbeatExchange(
             settings.heartbeat_address, self, self.timers, self.traffic
         )
-        self.members.on_join = self.schedule_full_heartbeat
+        self.members.on_join = self._welcome
         self.targets = MeshTargetTable(
             self.timers,
             settings.instance,
@@ -351,8 +347,25 @@
 
     # ---- heartbeats ----
 
-    def build_heartbeat(self, recipients: Recipients) -> beats_pb2.Beat:
-        """Return the next heartbeat of this instance."""
+    def build_heartbeats(self, recipients: Recipients) -> list[OutgoingHeartbeat]:
+        """Return the next heartbeats of this instance to a group of instances."""
+        brief = self._build_brief_heartbeat()
+        if recipients is Recipients.ACTIVE:
+            active = [each.description.beat_address for each in self.members.active()]
+            return [OutgoingHeartbeat(brief, active)]
+        newcomers = self.full_heartbeats.take_newcomers()
+        welcome = self._build_full_heartbeat(brief, MAX_GOSSIPED_PEERS_TO_NEWCOMERS)
+        outgoing = [OutgoingHeartbeat(welcome, newcomers)]
+        if recipients is Recipients.NEWCOMERS:
+            return outgoing
+        others = sorted(self._known_addresses() - set(newcomers))
+        described, known = self.full_heartbeats.split(others)
+        full = self._build_full_heartbeat(brief, MAX_GOSSIPED_PEERS)
+        outgoing.append(OutgoingHeartbeat(full, described))
+        outgoing.append(OutgoingHeartbeat(brief, known))
+        return outgoing
+
+    def _build_brief_heartbeat(self) -> beats_pb2.Beat:
         self.sequence += 1
         store_age_s = self.observer.contact.age_s()
         loads = self.targets.loads()
@@ -372,55 +385,45 @@
         )
         if loads:
             self._schedule_active_heartbeat()
-        full = recipients is Recipients.ALL and self._is_full_heartbeat_due(
-            heartbeat.state
-        )
-        heartbeat.usages.extend(self.quota.usages(full))
-        heartbeat.resends.extend(self.retry_budgets.resend_counts(full))
-        if full:
-            self._add_description(heartbeat)
+        heartbeat.usages.extend(self.quota.usages(full=False))
+        heartbeat.resends.extend(self.retry_budgets.resend_counts(full=False))
         return heartbeat
 
-    def _is_full_heartbeat_due(self, state: int) -> bool:
-        self.heartbeats_to_all += 1
-        needed = (
-            self.heartbeats_to_all <= INITIAL_FULL_HEARTBEATS
-            or state != self.last_sent_state
-        )
-        self.last_sent_state = state
-        return needed or self.heartbeats_to_all % FULL_HEARTBEAT_EVERY == 0
-
-    def _add_description(self, heartbeat: beats_pb2.Beat) -> None:
-        """Add the description of this instance and the addresses of some peers."""
+    def _build_full_heartbeat(
+        self, brief: beats_pb2.Beat, max_peers: int
+    ) -> beats_pb2.Beat:
+        """Add all counts, the description of this instance and addresses of peers."""
+        heartbeat = beats_pb2.Beat()
+        heartbeat.CopyFrom(brief)
+        heartbeat.ClearField("usages")
+        heartbeat.ClearField("resends")
+        heartbeat.usages.extend(self.quota.usages(full=True))
+        heartbeat.resends.extend(self.retry_budgets.resend_counts(full=True))
         settings = self.settings
         heartbeat.description.data_centre = settings.data_centre
         heartbeat.description.caller_address = settings.caller_address
         heartbeat.description.beat_address = settings.heartbeat_address
         heartbeat.description.fetch_address = settings.fetch_address
-        initial = self.heartbeats_to_all <= INITIAL_FULL_HEARTBEATS
-        count = MAX_INITIAL_GOSSIPED_PEERS if initial else MAX_GOSSIPED_PEERS
         reachable = self.members.reachable()
         self.random.shuffle(reachable)
-        heartbeat.peers.extend(m.description.beat_address for m in reachable[:count])
+        heartbeat.peers.extend(
+            member.description.beat_address for member in reachable[:max_peers]
+        )
+        return heartbeat
 
     def _serving_state(self) -> int:
         if self.shutdown.state is not ShutdownState.SERVING:
             return beats_pb2.DRAINING
         return beats_pb2.SERVING if self.is_ready() else beats_pb2.BOOTING
 
-    def recipient_addresses(self, recipients: Recipients) -> list[str]:
-        """Return the addresses to send a heartbeat to."""
-        if recipients is Recipients.ACTIVE:
-            return [member.description.beat_address for member in self.members.active()]
+    def _known_addresses(self) -> set[str]:
         known = {member.description.beat_address for member in self.members.known()}
-        return sorted(known | self.peer_addresses.known())
+        return known | self.peer_addresses.known()
 
-    def schedule_full_heartbeat(self) -> None:
-        """Send a full heartbeat soon, for a member that has just joined."""
-        self.heartbeats_to_all = min(
-            self.heartbeats_to_all, INITIAL_FULL_HEARTBEATS - 1
-        )
-        self.heartbeats.send_soon(JOIN_BATCH_DELAY_S)
+    def _welcome(self, address: str) -> None:
+        """Send a full heartbeat soon to a member that has just joined."""
+        self.full_heartbeats.add_newcomer(address)
+        self.heartbeats.send_to_newcomers_soon()
 
     def receive_heartbeat(self, heartbeat: beats_pb2.Beat) -> None:
         """Process a heartbeat of another instance."""
--- a/src/lacewinglift/mesh/members.py
+++ b/src/lacewinglift/mesh/members.py
@@ -110,8 +110,8 @@
     own_name: str
     timers: Timers
     members: dict[str, Member] = field(factory=dict)
-    on_join: Callable[[], None] = lambda: None
-    """Called for the first heartbeat of an instance or of a new incarnation."""
+    on_join: Callable[[str], None] = lambda address: None
+    """Called with the heartbeat address of an instance or incarnation that joined."""
     lock: threading.RLock = field(factory=threading.RLock)
 
     def receive(self, heartbeat: beats_pb2.Beat) -> Member | None:
@@ -137,7 +137,7 @@
                     member=heartbeat.instance,
                     incarnation=heartbeat.incarnation,
                 )
-                self.on_join()
+                self.on_join(member.description.beat_address)
             if member.heartbeat.state != heartbeat.state:
                 state = beats_pb2.ServingState.Name(heartbeat.state)
                 log_info("member_state", member=heartbeat.instance, state=state)
--- a/testing/mesh/simulated_fleet.py
+++ b/testing/mesh/simulated_fleet.py
@@ -10,8 +10,9 @@
 from lacewinglift.configuration import Configuration, Fleet, Workspace
 from lacewinglift.dialects import DEFAULT_DIALECT
 from lacewinglift.kv import Listing, store_driver
+from lacewinglift.mesh.full_heartbeats import INITIAL_FULL_HEARTBEATS
 from lacewinglift.mesh.heartbeats import Recipients
-from lacewinglift.mesh.instance import INITIAL_FULL_HEARTBEATS, MeshInstance
+from lacewinglift.mesh.instance import MeshInstance
 from lacewinglift.mesh.registry import RegisteredTarget
 from lacewinglift.mesh.settings import MeshSettings
 from lacewinglift.mesh.snapshots import FETCH_TIMEOUT_S
@@ -163,15 +164,14 @@
         self.failing = {
             f"i-{number:010x}" for number in range(int(self.targets * FAILING_TARGETS))
         }
-        for number in range(self.size):
-            self._add_instance(number)
+        self.instances = [self._make_instance(number) for number in range(self.size)]
         registered = [self._make_target(number) for number in range(self.targets)]
         for instance in self.instances:
             instance.registry.replace_all(registered, 10)
             instance.apply_configuration(self.configuration_value(1))
         self._introduce()
 
-    def _add_instance(self, number):
+    def _make_instance(self, number):
         host = f"10.1.{number // 250}.{number % 250}"
         settings = MeshSettings(
             instance=f"frontend-{number}",
@@ -182,6 +182,7 @@
             metrics_address=f"{host}:83",
             store_driver=STORE_DRIVER,
             store_address="store:84",
+            seeds=[f"10.1.0.{seed}:81" for seed in range(3)],
             first_start=True,
             worker_threads=1,
         )
@@ -189,12 +190,12 @@
         instance.targets.random = Random(number)
         instance.random = Random(number)
         instance.heartbeats.socket.close()
-        link = self.links[settings.instance] = Link(self.link_bytes_per_s)
+        link = self.links.setdefault(settings.instance, Link(self.link_bytes_per_s))
         instance.heartbeats.socket = Datagrams(self, link)
         instance.snapshots = SimulatedSnapshots(self, instance)
-        self.instances.append(instance)
         self.by_heartbeat_address[settings.heartbeat_address] = instance
         self.by_fetch_address[settings.fetch_address] = instance
+        return instance
 
     def _make_target(self, number):
         data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
@@ -209,12 +210,14 @@
         The fleet is then past its start, whose heartbeats name many peers.
         """
         for instance in self.instances:
-            heartbeat = instance.build_heartbeat(Recipients.ALL)
-            instance.heartbeats_to_all = INITIAL_FULL_HEARTBEATS
+            heartbeat = instance.build_heartbeats(Recipients.ALL)[0].heartbeat
+            instance.full_heartbeats.sent = INITIAL_FULL_HEARTBEATS
             for other in self.instances:
                 if other is not instance:
                     other.members.receive(heartbeat)
                     other.peer_addresses.add([heartbeat.description.beat_address])
+        for instance in self.instances:
+            instance.full_heartbeats.take_newcomers()
 
     def configuration_value(self, generation, size=20_000):
         """Return the value of a configuration, which cannot be compressed much."""
@@ -228,6 +231,15 @@
             budget = instance.retry_budgets.budget_for(SERVICE)
             budget.requests.add(int(rate_per_s * budget.requests.window_s))
 
+    def restart(self, instances):
+        """Replace instances by new processes, which know the targets only."""
+        for old in instances:
+            number = self.instances.index(old)
+            self.instances[number] = new = self._make_instance(number)
+            new.incarnation = old.incarnation + 1
+            new.registry.replace_all(old.registry.targets.values(), 10)
+            new.apply_configuration(self.configuration_value(1))
+
     def at(self, time_s, action):
         """Run `action` at a time."""
         heapq.heappush(self.pending, (time_s, next(self.counter), action))
--- a/testing/mesh/test_fleet_traffic.py
+++ b/testing/mesh/test_fleet_traffic.py
@@ -2,7 +2,7 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import GreaterThan, LessThan
+from testtools.matchers import Equals, GreaterThan, LessThan
 
 from testing.mesh.simulated_fleet import STEP_S, SimulatedFleet
 
@@ -91,3 +91,20 @@
     # Half of what is needed leaves each at twice its rate, for less than a second.
     assert_that(min(selected_counts), GreaterThan(needed / 2))
     assert_that(selected_counts[-1], GreaterThan(0.8 * needed))
+
+
+def test_restarted_instances_do_not_fill_the_links_of_the_others(fleet):
+    """Load: a third of 94 instances restarts, one each 0.1 s, while callers are there.
+
+    Guards against an instance that sends its whole description and all counts to the
+    fleet for each instance that joins.
+    """
+    run(fleet, 2.0)
+    for instance in fleet.instances[:30]:
+        fleet.restart([instance])
+        run(fleet, 0.1)
+    waits_s = [link.max_wait_s for link in fleet.links.values()]
+    assert_that(max(waits_s), LessThan(MAX_LINK_WAIT_S))
+    run(fleet, 2.0)
+    known = [len(each.members.reachable()) for each in fleet.instances]
+    assert_that(min(known), Equals(93))
--- a/testing/mesh/test_heartbeats.py
+++ b/testing/mesh/test_heartbeats.py
@@ -11,6 +11,7 @@
     BATCH_DELAY_S,
     MAX_ACTIVE_DATAGRAMS_PER_S,
     HeartbeatExchange,
+    OutgoingHeartbeat,
     Recipients,
 )
 from lacewinglift.mesh.traffic import MeshTraffic
@@ -26,12 +27,11 @@
     active: int
     sent: list = field(factory=list)
 
-    def build_heartbeat(self, recipients):
-        return beats_pb2.Beat(instance="f1", sequence=1)
-
-    def recipient_addresses(self, recipients):
+    def build_heartbeats(self, recipients):
         count = self.active if recipients is Recipients.ACTIVE else 0
-        return [f"10.0.0.{number}:81" for number in range(count)]
+        addresses = [f"10.0.0.{number}:81" for number in range(count)]
+        heartbeat = beats_pb2.Beat(instance="f1", sequence=1)
+        return [OutgoingHeartbeat(heartbeat, addresses)]
 
     def sendto(self, data, address):
         self.sent.append(address)
