End an attempt whose target sends responses to other requests without end

Tests send such bytes in each part of a head and of a body. Of 17, one failed: responses with other request ids were discarded until the timeout of the service (8.1 s in the test, bound 2 s), over a link that others share. Now the attempt fails after 16 of them. The other 16 tests passed before.

--- a/src/lacewinglift/pools.py
+++ b/src/lacewinglift/pools.py
@@ -31,6 +31,8 @@
 # A late response to an earlier request is discarded if its body is not larger than
 # this; otherwise the attempt fails.
 MAX_MISMATCHED_BODY_BYTES = 256 * 1024
+# Late responses that are discarded before the attempt fails.
+MAX_MISMATCHED_RESPONSES = 16
 PRUNE_INTERVAL_S = 1.0
 POOL_IDLE_TIMEOUT_S = 60.0
 MAX_IDLE_CONNECTIONS_PER_TARGET = 16
@@ -113,8 +115,12 @@
         if self.headers is not None:
             return
         self._read_head()
+        discarded = 0
         while self._is_mismatched():
+            if discarded == MAX_MISMATCHED_RESPONSES:
+                raise InvalidResponseError("too many responses to other requests")
             self._discard_mismatched()
+            discarded += 1
             self._read_head()
         if self.length == 0:
             self.complete = True
--- /dev/null
+++ b/testing/test_endless_responses.py
@@ -0,0 +1,141 @@
+"""Targets that send bytes without end, which are no answer or not a complete one.
+
+The target goes on until the connection is closed, so each limit has to be the proxy's.
+"""
+
+import contextlib
+import threading
+import time
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, EndsWith, Equals, LessThan, Not, StartsWith
+
+from lacewinglift.dialects import Dialect
+from lacewinglift.outcomes import OutcomeKind
+from testing.standins.proxy_harness import call, request_bytes, wait_until
+from testing.standins.scripted_targets import make_response, read_body, read_head
+from testing.test_forwarder import proxy_with_targets
+
+SERVICE_TIMEOUT_S = 8.0
+# An invalid response has to be noticed by its bytes, long before the timeout.
+NOTICED_WITHIN_S = 2.0
+CLOSED_WITHIN_S = 1.0
+# Socket buffers of both sides hold bytes that nobody reads.
+MAX_BYTES_TAKEN = 12 * 1024 * 1024
+BLOCK_BYTES = 16 * 1024
+DIALECT = Dialect(request_id_header="request-id")
+
+
+class EndlessTarget:
+    """Script that sends `start` after a request, then `block` until it is closed."""
+
+    def __init__(self, start, block):
+        self.start = start
+        self.block = block * max(BLOCK_BYTES // len(block), 1)
+        self.sent_bytes = 0
+        self.closed_at_s = None
+        self.closed = threading.Event()
+
+    def __call__(self, target, sock, stream):
+        received = read_head(stream)
+        if received is None:
+            return
+        read_body(stream, received)
+        target.received.append(received)
+        with contextlib.suppress(OSError):
+            sock.sendall(self.start)
+            while True:
+                sock.sendall(self.block)
+                self.sent_bytes += len(self.block)
+        self.closed_at_s = time.monotonic()
+        self.closed.set()
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+FOREIGN = make_response(200, b"other", "Request-Id: other")
+ENDLESS_HEADS = {
+    "bytes": (b"", b"x"),
+    "zeros": (b"", b"\0"),
+    "lines": (b"", b"xyz\r\n"),
+    "status line": (HEAD[:12], b" OK"),
+    "header line": (HEAD + b"X-Junk: ", b"x"),
+    "headers": (HEAD, b"X-Junk: x\r\n"),
+    "interim responses": (b"", b"HTTP/1.1 103 Hints\r\n\r\n"),
+    "headers of an interim response": (b"HTTP/1.1 103 Hints\r\n", b"X-Junk: x\r\n"),
+    "responses to other requests": (b"", FOREIGN),
+}
+ENDLESS_CHUNK_PARTS = {
+    "chunk size": (CHUNKED, b"0"),
+    "chunk extension": (CHUNKED + b"3;x=", b"x"),
+    "bytes after a chunk": (CHUNKED + b"3\r\nabc", b"x"),
+    "trailer line": (CHUNKED + b"3\r\nabc\r\n0\r\nX-Trailer: ", b"x"),
+    "trailers": (CHUNKED + b"3\r\nabc\r\n0\r\n", b"X-Trailer: x\r\n"),
+}
+ENDLESS_BODIES = {
+    "chunks": (CHUNKED, b"4\r\nabcd\r\n"),
+    "close-delimited": (HEAD + b"\r\n", b"x"),
+}
+
+
+@contextlib.contextmanager
+def proxy_with_endless_target(start, block):
+    script = EndlessTarget(start, block)
+    fields = {"request_timeout_s": SERVICE_TIMEOUT_S, "dialect": DIALECT}
+    with proxy_with_targets(script, **fields) as (proxy, _):
+        yield proxy, script
+
+
+@pytest.mark.parametrize("name", ENDLESS_HEADS)
+def test_head_without_end_is_refused_and_its_connection_closed(name):
+    """Guards against a request and a link that an endless head holds to the timeout."""
+    with proxy_with_endless_target(*ENDLESS_HEADS[name]) as (proxy, script):
+        started_s = time.monotonic()
+        reply = call(proxy, "POST", "/cassa", "Request-Id: own", body=b"x")
+        assert_that(time.monotonic() - started_s, LessThan(NOTICED_WITHIN_S))
+        assert_that(reply, StartsWith(b"HTTP/1.1 502"))
+        assert script.closed.wait(CLOSED_WITHIN_S)
+        assert_that(script.sent_bytes, LessThan(MAX_BYTES_TAKEN))
+        assert_that(proxy.selector.kinds(), Equals([OutcomeKind.CUT]))
+
+
+@pytest.mark.parametrize("name", ENDLESS_CHUNK_PARTS)
+def test_chunk_framing_without_end_cuts_the_response(name):
+    """Guards against an endless part of a body that looks complete or is read on."""
+    with proxy_with_endless_target(*ENDLESS_CHUNK_PARTS[name]) as (proxy, script):
+        started_s = time.monotonic()
+        reply = call(proxy, "POST", "/cassa", "Request-Id: own", body=b"x")
+        assert_that(time.monotonic() - started_s, LessThan(NOTICED_WITHIN_S))
+        assert_that(reply, Not(EndsWith(b"0\r\n\r\n")))
+        assert script.closed.wait(CLOSED_WITHIN_S)
+        assert_that(script.sent_bytes, LessThan(MAX_BYTES_TAKEN))
+
+
+@pytest.mark.parametrize("name", ENDLESS_BODIES)
+def test_body_without_end_is_read_only_while_the_caller_is_there(name):
+    """Guards against reading an endless body after the caller has closed."""
+    with proxy_with_endless_target(*ENDLESS_BODIES[name]) as (proxy, script):
+        sock = proxy.connect()
+        sock.sendall(request_bytes("POST", "/cassa", "Request-Id: own", body=b"x"))
+        received = 0
+        while received < 4 * 1024 * 1024:
+            received += len(sock.recv(65536))
+        sock.close()
+        closed_s = time.monotonic()
+        assert script.closed.wait(CLOSED_WITHIN_S)
+        assert_that(script.closed_at_s - closed_s, LessThan(CLOSED_WITHIN_S))
+        assert wait_until(lambda: proxy.components.concurrency_limiter.in_progress == 0)
+
+
+def test_bytes_without_end_after_a_response_belong_to_no_request():
+    """Guards against a kept connection whose endless rest answers the next request."""
+    start = make_response(200, b"sold", "Request-Id: own")
+    with proxy_with_endless_target(start, b"HTTP/1.1 200 OK\r\n\r\n") as (
+        proxy,
+        script,
+    ):
+        reply = call(proxy, "POST", "/cassa", "Request-Id: own", body=b"x")
+        assert_that(reply, Contains(b"\r\n\r\nsold"))
+        assert script.closed.wait(CLOSED_WITHIN_S)
+        assert_that(script.sent_bytes, LessThan(MAX_BYTES_TAKEN))
