--- a/testing/adapter/platform_fleet.py
+++ b/testing/adapter/platform_fleet.py
@@ -84,7 +84,8 @@
         }
         self.store.put(f"servers/{name}", entry)
 
-    def start(self, host):
+    def start(self, host, *arguments):
+        """Start the process of a host, by default from the adapter's script."""
         path = self.folder / f"{host}.json"
         fields = {
             "node": f"frontend-{host}",
@@ -99,12 +100,13 @@
         path.write_text(json.dumps(fields))
         log = open(self.folder / f"{host}.log", "ab")  # noqa: SIM115
         self.processes[host] = subprocess.Popen(
-            [sys.executable, "platform/serve.py"],
+            [sys.executable, *(arguments or ["platform/serve.py"])],
             cwd=ROOT,
             env={**os.environ, "LACEWINGLIFT_NODE_FILE": str(path)},
             stdout=log,
             stderr=log,
         )
+        return self.processes[host]
 
     def start_all(self):
         for host in HOSTS:
--- a/testing/adapter/test_process.py
+++ b/testing/adapter/test_process.py
@@ -8,7 +8,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, HasLength, LessThan
 
-from testing.adapter.platform_fleet import HOSTS, PORTS
+from testing.adapter.platform_fleet import HOSTS, PORTS, PlatformFleet
 from testing.standins.platform_store import PlatformStoreStandIn
 from testing.standins.proxy_harness import wait_until
 
@@ -113,3 +113,26 @@
     assert_that(process.wait(6.0), Equals(0))
     log = (fleet.folder / f"{HOSTS[0]}.log").read_text()
     assert_that(log, Contains("event=stop_ends"))
+
+
+def test_signal_to_stop_during_the_start_stops_gracefully(tmp_path):
+    """Guards against a SIGTERM after readiness that ends the process at once.
+
+    The platform may stop a process as soon as it is ready; its default action would
+    end it without a word to the other instances, and cut its requests.
+    """
+    fleet = PlatformFleet(tmp_path)
+    script = (
+        "import os, signal, sys; sys.path.insert(0, 'platform');"
+        "from adapter import process, endpoints;"
+        "start = endpoints.PlatformEndpoints.start;"
+        "endpoints.PlatformEndpoints.start = lambda self: ("
+        "start(self), os.kill(os.getpid(), signal.SIGTERM));"
+        "sys.exit(process.main())"
+    )
+    try:
+        process = fleet.start(HOSTS[0], "-c", script)
+        assert_that(process.wait(20), Equals(0))
+        assert_that(fleet.read_log(HOSTS[0]), Contains("event=instance_stopped"))
+    finally:
+        fleet.close()
