--- a/src/lacewinglift/frontend.py
+++ b/src/lacewinglift/frontend.py
@@ -4,7 +4,6 @@
 import logging
 import socket
 import threading
-import time
 from typing import Any
 
 from cheroot.errors import acceptable_sock_shutdown_exceptions
@@ -204,16 +203,18 @@
         self.accepting = False
         listener = self.socket
         self._connections._selector.unregister(listener.fileno())
+        now = self.handler.components.timers.now
         if drop_new_connections(listener):
-            self._accept_until(listener, time.monotonic() + HANDSHAKE_TIMEOUT_S)
-        self._accept_until(listener, time.monotonic())
+            self._accept_until(listener, now() + HANDSHAKE_TIMEOUT_S)
+        self._accept_until(listener, now())
         listener.close()
         self.timeout = self.draining_idle_timeout_s
 
     def _accept_until(self, listener: socket.socket, end_s: float) -> None:
         """Accept the connections in the backlog and those added until `end_s`."""
         while True:
-            listener.settimeout(max(end_s - time.monotonic(), 0.0))
+            left_s = end_s - self.handler.components.timers.now()
+            listener.settimeout(max(left_s, 0.0))
             connection = self._connections._from_server_socket(listener)
             if connection is None:
                 return
