--- a/testing/mesh/simulated_fleet.py
+++ b/testing/mesh/simulated_fleet.py
@@ -189,7 +189,9 @@
         instance = MeshInstance(settings, self.codec, DEFAULT_DIALECT, self.timers)
         instance.targets.random = Random(number)
         instance.random = Random(number)
+        # Those of a large fleet would use up the descriptors of the test process.
         instance.heartbeats.socket.close()
+        instance.snapshots.runner.loop.close()
         link = self.links.setdefault(settings.instance, Link(self.link_bytes_per_s))
         instance.heartbeats.socket = Datagrams(self, link)
         instance.snapshots = SimulatedSnapshots(self, instance)
