Do not abandon the last attempt of a request when its target is ejected

After a SIGTERM a look-up failed at its first target, ran at the second from 16.695 s, was cut there at 16.703 s and answered 502 at 16.707 s. Cause: the connection to a target that is ejected was shut down for each request that may run more than once, also when no attempt was left, which only turns the target's response into a 502. A test does this with the default of three attempts: 502 before, the response now. An attempt whose resend the retry budget then refuses is still given up; that is open.

--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -550,6 +550,11 @@
             self.not_run_attempts, self.request.free_refusals
         )
 
+    def _has_further_attempt(self) -> bool:
+        """Return whether the request may go to another target after this one."""
+        attempts_left = self._counted_attempts() < self.request.max_attempts
+        return self.request.repeatable and attempts_left
+
     def _response_failure(
         self, response: ForwardedResponse
     ) -> _AttemptFailedError | None:
@@ -705,7 +710,7 @@
                 raise self._make_failure(OutcomeKind.CONNECT_FAILED, message) from error
         if not self.exchange.attach(connection.sock):
             raise self._connection_error(None)
-        if self.request.repeatable:
+        if self._has_further_attempt():
             # The request is retried as soon as its target is ejected; it need not wait
             # for a target that is known to be faulty.
             self.call.attempt.on_ejected = self.exchange.make_abandon_callback()
--- a/testing/test_forwarder.py
+++ b/testing/test_forwarder.py
@@ -9,6 +9,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, EndsWith, Equals, GreaterThan, LessThan, Not
 
+from lacewinglift.configuration import DEFAULT_MAX_ATTEMPTS
 from lacewinglift.outcomes import OutcomeKind
 from testing.standins.proxy_harness import (
     AUTHORIZATION,
@@ -474,6 +475,33 @@
         assert_that(proxy.selector.kinds(), Equals(kinds))
 
 
+def test_last_attempt_is_not_abandoned_when_its_target_is_ejected():
+    """Guards against giving up a request at which its target works.
+
+    Without an attempt left, abandoning the target only turns its response into a 502.
+    """
+    lost = [send_and_close(b"")] * (DEFAULT_MAX_ATTEMPTS - 1)
+    gate = threading.Event()
+
+    def respond_late(target, sock, stream):
+        target.received.append(read_head(stream))
+        gate.wait(5.0)
+        sock.sendall(make_response(200, b"sold"))
+
+    with (
+        proxy_with_targets(*lost, respond_late, SOLD) as (proxy, *targets),
+        ThreadPoolExecutor() as pool,
+    ):
+        reply = pool.submit(call, proxy, "GET")
+        last = DEFAULT_MAX_ATTEMPTS - 1
+        assert wait_until(lambda: targets[last].received)
+        on_ejected = proxy.selector.attempts[last].on_ejected
+        if on_ejected is not None:
+            on_ejected()
+        gate.set()
+        assert_that(reply.result(5.0), EndsWith(b"sold"))
+
+
 def test_post_is_not_retried_when_its_target_is_ejected():
     """Guards against a non-idempotent request that is sent twice after an ejection."""
     with (
