Close idle connections to targets that have unread data

Traced: if the first of them arrive just after the response was read, the connection goes to the pool and stays there, with a full receive buffer, for as long as the target's Keep-Alive says; it was noticed only at its next use.

--- a/src/lacewinglift/pools.py
+++ b/src/lacewinglift/pools.py
@@ -299,12 +299,16 @@
             )
 
     def prune(self) -> None:
-        """Close connections that were idle for too long."""
+        """Close connections that were idle for too long or have unread data."""
         if self.pool is None:
             return
         with self.pool.mutex:
             connections = [each for each in self.pool.queue if each is not None]
-            expired = [each for each in connections if self._is_expired(each)]
+            expired = [
+                each
+                for each in connections
+                if self._is_expired(each) or each.has_unread_data()
+            ]
             if not expired:
                 return
             self.pool.queue[:] = [
