Log the state of the retry budget and the wait for a worker thread

request_admitted now has the time that a connection waited for a worker thread, which no line showed and which bears on the hypothesis about GONE.

--- a/src/lacewinglift/callers.py
+++ b/src/lacewinglift/callers.py
@@ -66,6 +66,8 @@
     """Returns whether the response that is being sent must be aborted."""
     head_started_s: float | None = None
     head_bytes_seen: int = 0
+    queued_at_s: float | None = None
+    """Time at which the connection was passed to the worker threads."""
 
     def poll_head(self) -> RequestHead | None:
         """Read the part of the next request head that has arrived.
@@ -119,6 +121,12 @@
             raise BadRequestError(f"the request head is over {MAX_HEAD_BYTES} bytes")
         return None
 
+    def queued_s(self) -> float:
+        """Return how long ago the connection was passed to the worker threads."""
+        if self.queued_at_s is None:
+            return 0.0
+        return self.timers.now() - self.queued_at_s
+
     def send(self, data: bytes) -> None:
         """Send bytes; raise CallerGoneError if the caller does not receive them."""
         left = memoryview(data)
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -108,6 +108,10 @@
         """Return whether a request may be retried now; count the retry if so."""
         ...
 
+    def log_fields(self) -> Mapping[str, object]:
+        """Return the state of the budget, as fields of a log line."""
+        ...
+
 
 class TruncatedResponseError(Exception):
     """A response was truncated; the caller must not receive it as complete."""
@@ -496,7 +500,7 @@
                 return response
             self._record_failure(failure)
             reason = self._no_retry_reason(failure, budget)
-            self._log_failure(attempt.target.name, failure, reason)
+            self._log_failure(attempt.target.name, failure, reason, budget)
             if reason is None:
                 if response is not None:
                     response.close()
@@ -598,7 +602,11 @@
         )
 
     def _log_failure(
-        self, target: str, failure: _AttemptFailedError, reason: str | None
+        self,
+        target: str,
+        failure: _AttemptFailedError,
+        reason: str | None,
+        budget: RetryBudgetProtocol,
     ) -> None:
         log_info(
             "attempt_failed",
@@ -611,6 +619,7 @@
             left_s=self._remaining_s(),
             resent=reason is None,
             why=reason or "-",
+            **budget.log_fields(),
         )
 
     def _give_up(self, reason: str) -> RefusalError:
--- a/src/lacewinglift/frontend.py
+++ b/src/lacewinglift/frontend.py
@@ -175,6 +175,7 @@
         """Pass a connection to a worker thread once the caller has sent data."""
         if conn.last_used is not None:
             conn.idle = False
+            conn.stream.queued_at_s = self.handler.components.timers.now()
             super().process_conn(conn)
         elif len(self.connections) > MAX_CONNECTIONS:
             conn.close()
--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -7,7 +7,7 @@
 """
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from attrs import define, evolve, field, frozen
 
@@ -239,6 +239,17 @@
             allowed = limits.per_request * self.requests.total() + slack
             return allowed - self.resends.total()
 
+    def log_fields(self) -> Mapping[str, object]:
+        """Return the state of the budget, as fields of a log line."""
+        with self.budgets.lock:
+            return {
+                "budget_left": self.remaining(),
+                "fleet_requests": self.requests.total(),
+                "fleet_resends": self.resends.total(),
+                "own_resends": self.own_resends,
+                "heard_part": self.budgets.reachable_fraction(),
+            }
+
 
 class FleetRetryBudgets:
     """Retry budgets of all services, counted over all instances.
--- a/src/lacewinglift/request_handler.py
+++ b/src/lacewinglift/request_handler.py
@@ -169,6 +169,8 @@
         )
         self.writer = self._new_writer()
         self.started_s = self.components.timers.now()
+        self.queued_s = stream.queued_s()
+        """Time for which the connection waited for a worker thread."""
         id_header = self.components.dialect.logged_id_header()
         self.logged_id = head.value(id_header) or "-"
         self.service_name = "-"
@@ -359,6 +361,7 @@
             id=self.logged_id,
             service=access.service.name,
             generation=self._generation(),
+            queued_s=self.queued_s,
             **self.admission_log_fields,
         )
 
--- a/src/lacewinglift/retries.py
+++ b/src/lacewinglift/retries.py
@@ -1,6 +1,7 @@
 """Retries: which failed requests may be retried, and how many."""
 
 import threading
+from collections.abc import Mapping
 
 from lacewinglift.timers import Timers
 from lacewinglift.verdicts import Verdict
@@ -59,3 +60,7 @@
                 return False
             self.tokens -= 1.0
             return True
+
+    def log_fields(self) -> Mapping[str, object]:
+        """Return the state of the budget, as fields of a log line."""
+        return {"budget_left": self.tokens}
