--- /dev/null
+++ b/testing/mesh/test_retry_budget.py
@@ -0,0 +1,128 @@
+"""The retry budget of a fleet whose instances do not know each other's last resends."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import GreaterThan, LessThan
+
+from lacewinglift.mesh.fleet_limits import RetryLimits
+from testing.mesh.retry_budget_fleet import RetryBudgetFleet
+
+LIMITS = RetryLimits(per_request=0.2, window_s=10.0, slack=58.0)
+LARGE_FLEET_LIMITS = RetryLimits(per_request=0.2, window_s=10.0, slack=172.0)
+
+
+@pytest.fixture
+def fleet():
+    """Twelve instances that serve callers, as on a site of 36."""
+    return RetryBudgetFleet(12, LIMITS, heartbeat_interval_s=0.2)
+
+
+@pytest.mark.parametrize(
+    ("size", "limits", "interval_s", "rate_per_s"),
+    [
+        (12, LIMITS, 0.2, 60.0),
+        (36, LIMITS, 0.5, 60.0),
+        (60, LARGE_FLEET_LIMITS, 0.5, 200.0),
+    ],
+)
+def test_instances_do_not_all_spend_the_same_remainder(
+    size, limits, interval_s, rate_per_s
+):
+    """Load: targets refuse what they get, so each request is to be resent thrice.
+
+    Guards against instances that each take all that is left of the budget for their
+    own until they hear what the others have spent.
+    """
+    fleet = RetryBudgetFleet(size, limits, interval_s)
+    fleet.run(10.0, rate_per_s, 0)
+    fleet.run(25.0, rate_per_s, 3)
+    assert_that(fleet.excess(), LessThan(0.001))
+
+
+def test_budget_holds_while_heartbeats_are_lost():
+    """Load: as above, with one heartbeat in five lost.
+
+    Guards against an estimate of what others spend that needs each heartbeat.
+    """
+    fleet = RetryBudgetFleet(12, LIMITS, 0.2, lost_heartbeats=0.2)
+    fleet.run(10.0, 60.0, 0)
+    fleet.run(25.0, 60.0, 3)
+    assert_that(fleet.excess(), LessThan(0.001))
+
+
+def test_halves_that_do_not_hear_each_other_stay_within_the_budget(fleet):
+    """Load: as above, while the fleet is cut in two halves.
+
+    Guards against halves that each spend the whole budget.
+    """
+    fleet.run(10.0, 60.0, 0)
+    fleet.groups = {each.name: 1 for each in fleet.processes[::2]}
+    fleet.run(15.0, 60.0, 3)
+    assert_that(fleet.excess(), LessThan(0.001))
+
+
+def test_instance_that_restarts_does_not_get_the_slack_again(fleet):
+    """Load: each request is to be resent thrice, while instances restart in turn.
+
+    Guards against a new process that takes the whole slack for unspent, and against
+    others that forget what the old process has spent.
+    """
+    fleet.run(10.0, 60.0, 0)
+    fleet.run(2.0, 60.0, 3)
+    for _ in range(2):
+        for process in list(fleet.processes):
+            fleet.restart([process])
+            fleet.run(0.5, 60.0, 3)
+    assert_that(fleet.excess(), LessThan(0.001))
+
+
+@pytest.mark.parametrize("spent_before_s", [2.0, 5.0, 12.0])
+def test_fleet_that_restarts_does_not_get_the_budget_again(fleet, spent_before_s):
+    """Load: each request is to be resent thrice; all instances restart together, twice.
+
+    Guards against a budget that is there once more for each restart within a window.
+    """
+    fleet.run(10.0, 60.0, 0)
+    fleet.run(spent_before_s, 60.0, 3)
+    for _ in range(2):
+        fleet.restart(list(fleet.processes))
+        fleet.run(5.0, 60.0, 3)
+    fleet.run(10.0, 60.0, 3)
+    assert_that(fleet.excess(), LessThan(0.001))
+
+
+def test_first_resends_of_a_new_process_count_at_the_others(fleet):
+    """Load: instances restart, resend at once and are heard of only afterwards.
+
+    Guards against taking the first counts of a process as those of an earlier time.
+    """
+    fleet.run(10.0, 60.0, 0)
+    for process in list(fleet.processes):
+        fleet.restart([process])
+        fleet.run(0.8, 60.0, 3)
+    assert_that(fleet.excess(), LessThan(0.001))
+
+
+def test_slack_serves_a_burst_of_failures(fleet):
+    """Load: for a second, each request fails once, as when targets crash.
+
+    Guards against a budget that is kept from callers: half of the slack is to be there
+    at once, besides the resends that the requests themselves allow.
+    """
+    fleet.run(10.0, 30.0, 0)
+    fleet.run(2.0, 60.0, 1)
+    expected = LIMITS.per_request * 300 + LIMITS.slack / 2
+    assert_that(len(fleet.resend_times_s), GreaterThan(expected))
+
+
+def test_ordinary_failures_are_all_resent(fleet):
+    """Load: one request in six fails, evenly, for a long time.
+
+    Guards against instances that refuse resends although the fleet is within its
+    budget, since each of them has only a part of it.
+    """
+    fleet.run(10.0, 60.0, 0)
+    for _ in range(60):
+        fleet.run(5 / 12, 60.0, 0)
+        fleet.run(1 / 12, 60.0, 1)
+    assert_that(len(fleet.resend_times_s), GreaterThan(0.95 * 60 * 5))
