--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -16,7 +16,7 @@
 from lacewinglift.logs import LEFT_OUT_REPORT_INTERVAL_S, log_info, report_left_out
 from lacewinglift.mesh.configuration_holder import ConfigurationHolder
 from lacewinglift.mesh.directory import Directory
-from lacewinglift.mesh.fleet_limits import FleetQuota, FleetRetryBudgets
+from lacewinglift.mesh.fleet_limits import FleetQuota
 from lacewinglift.mesh.full_heartbeats import FullHeartbeatSchedule
 from lacewinglift.mesh.heartbeats import (
     HeartbeatExchange,
@@ -26,6 +26,7 @@
 from lacewinglift.mesh.members import MemberTable, PeerAddresses
 from lacewinglift.mesh.observers import Codec, Observer, try_read_configuration
 from lacewinglift.mesh.registry import TargetRegistry, from_message
+from lacewinglift.mesh.retry_budgets import FleetRetryBudgets
 from lacewinglift.mesh.settings import MeshSettings
 from lacewinglift.mesh.snapshot_fetch_policy import SnapshotFetchPolicy
 from lacewinglift.mesh.snapshot_fetcher import SnapshotFetcher
--- a/src/lacewinglift/mesh/settings.py
+++ b/src/lacewinglift/mesh/settings.py
@@ -2,7 +2,7 @@
 
 from attrs import frozen
 
-from lacewinglift.mesh.fleet_limits import RetryLimits
+from lacewinglift.mesh.retry_budgets import RetryLimits
 
 ADDRESS_LIFETIME_S = 3.0
 # Part of the grace period that is reserved for the exit of the process.
--- a/src/lacewinglift/mesh/telemetry.py
+++ b/src/lacewinglift/mesh/telemetry.py
@@ -16,10 +16,11 @@
 from lacewinglift.errors import LacewingliftError
 from lacewinglift.kv import KeyValueStore, Listing, WatchResult
 from lacewinglift.mesh.configuration_holder import ConfigurationHolder
-from lacewinglift.mesh.fleet_limits import FleetQuota, FleetRetryBudgets
+from lacewinglift.mesh.fleet_limits import FleetQuota
 from lacewinglift.mesh.members import MemberTable
 from lacewinglift.mesh.observers import StoreContact
 from lacewinglift.mesh.registry import TargetRegistry
+from lacewinglift.mesh.retry_budgets import FleetRetryBudgets
 from lacewinglift.mesh.snapshots import SnapshotExchange
 from lacewinglift.mesh.target_table import MeshTargetTable
 from lacewinglift.mesh.traffic import MeshTraffic
--- a/testing/mesh/retry_budget_fleet.py
+++ b/testing/mesh/retry_budget_fleet.py
@@ -11,8 +11,8 @@
 from attrs import define, field
 
 from lacewinglift.generated import beats_pb2
-from lacewinglift.mesh.fleet_limits import FleetRetryBudgets, RetryLimits
 from lacewinglift.mesh.members import MEMBER_TIMEOUT_S
+from lacewinglift.mesh.retry_budgets import FleetRetryBudgets, RetryLimits
 from lacewinglift.timers import ManualTimers
 
 SERVICE = "catalogo"
--- a/testing/mesh/test_telemetry.py
+++ b/testing/mesh/test_telemetry.py
@@ -7,10 +7,11 @@
 from lacewinglift.errors import StoreUnavailableError
 from lacewinglift.kv import Listing
 from lacewinglift.mesh.configuration_holder import ConfigurationHolder
-from lacewinglift.mesh.fleet_limits import FleetQuota, FleetRetryBudgets, RetryLimits
+from lacewinglift.mesh.fleet_limits import FleetQuota
 from lacewinglift.mesh.members import MemberTable
 from lacewinglift.mesh.observers import StoreContact
 from lacewinglift.mesh.registry import RegisteredTarget, TargetRegistry
+from lacewinglift.mesh.retry_budgets import FleetRetryBudgets, RetryLimits
 from lacewinglift.mesh.snapshots import SnapshotExchange, SnapshotService
 from lacewinglift.mesh.target_table import MeshTargetTable
 from lacewinglift.mesh.telemetry import InstrumentedStore, MeshCollector
