Let each instance use only its share of the retry slack

Between two heartbeats each instance took all that was left of the fleet's retry budget for its own, so n instances together resent up to n times as much; two halves of a cut fleet each went on with all of it for 2.5 s.

An instance may now always resend what its own requests allow, which needs no knowledge of others, and only the slack is shared: it uses its share, by requests, of what others have left, and counts its own use as unknown to them for 1.5 s. Heartbeats report the use as an amount and not as an increase, so a lost one or an unknown first one does no harm. Shares add up to one, so the instances stay within the slack whatever they do at the same moment. As that is kept, 0.8 of the slack is used instead of 0.6; an instance needs a whole resend in its share, so that about as much as before is used in practice.

Ruled out: the counts themselves.

--- a/src/lacewinglift/mesh/retry_budgets.py
+++ b/src/lacewinglift/mesh/retry_budgets.py
@@ -1,9 +1,16 @@
-"""Retry budgets of services, shared by all instances of a fleet."""
+"""Retry budgets of services, shared by all instances of a fleet.
+
+The users' rule allows the fleet a number of resends for each request, plus a fixed
+slack. An instance may always resend what its own requests allow, whatever the others
+do. Only the slack is shared: an instance that needs more uses its share of what the
+others have left, and reports it in its heartbeats.
+"""
 
 import threading
+from collections import deque
 from collections.abc import Callable, Mapping
 
-from attrs import frozen
+from attrs import define, field, frozen
 
 from lacewinglift.generated import beats_pb2
 from lacewinglift.mesh.peer_counters import COUNT_REPEAT_S, PeerCounters
@@ -11,9 +18,12 @@
 from lacewinglift.mesh.sliding_window import SlidingWindowCounter
 from lacewinglift.timers import Timers
 
-# Fraction of the retry slack that is used. The rest covers resends that instances make
-# before they receive each other's counts.
-USABLE_SLACK_FRACTION = 0.6
+# Fraction of the retry slack that is used. The rest covers resends that arrive later
+# than they are counted, and those that a killed instance could not report.
+USABLE_SLACK_FRACTION = 0.8
+# Within this time all others hear what an instance has used of the slack. It covers
+# the interval of heartbeats to all instances, or the loss of a frequent one.
+REPORT_DELAY_S = 1.5
 # Window of the request rate of this instance alone.
 RECENT_REQUESTS_S = 3.0
 
@@ -30,14 +40,68 @@
     slack: float
 
 
+@define(eq=False)
+class _RecentMinimum:
+    """Lowest value of a quantity within the last `window_s`."""
+
+    timers: Timers
+    window_s: float
+    samples: deque[tuple[float, float]] = field(factory=deque)
+    """Times and values, both rising: lower samples replace earlier higher ones."""
+
+    def add(self, value: float) -> None:
+        while self.samples and self.samples[-1][1] >= value:
+            self.samples.pop()
+        self.samples.append((self.timers.now(), value))
+
+    def get(self) -> float:
+        """Return the minimum; the last sample before the window counts too."""
+        oldest_s = self.timers.now() - self.window_s
+        while len(self.samples) > 1 and self.samples[1][0] <= oldest_s:
+            self.samples.popleft()
+        return self.samples[0][1] if self.samples else 0.0
+
+
+@define(eq=False)
+class _PeerSlackUse:
+    """What other incarnations use of the slack, as they last reported it.
+
+    The use of an incarnation that has ended counts until its window has passed.
+    """
+
+    timers: Timers
+    window_s: float
+    reports: dict[tuple[str, int], tuple[float, float]] = field(factory=dict)
+    """Amount and time of the last report, by instance and incarnation."""
+
+    def record(self, instance: str, incarnation: int, used: float) -> None:
+        if used > 0:
+            self.reports[instance, incarnation] = (used, self.timers.now())
+        else:
+            self.reports.pop((instance, incarnation), None)
+
+    def total(self) -> float:
+        oldest_s = self.timers.now() - self.window_s
+        for key, (_, reported_at_s) in list(self.reports.items()):
+            if reported_at_s < oldest_s:
+                del self.reports[key]
+        return sum(used for used, _ in self.reports.values())
+
+
 class ServiceRetryBudget:
     """Retry budget of one service, shared by the fleet."""
 
     def __init__(self, budgets: "FleetRetryBudgets") -> None:
         self.budgets = budgets
+        timers = budgets.timers
         window_s = budgets.limits.window_s
-        self.requests = SlidingWindowCounter(budgets.timers, window_s)
-        self.resends = SlidingWindowCounter(budgets.timers, window_s)
+        self.requests = SlidingWindowCounter(timers, window_s)
+        self.resends = SlidingWindowCounter(timers, window_s)
+        self.own_recent_requests = SlidingWindowCounter(timers, window_s)
+        self.own_recent_resends = SlidingWindowCounter(timers, window_s)
+        self.reported_slack = _RecentMinimum(timers, REPORT_DELAY_S)
+        """What others know at least of the slack that this instance uses."""
+        self.peer_slack = _PeerSlackUse(timers, window_s)
         self.own_requests = 0
         self.own_resends = 0
         self.last_request_at_s = float("-inf")
@@ -49,24 +113,49 @@
             self.budgets.recent_own_requests.add(1)
             self.budgets.recent_rate.add(1)
             self.requests.add(1)
+            self.own_recent_requests.add(1)
+            self.reported_slack.add(self.slack_used())
             self.last_request_at_s = self.budgets.timers.now()
 
     def try_acquire(self) -> bool:
         """Return whether one more request may be resent now, and count it."""
         with self.budgets.lock:
-            if self.remaining() < 1:
+            needed_slack = 1.0 - min(max(self._own_remaining(), 0.0), 1.0)
+            if needed_slack > 0 and needed_slack > self._slack_share():
                 return False
             self.own_resends += 1
             self.resends.add(1)
+            self.own_recent_resends.add(1)
+            self.reported_slack.add(self.slack_used())
             return True
 
     def remaining(self) -> float:
-        """Return how many requests may be resent now."""
-        limits = self.budgets.limits
-        slack = limits.slack * USABLE_SLACK_FRACTION * self.budgets.reachable_fraction()
+        """Return how many requests this instance may resend now."""
+        with self.budgets.lock:
+            return max(self._own_remaining(), 0.0) + max(self._slack_share(), 0.0)
+
+    def slack_used(self) -> float:
+        """Return the resends in the window beyond those that own requests allow."""
         with self.budgets.lock:
-            allowed = limits.per_request * self.requests.total() + slack
-            return allowed - self.resends.total()
+            return max(-self._own_remaining(), 0.0)
+
+    def _own_remaining(self) -> float:
+        allowed = self.budgets.limits.per_request * self.own_recent_requests.total()
+        return allowed - self.own_recent_resends.total()
+
+    def _slack_share(self) -> float:
+        """Return what this instance may use of the slack now.
+
+        Others may use theirs before they hear of it, so that each instance takes only
+        its share, by requests, of what was left before the unreported use.
+        """
+        limits = self.budgets.limits
+        usable = limits.slack * USABLE_SLACK_FRACTION
+        usable *= self.budgets.reachable_fraction()
+        reported = min(self.reported_slack.get(), self.slack_used())
+        left = usable - self.peer_slack.total() - reported
+        share = self.own_recent_requests.total() / max(self.requests.total(), 1)
+        return left * share - (self.slack_used() - reported)
 
     def log_fields(self) -> Mapping[str, object]:
         """Return the state of the budget, as fields of a log line."""
@@ -75,7 +164,7 @@
                 "budget_left": self.remaining(),
                 "fleet_requests": self.requests.total(),
                 "fleet_resends": self.resends.total(),
-                "own_resends": self.own_resends,
+                "own_resends": self.own_recent_resends.total(),
                 "heard_part": self.budgets.reachable_fraction(),
             }
 
@@ -126,6 +215,9 @@
                 resends = counts.update(f"{count.service} resends", count.resends)
                 budget.requests.add(requests)
                 budget.resends.add(resends)
+                budget.peer_slack.record(
+                    heartbeat.instance, heartbeat.incarnation, count.slack_used
+                )
                 self.recent_rate.add(requests)
 
     def resend_counts(self, full: bool) -> list[beats_pb2.ResendCount]:
@@ -137,13 +229,14 @@
                     service=name,
                     requests=budget.own_requests,
                     resends=budget.own_resends,
+                    slack_used=budget.slack_used(),
                 )
                 for name, budget in self.budgets.items()
-                if full or budget.last_request_at_s >= since_s
+                if full or budget.last_request_at_s >= since_s or budget.slack_used()
             ]
 
     def remaining(self) -> dict[str, float]:
-        """Return how many requests of each service may be resent now."""
+        """Return how many requests of each service this instance may resend now."""
         with self.lock:
             return {name: budget.remaining() for name, budget in self.budgets.items()}
 
--- a/src/lacewinglift/mesh/sliding_window.py
+++ b/src/lacewinglift/mesh/sliding_window.py
@@ -17,9 +17,9 @@
     timers: Timers
     window_s: float
     intervals: deque = field(factory=deque)
-    running_total: int = 0
+    running_total: float = 0
 
-    def add(self, count: int) -> None:
+    def add(self, count: float) -> None:
         """Add a count at the present time."""
         interval_number = int(self.timers.now() / WINDOW_RESOLUTION_S)
         if self.intervals and self.intervals[-1][0] == interval_number:
@@ -28,7 +28,7 @@
             self.intervals.append([interval_number, count])
         self.running_total += count
 
-    def total(self) -> int:
+    def total(self) -> float:
         """Return the sum over the window."""
         oldest_interval_number = int(
             (self.timers.now() - self.window_s) / WINDOW_RESOLUTION_S
