Remember over a restart that the retry budget may have been spent

Each process counted from zero, so a restart gave the slack once more, and others took the first counts of a new process as those of an earlier time. Now each heartbeat tells for how long its sender has counted. A process that restarts may resend less for its own requests until its window has passed; it uses the slack as soon as half of the fleet has counted for a whole window, since their heartbeats then tell what was used. When the whole fleet starts for the first time, there is nothing to remember.

--- /dev/null
+++ b/src/lacewinglift/mesh/fleet_history.py
@@ -0,0 +1,53 @@
+"""How long the fleet can have kept the counts that its limits are based on."""
+
+import math
+
+from lacewinglift.mesh.members import MemberTable
+from lacewinglift.timers import Timers
+
+# After this time a new process has heard from all instances that it can reach.
+HEARD_ALL_AFTER_S = 1.5
+# Reported by an instance that knows that nothing was counted before its start.
+MAX_HISTORY_MS = 2**32 - 1
+
+
+class FleetHistory:
+    """Time for which the instances have counted what the fleet does.
+
+    A process that starts does not know what its predecessor did. Its peers do, if they
+    have not been restarted too.
+
+    Parameters
+    ----------
+    timers : Timers
+        Clock.
+    members : MemberTable
+        Other instances.
+    first_start : bool
+        Whether the whole fleet starts for the first time, so that there is nothing
+        before the start to be known.
+    """
+
+    def __init__(self, timers: Timers, members: MemberTable, first_start: bool) -> None:
+        self.timers = timers
+        self.members = members
+        self.started_at_s = -math.inf if first_start else timers.now()
+
+    def own_s(self) -> float:
+        """Return the time for which this instance has counted."""
+        return self.timers.now() - self.started_at_s
+
+    def own_ms(self) -> int:
+        """Return the time for which this instance has counted, as it is reported."""
+        return int(min(self.own_s() * 1000, MAX_HISTORY_MS))
+
+    def fleet_s(self) -> float:
+        """Return the time for which at least half of the fleet has counted."""
+        own_s = self.own_s()
+        if own_s < HEARD_ALL_AFTER_S:
+            return own_s
+        reported_s = [
+            member.heartbeat.history_ms / 1000 for member in self.members.reachable()
+        ]
+        histories_s = sorted([own_s, *reported_s])
+        return histories_s[len(histories_s) // 2]
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -16,6 +16,7 @@
 from lacewinglift.logs import LEFT_OUT_REPORT_INTERVAL_S, log_info, report_left_out
 from lacewinglift.mesh.configuration_holder import ConfigurationHolder
 from lacewinglift.mesh.directory import Directory
+from lacewinglift.mesh.fleet_history import FleetHistory
 from lacewinglift.mesh.fleet_limits import FleetQuota
 from lacewinglift.mesh.full_heartbeats import FullHeartbeatSchedule
 from lacewinglift.mesh.heartbeats import (
@@ -120,8 +121,12 @@
         )
         self.registry = TargetRegistry(self.timers, self._registry_changed)
         self.quota = FleetQuota(self.timers, self.members.reachable_fraction)
+        self.history = FleetHistory(self.timers, self.members, settings.first_start)
         self.retry_budgets = FleetRetryBudgets(
-            self.timers, settings.retry_limits, self.members.reachable_fraction
+            self.timers,
+            settings.retry_limits,
+            self.members.reachable_fraction,
+            self.history,
         )
         self.peer_addresses = PeerAddresses(
             self.timers, settings.seeds, settings.heartbeat_address
@@ -383,6 +388,7 @@
             evidence=self.targets.evidence(),
             loads=loads,
             active=self.is_active(),
+            history_ms=self.history.own_ms(),
         )
         if loads:
             self._schedule_active_heartbeat()
--- a/src/lacewinglift/mesh/retry_budgets.py
+++ b/src/lacewinglift/mesh/retry_budgets.py
@@ -4,6 +4,11 @@
 slack. An instance may always resend what its own requests allow, whatever the others
 do. Only the slack is shared: an instance that needs more uses its share of what the
 others have left, and reports it in its heartbeats.
+
+Resends from before a restart count in the users' window too. A new process does not
+know those of its predecessor, so its own requests allow fewer resends until the window
+has passed. After a restart of most of the fleet nobody knows what was used of the
+slack, and it is not used until then.
 """
 
 import threading
@@ -13,6 +18,7 @@
 from attrs import define, field, frozen
 
 from lacewinglift.generated import beats_pb2
+from lacewinglift.mesh.fleet_history import FleetHistory
 from lacewinglift.mesh.peer_counters import COUNT_REPEAT_S, PeerCounters
 from lacewinglift.mesh.request_rate import RateEstimate, RequestRate
 from lacewinglift.mesh.sliding_window import SlidingWindowCounter
@@ -120,8 +126,7 @@
     def try_acquire(self) -> bool:
         """Return whether one more request may be resent now, and count it."""
         with self.budgets.lock:
-            needed_slack = 1.0 - min(max(self._own_remaining(), 0.0), 1.0)
-            if needed_slack > 0 and needed_slack > self._slack_share():
+            if not self._may_resend():
                 return False
             self.own_resends += 1
             self.resends.add(1)
@@ -129,6 +134,13 @@
             self.reported_slack.add(self.slack_used())
             return True
 
+    def _may_resend(self) -> bool:
+        own_remaining = self._own_remaining()
+        if own_remaining >= 1:
+            return True
+        needed_slack = 1.0 - max(own_remaining, 0.0)
+        return needed_slack <= self._slack_share()
+
     def remaining(self) -> float:
         """Return how many requests this instance may resend now."""
         with self.budgets.lock:
@@ -140,7 +152,10 @@
             return max(-self._own_remaining(), 0.0)
 
     def _own_remaining(self) -> float:
+        """Return what own requests still allow; negative if slack was used."""
         allowed = self.budgets.limits.per_request * self.own_recent_requests.total()
+        # Squared, since the resends before the start may all have come right before it.
+        allowed *= self.budgets.own_known_fraction() ** 2
         return allowed - self.own_recent_resends.total()
 
     def _slack_share(self) -> float:
@@ -149,6 +164,8 @@
         Others may use theirs before they hear of it, so that each instance takes only
         its share, by requests, of what was left before the unreported use.
         """
+        if not self.budgets.is_slack_use_known():
+            return 0.0
         limits = self.budgets.limits
         usable = limits.slack * USABLE_SLACK_FRACTION
         usable *= self.budgets.reachable_fraction()
@@ -180,6 +197,9 @@
         Limits of each service.
     reachable_fraction : callable
         Returns the fraction of the fleet that is reachable.
+    history : FleetHistory, default=None
+        Time for which this instance and the fleet have counted resends. By default,
+        there were none before the start.
     """
 
     def __init__(
@@ -187,10 +207,12 @@
         timers: Timers,
         limits: RetryLimits,
         reachable_fraction: Callable[[], float],
+        history: FleetHistory | None = None,
     ) -> None:
         self.timers = timers
         self.limits = limits
         self.reachable_fraction = reachable_fraction
+        self.history = history
         self.budgets: dict[str, ServiceRetryBudget] = {}
         self.peer_counters = PeerCounters()
         self.recent_own_requests = SlidingWindowCounter(timers, RECENT_REQUESTS_S)
@@ -205,6 +227,16 @@
                 budget = self.budgets[service] = ServiceRetryBudget(self)
             return budget
 
+    def own_known_fraction(self) -> float:
+        """Return the part of the window whose resends by this instance are known."""
+        if self.history is None:
+            return 1.0
+        return min(self.history.own_s() / self.limits.window_s, 1.0)
+
+    def is_slack_use_known(self) -> bool:
+        """Return whether at least half of the fleet has counted for a whole window."""
+        return self.history is None or self.history.fleet_s() >= self.limits.window_s
+
     def record_peer_resends(self, heartbeat: beats_pb2.Beat) -> None:
         """Count the requests and resends of another instance."""
         with self.lock:
--- a/testing/mesh/retry_budget_fleet.py
+++ b/testing/mesh/retry_budget_fleet.py
@@ -11,7 +11,9 @@
 from attrs import define, field
 
 from lacewinglift.generated import beats_pb2
-from lacewinglift.mesh.members import MEMBER_TIMEOUT_S
+from lacewinglift.mesh.fleet_history import FleetHistory
+from lacewinglift.mesh.full_heartbeats import INITIAL_FULL_HEARTBEATS
+from lacewinglift.mesh.members import MemberTable
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets, RetryLimits
 from lacewinglift.timers import ManualTimers
 
@@ -28,11 +30,28 @@
 
     name: str
     incarnation: int
-    started_s: float
+    members: MemberTable
+    history: FleetHistory
     budgets: FleetRetryBudgets
     next_heartbeat_s: float
     heartbeats: int = 0
-    heard_at_s: dict = field(factory=dict)
+
+    def build_heartbeat(self):
+        self.heartbeats += 1
+        full = (
+            self.heartbeats <= INITIAL_FULL_HEARTBEATS
+            or self.heartbeats % FULL_HEARTBEAT_EVERY == 0
+        )
+        heartbeat = beats_pb2.Beat(
+            instance=self.name,
+            incarnation=self.incarnation,
+            sequence=self.heartbeats,
+            history_ms=self.history.own_ms(),
+        )
+        if full:
+            heartbeat.description.beat_address = f"{self.name}:81"
+        heartbeat.resends.extend(self.budgets.resend_counts(full=full))
+        return heartbeat
 
 
 @define(eq=False)
@@ -69,27 +88,14 @@
         self.processes = [self._start(name, 1) for name in names]
 
     def _start(self, name, incarnation):
-        now = self.timers.now()
-        first_heartbeat_s = now + self.random.uniform(0.0, self.heartbeat_interval_s)
-        budgets = FleetRetryBudgets(self.timers, self.limits, lambda: 1.0)
-        process = Process(name, incarnation, now, budgets, first_heartbeat_s)
-        budgets.reachable_fraction = lambda: self._reachable_fraction(process)
-        if incarnation > 1:
-            budgets.history_s = lambda: self._history_s(process)
-        return process
-
-    def _reachable_fraction(self, process):
-        now = self.timers.now()
-        heard = process.heard_at_s.values()
-        reachable = sum(now - heard_at_s <= MEMBER_TIMEOUT_S for heard_at_s in heard)
-        return (reachable + 1) / (len(heard) + 1)
-
-    def _history_s(self, process):
-        """Return the median age of the processes that are heard."""
-        now = self.timers.now()
-        heard = [each for each in self.processes if each.name in process.heard_at_s]
-        ages_s = sorted(now - each.started_s for each in [process, *heard])
-        return ages_s[len(ages_s) // 2]
+        delay_s = self.random.uniform(0.0, self.heartbeat_interval_s)
+        members = MemberTable(name, self.timers)
+        history = FleetHistory(self.timers, members, first_start=incarnation == 1)
+        budgets = FleetRetryBudgets(
+            self.timers, self.limits, members.reachable_fraction, history
+        )
+        next_heartbeat_s = self.timers.now() + delay_s
+        return Process(name, incarnation, members, history, budgets, next_heartbeat_s)
 
     def restart(self, processes):
         """Replace processes by new ones, which know nothing."""
@@ -121,13 +127,11 @@
 
     def _send_heartbeat(self, sender):
         sender.next_heartbeat_s += self.heartbeat_interval_s
-        sender.heartbeats += 1
-        full = sender.heartbeats % FULL_HEARTBEAT_EVERY == 1
-        heartbeat = beats_pb2.Beat(instance=sender.name, incarnation=sender.incarnation)
-        heartbeat.resends.extend(sender.budgets.resend_counts(full=full))
+        heartbeat = sender.build_heartbeat()
         for receiver in self.processes:
-            if receiver is not sender and self._arrives(sender, receiver):
-                receiver.heard_at_s[sender.name] = self.timers.now()
+            if receiver is sender or not self._arrives(sender, receiver):
+                continue
+            if receiver.members.receive(heartbeat) is not None:
                 receiver.budgets.record_peer_resends(heartbeat)
 
     def _arrives(self, sender, receiver):
--- a/testing/mesh/test_retry_budget.py
+++ b/testing/mesh/test_retry_budget.py
@@ -78,8 +78,11 @@
     assert_that(fleet.excess(), LessThan(0.001))
 
 
+@pytest.mark.parametrize("restart_interval_s", [5.0, 8.0])
 @pytest.mark.parametrize("spent_before_s", [2.0, 5.0, 12.0])
-def test_fleet_that_restarts_does_not_get_the_budget_again(fleet, spent_before_s):
+def test_fleet_that_restarts_does_not_get_the_budget_again(
+    fleet, spent_before_s, restart_interval_s
+):
     """Load: each request is to be resent thrice; all instances restart together, twice.
 
     Guards against a budget that is there once more for each restart within a window.
@@ -88,7 +91,7 @@
     fleet.run(spent_before_s, 60.0, 3)
     for _ in range(2):
         fleet.restart(list(fleet.processes))
-        fleet.run(5.0, 60.0, 3)
+        fleet.run(restart_interval_s, 60.0, 3)
     fleet.run(10.0, 60.0, 3)
     assert_that(fleet.excess(), LessThan(0.001))
 
