Do not send requests to targets for callers that have left

The periodic check for callers that have left includes a request only once it is about to be forwarded. A request that waited before that, for a worker thread, for the configuration or for a token of its rate, was sent on at once when its turn came, with whatever its caller had done meanwhile unnoticed. The caller's connection is now looked at before each target is chosen and again before the request is sent, which is one system call each.

--- a/src/lacewinglift/exchanges.py
+++ b/src/lacewinglift/exchanges.py
@@ -27,6 +27,16 @@
     STOPPED = "stopped"
 
 
+def _is_disconnected(sock: socket.socket) -> bool:
+    """Return whether the peer has closed a connection."""
+    descriptor = sock.fileno()
+    if descriptor < 0:
+        return True
+    poll = select.poll()
+    poll.register(descriptor, select.POLLRDHUP)
+    return any(events & _DISCONNECT_EVENTS for _, events in poll.poll(0))
+
+
 def _shut_down(sock: socket.socket | None, how: int) -> None:
     if sock is not None:
         with contextlib.suppress(OSError):
@@ -73,6 +83,7 @@
 
     def attach(self, target_socket: socket.socket) -> bool:
         """Set the connection to the current target; return False if cancelled."""
+        self.check_caller()
         with self._lock:
             if self.cancel_reason is not None:
                 return False
@@ -134,6 +145,11 @@
             self._finished = True
             self._close_target_socket()
 
+    def check_caller(self) -> None:
+        """Cancel the exchange if the caller has disconnected."""
+        if self.cancel_reason is None and _is_disconnected(self.caller_socket):
+            self.cancel(CancelReason.CALLER_GONE)
+
     def check_access(self) -> None:
         """Cancel the exchange if the caller may no longer use the service."""
         if self.access_lost is None or self.cancel_reason is not None:
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -511,6 +511,10 @@
 
     def _next_attempt(self) -> Attempt:
         """Select a target that was not tried yet, or raise RefusalError."""
+        # The caller may have left while the request waited for its turn.
+        self.exchange.check_caller()
+        if self.exchange.cancel_reason is CancelReason.CALLER_GONE:
+            raise self._cancellation_error()
         if self._remaining_s() <= 0:
             self.reported_failure = self.reported_failure or self._deadline_failure()
             raise self._give_up("time")
