--- a/testing/mesh/test_quota_restarts.py
+++ b/testing/mesh/test_quota_restarts.py
@@ -1,4 +1,4 @@
-"""The rate of a workspace while instances restart, which do not know its earlier use."""
+"""Rates of workspaces while instances restart, which do not know the earlier use."""
 
 import pytest
 from testtools.assertions import assert_that
