Round the shares of the retry slack at random

A share is now rounded up or down at random, with the same mean; the offset stays the same for the 1.5 s in which others may not know of a resend.

--- a/src/lacewinglift/mesh/retry_budgets.py
+++ b/src/lacewinglift/mesh/retry_budgets.py
@@ -14,6 +14,7 @@
 import threading
 from collections import deque
 from collections.abc import Callable, Mapping
+from random import Random
 
 from attrs import define, field, frozen
 
@@ -26,7 +27,7 @@
 
 # Fraction of the retry slack that is used. The rest covers resends that arrive later
 # than they are counted, and those that a killed instance could not report.
-USABLE_SLACK_FRACTION = 0.8
+USABLE_SLACK_FRACTION = 0.75
 # Within this time all others hear what an instance has used of the slack. It covers
 # the interval of heartbeats to all instances, or the loss of a frequent one.
 REPORT_DELAY_S = 1.5
@@ -68,6 +69,28 @@
         return self.samples[0][1] if self.samples else 0.0
 
 
+@define(eq=False)
+class _RandomRounding:
+    """Rounds a share up or down at random, so that the mean stays the same.
+
+    The shares of many instances are less than one resend each. Without it, none of
+    them would use the rest of the slack.
+    """
+
+    timers: Timers
+    random: Random = field(factory=Random)
+    period: int = -1
+    offset: float = 0.0
+
+    def offset_now(self) -> float:
+        """Return what is added to the share, the same for `REPORT_DELAY_S`."""
+        period = int(self.timers.now() / REPORT_DELAY_S)
+        if period != self.period:
+            self.period = period
+            self.offset = self.random.random()
+        return self.offset
+
+
 @define(eq=False)
 class _PeerSlackUse:
     """What other incarnations use of the slack, as they last reported it.
@@ -108,6 +131,7 @@
         self.reported_slack = _RecentMinimum(timers, REPORT_DELAY_S)
         """What others know at least of the slack that this instance uses."""
         self.peer_slack = _PeerSlackUse(timers, window_s)
+        self.rounding = _RandomRounding(timers, budgets.random)
         self.own_requests = 0
         self.own_resends = 0
         self.last_request_at_s = float("-inf")
@@ -139,7 +163,7 @@
         if own_remaining >= 1:
             return True
         needed_slack = 1.0 - max(own_remaining, 0.0)
-        return needed_slack <= self._slack_share()
+        return needed_slack <= self._slack_share(self.rounding.offset_now())
 
     def remaining(self) -> float:
         """Return how many requests this instance may resend now."""
@@ -158,7 +182,7 @@
         allowed *= self.budgets.own_known_fraction() ** 2
         return allowed - self.own_recent_resends.total()
 
-    def _slack_share(self) -> float:
+    def _slack_share(self, rounding_offset: float = 0.0) -> float:
         """Return what this instance may use of the slack now.
 
         Others may use theirs before they hear of it, so that each instance takes only
@@ -171,8 +195,10 @@
         usable *= self.budgets.reachable_fraction()
         reported = min(self.reported_slack.get(), self.slack_used())
         left = usable - self.peer_slack.total() - reported
+        if left <= 0:
+            return 0.0
         share = self.own_recent_requests.total() / max(self.requests.total(), 1)
-        return left * share - (self.slack_used() - reported)
+        return left * share + rounding_offset - (self.slack_used() - reported)
 
     def log_fields(self) -> Mapping[str, object]:
         """Return the state of the budget, as fields of a log line."""
@@ -200,6 +226,8 @@
     history : FleetHistory, default=None
         Time for which this instance and the fleet have counted resends. By default,
         there were none before the start.
+    random : Random, default=None
+        Source of randomness; tests pass a seeded one.
     """
 
     def __init__(
@@ -208,11 +236,13 @@
         limits: RetryLimits,
         reachable_fraction: Callable[[], float],
         history: FleetHistory | None = None,
+        random: Random | None = None,
     ) -> None:
         self.timers = timers
         self.limits = limits
         self.reachable_fraction = reachable_fraction
         self.history = history
+        self.random = random or Random()
         self.budgets: dict[str, ServiceRetryBudget] = {}
         self.peer_counters = PeerCounters()
         self.recent_own_requests = SlidingWindowCounter(timers, RECENT_REQUESTS_S)
--- a/testing/mesh/limits_fleet.py
+++ b/testing/mesh/limits_fleet.py
@@ -121,7 +121,11 @@
             return members.reachable_fraction(expected)
 
         budgets = FleetRetryBudgets(
-            self.timers, self.limits, reachable_fraction, history
+            self.timers,
+            self.limits,
+            reachable_fraction,
+            history,
+            Random(self.random.random()),
         )
         quota = FleetQuota(self.timers, reachable_fraction, history)
         quota.apply(CONFIGURATION)
