Log and count the rate that a target states it takes

The header, its name in the dialect, is read from each response of the target that was asked; target_rate_limited tells each change, rate_limit_unreadable what is no number, and lacewinglift_targets_rate_limited counts the targets. An error response without the header does not end a limit. Nothing acts on it yet.

--- a/src/lacewinglift/dialects.py
+++ b/src/lacewinglift/dialects.py
@@ -25,6 +25,9 @@
         value belongs to another request.
     expected_target_header : str or None
         Name of the header with the chosen target; other targets refuse the request.
+    rate_limit_header : str or None
+        Lower-case name of the header with which a target states the requests a second
+        that it takes from the whole fleet, until a response comes without it.
     serves_builtin_paths : bool
         Whether address lists and metrics are served in addition to the routes.
     not_run_status : int or None
@@ -40,6 +43,7 @@
     not_run_header: str = "x-lacewinglift-not-run"
     request_id_header: str | None = None
     expected_target_header: str | None = None
+    rate_limit_header: str | None = None
     serves_builtin_paths: bool = True
     not_run_status: int | None = None
     fractional_retry_after: bool = False
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -2,6 +2,7 @@
 
 import http.client
 import itertools
+import math
 import socket
 import threading
 from collections.abc import Callable, Iterator, Mapping
@@ -19,7 +20,7 @@
 from lacewinglift.dialects import DEFAULT_DIALECT, Dialect
 from lacewinglift.exchanges import CancelReason, Exchange
 from lacewinglift.headers import BadRequestError, Headers, headers_to_caller
-from lacewinglift.logs import log_info
+from lacewinglift.logs import log_info, log_warning
 from lacewinglift.outcomes import Outcome, OutcomeKind
 from lacewinglift.pools import (
     TargetConnection,
@@ -67,6 +68,18 @@
         """Record that the head of the response has arrived."""
         ...
 
+    def record_rate_limit(self, limit_per_s: float | None, served: bool) -> None:
+        """Record what the target states about the rate that it takes.
+
+        Parameters
+        ----------
+        limit_per_s : float or None
+            Requests a second from the whole fleet; None if it states no limit.
+        served : bool
+            Whether the target served the request.
+        """
+        ...
+
     def finish(self, outcome: Outcome) -> None:
         """Record the outcome of the attempt."""
         ...
@@ -290,6 +303,15 @@
     return int(lengths[0])
 
 
+def _parse_rate(text: str) -> float | None:
+    """Return a rate in requests a second; None if it cannot be read."""
+    try:
+        rate_per_s = float(text)
+    except ValueError:
+        return None
+    return rate_per_s if 0 <= rate_per_s < math.inf else None
+
+
 def _final_response_started(sock: socket.socket) -> bool:
     """Return whether a readable socket holds more than interim (1xx) responses."""
     unread = sock.recv(PEEK_BYTES, socket.MSG_PEEK)
@@ -754,6 +776,7 @@
         latency_s = self.call.elapsed_s()
         if not self.exchange.mark_response_started():
             raise self._connection_error(None)
+        self._record_rate_limit(response)
         self._raise_if_not_run(response)
         self.call.attempt.mark_response_started(latency_s)
         if not self.request.idempotent:
@@ -838,6 +861,18 @@
             raise self._connection_error(error) from error
         return response, connection.last_response
 
+    def _record_rate_limit(self, response: HTTPResponse) -> None:
+        header = self.dialect.rate_limit_header
+        if header is None or response.status == WRONG_TARGET_STATUS:
+            return
+        text = response.headers.get(header)
+        limit_per_s = None if text is None else _parse_rate(text)
+        if text is not None and limit_per_s is None:
+            target = self.call.attempt.target.name
+            log_warning("rate_limit_unreadable", target=target, value=text)
+            return
+        self.call.attempt.record_rate_limit(limit_per_s, response.status < 400)
+
     def _raise_if_not_run(self, response: HTTPResponse) -> None:
         marked_not_run = response.headers.get(self.dialect.not_run_header) == "1"
         marked_not_run = marked_not_run and response.status >= 400
--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -88,6 +88,10 @@
     def mark_response_started(self, latency_s: float) -> None:
         """Do nothing: latency is not used as evidence."""
 
+    def record_rate_limit(self, limit_per_s: float | None, served: bool) -> None:
+        """Record the rate that the target states in a response."""
+        self.table.record_rate_limit(self, limit_per_s, served)
+
     def finish(self, outcome: Outcome) -> None:
         """Record the end of the attempt; later calls have no effect."""
         self.table.finish(self, outcome)
@@ -127,6 +131,8 @@
     shed_until_s: float = 0.0
     consecutive_sheds: int = 0
     pending_attempts: set = field(factory=set)
+    rate_limit_per_s: float | None = None
+    """Requests a second that the target takes from the whole fleet; None: no limit."""
 
     def load(self, now_s: float) -> float:
         """Return the requests in flight for each slot, over all instances."""
@@ -380,6 +386,39 @@
 
     # ---- outcomes ----
 
+    def record_rate_limit(
+        self, attempt: MeshAttempt, limit_per_s: float | None, served: bool
+    ) -> None:
+        """Record the rate that a target states, or that it states none."""
+        with self.lock:
+            if limit_per_s is None and not served:
+                # An error response may lack the statement although the limit holds.
+                return
+            self._set_rate_limit(attempt.state, limit_per_s, self.instance)
+
+    def _set_rate_limit(
+        self, state: _TargetState, limit_per_s: float | None, instance: str
+    ) -> None:
+        if state.rate_limit_per_s == limit_per_s:
+            return
+        state.rate_limit_per_s = limit_per_s
+        log_info(
+            "target_rate_limited",
+            target=state.target.name,
+            service=state.registered.service,
+            limit_per_s="-" if limit_per_s is None else limit_per_s,
+            by=instance,
+        )
+
+    def count_rate_limited(self) -> dict[str, int]:
+        """Return the number of targets of each service that state a limit."""
+        with self.lock:
+            return Counter(
+                state.registered.service
+                for state in self.states.values()
+                if state.rate_limit_per_s is not None
+            )
+
     def finish(self, attempt: MeshAttempt, outcome: Outcome) -> None:
         """Record the end of an attempt."""
         with self.lock:
--- a/src/lacewinglift/mesh/telemetry.py
+++ b/src/lacewinglift/mesh/telemetry.py
@@ -112,6 +112,7 @@
         yield self._versions()
         yield self._members()
         yield self._targets()
+        yield self._rate_limited_targets()
         yield self._tokens()
         yield self._resends()
         yield from self._store_calls()
@@ -166,6 +167,16 @@
             targets.add_metric([service, state], count)
         return targets
 
+    def _rate_limited_targets(self) -> Metric:
+        targets = GaugeMetricFamily(
+            "lacewinglift_targets_rate_limited",
+            "Targets of each service that state the rate that they take.",
+            labels=["service"],
+        )
+        for service, count in sorted(self.targets.count_rate_limited().items()):
+            targets.add_metric([service], count)
+        return targets
+
     def _tokens(self) -> Metric:
         tokens = GaugeMetricFamily(
             "lacewinglift_quota_tokens",
--- a/src/lacewinglift/targets.py
+++ b/src/lacewinglift/targets.py
@@ -121,6 +121,9 @@
         """Record that the response head arrived; a long body may follow."""
         self.service.mark_response_started(self, latency_s)
 
+    def record_rate_limit(self, limit_per_s: float | None, served: bool) -> None:
+        """Do nothing: only instances of a mesh keep a rate that a target states."""
+
     def finish(self, outcome: Outcome) -> None:
         """Record the end of the attempt; later calls have no effect."""
         self.service.finish(self, outcome)
--- a/testing/standins/proxy_harness.py
+++ b/testing/standins/proxy_harness.py
@@ -41,6 +41,7 @@
     outcomes: list
     on_ejected: object = None
     response_started: bool = False
+    rate_limits: list = field(factory=list)
 
     def log_fields(self):
         return {"load": 0.0}
@@ -48,6 +49,9 @@
     def mark_response_started(self, latency_s):
         self.response_started = True
 
+    def record_rate_limit(self, limit_per_s, served):
+        self.rate_limits.append((limit_per_s, served))
+
     def finish(self, outcome):
         self.outcomes.append((self.target.name, outcome))
 
--- a/testing/test_dialects.py
+++ b/testing/test_dialects.py
@@ -4,6 +4,7 @@
 import time
 
 import pytest
+from attrs import evolve
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, EndsWith, Equals, GreaterThan, LessThan, Not
 
@@ -197,3 +198,29 @@
         time.sleep(1.3)
         call(proxy, "POST", "/cassa")
     assert_that(target.connections, Equals(connections))
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "expected"),
+    [
+        (200, ["Server-Limit: 1.5"], [(1.5, True)]),
+        (500, ["Server-Limit: 0"], [(0.0, False)]),
+        (503, ["Not-Run: 1", "Server-Limit: 2"], [(2.0, False)]),
+        (200, [], [(None, True)]),
+        (200, ["Server-Limit: many"], []),
+        (200, ["Server-Limit: -1"], []),
+        (200, ["Server-Limit: nan"], []),
+        (421, ["Server-Limit: 3"], []),
+    ],
+)
+def test_rate_that_a_target_states_is_read(status, headers, expected):
+    """Guards against a limit that is missed, or taken from an unreadable statement."""
+    target = ScriptedTarget(serve_bytes(make_response(status, b"", ID, *headers)))
+    dialect = evolve(DIALECT, rate_limit_header="server-limit")
+    try:
+        with running_proxy([target.address], dialect=dialect) as proxy:
+            call(proxy, "POST", "/cassa", ID)
+            (attempt,) = proxy.selector.attempts
+    finally:
+        target.close()
+    assert_that(attempt.rate_limits, Equals(expected))
