--- a/testing/mesh/simulated_fleet.py
+++ b/testing/mesh/simulated_fleet.py
@@ -36,6 +36,10 @@
 RESPONSE_BYTES = (1500, 5000, 90_000)
 RESPONSE_WEIGHTS = (207, 99, 38)
 STORE_DRIVER = "simulated"
+# The users' rule for a target that states a rate, in any window.
+RATE_LIMIT_WINDOW_S = 4.0
+RATE_LIMIT_FACTOR = 1.5
+RATE_LIMIT_SLACK = 5
 
 
 @store_driver(STORE_DRIVER)
@@ -157,6 +161,11 @@
     due_requests: dict = field(factory=lambda: defaultdict(float))
     codec: VersionCodec = field(init=False)
     failing: set = field(init=False)
+    rate_limits: dict = field(factory=dict)
+    """Requests a second that targets state in their responses."""
+    arrivals: dict = field(factory=lambda: defaultdict(list))
+    """Times at which requests were sent to each target."""
+    requests_without_target: int = 0
 
     def __attrs_post_init__(self):
         names = [f"w{number}" for number in range(self.workspaces)]
@@ -307,7 +316,9 @@
         instance.retry_budgets.budget_for(SERVICE).record_request()
         attempt = instance.targets.acquire(SERVICE)
         if attempt is None:
+            self.requests_without_target += 1
             return
+        self.arrivals[attempt.target.name].append(self.timers.now())
         failing = attempt.target.name in self.failing
         failed = failing and self.random.random() < FAILURE_SHARE
         kind = OutcomeKind.ERROR if failed else OutcomeKind.SUCCESS
@@ -315,12 +326,25 @@
         ends_s = self.timers.now() + lasts_s
 
         def end():
+            limit_per_s = self.rate_limits.get(attempt.target.name)
+            attempt.record_rate_limit(limit_per_s, not failed)
             attempt.finish(Outcome(kind, lasts_s, response_bytes))
             link = self.links[instance.settings.instance]
             link.send(self.timers.now(), response_bytes)
 
         self.at(ends_s, end)
 
+    def arrivals_over_the_limit(self, name, limit_per_s, since_s):
+        """Return by how much the worst window exceeds the users' rule for a target."""
+        allowed = RATE_LIMIT_FACTOR * limit_per_s * RATE_LIMIT_WINDOW_S
+        allowed += RATE_LIMIT_SLACK
+        times_s = [time_s for time_s in self.arrivals[name] if time_s >= since_s]
+        worst = 0
+        for start_s in times_s:
+            end_s = start_s + RATE_LIMIT_WINDOW_S
+            worst = max(worst, sum(start_s <= time_s < end_s for time_s in times_s))
+        return worst - allowed
+
     def datagram_counts(self):
         """Return the datagrams that each instance has sent, by name."""
         return {
