Keep to the rate that a target states, over the whole fleet

Nothing read the statement, so they kept the load that in-flight counts give any target: i-80b61c93ad got 3.2 requests a second before it named its limit and 4.3 after.

What a target states now reaches all instances in heartbeats, the later statement going before the earlier, and newcomers with their first full one. The rate is divided beforehand, as it can be far less than what many instances send before they hear of each other: by rendezvous rank of the instances that serve callers, as many get a share as leaves each at least one request a second. The others send the target nothing; where no target is left, the request is refused at once. A target that takes nothing is asked once in 5 s, so that the end of its need shows.

Ruled out: resends and trials as the cause (none of these targets turned a request away). Not tried: one token bucket that all instances keep alike, as for rates of workspaces; twelve instances that see the same token at once send more than the 11 requests that are allowed.

--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -26,6 +26,7 @@
 )
 from lacewinglift.mesh.members import MemberTable, PeerAddresses
 from lacewinglift.mesh.observers import Codec, Observer, try_read_configuration
+from lacewinglift.mesh.rate_shares import RateShares
 from lacewinglift.mesh.registry import TargetRegistry, from_message
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets
 from lacewinglift.mesh.settings import MeshSettings
@@ -128,6 +129,13 @@
             self.reachable_fraction,
             self.history,
         )
+        self.rate_shares = RateShares(
+            self.timers,
+            settings.instance,
+            self._serving_names,
+            self.reachable_fraction,
+        )
+        self.targets.rate_share = self.rate_shares.rate_per_s
         self.peer_addresses = PeerAddresses(
             self.timers, settings.seeds, settings.heartbeat_address
         )
@@ -303,6 +311,17 @@
         rate_per_s = self.retry_budgets.own_request_rate_per_s()
         return rate_per_s >= ACTIVE_RATE_FRACTION * self.settings.instance_rate_per_s
 
+    def _serving_names(self) -> list[str]:
+        """Return the instances that share the rates that targets take."""
+        names = [
+            member.name
+            for member in self.members.active()
+            if member.heartbeat.state == beats_pb2.SERVING
+        ]
+        if self.is_ready() and self.is_active():
+            names.append(self.settings.instance)
+        return names
+
     def _schedule_active_heartbeat(self) -> None:
         if self.is_active():
             self.heartbeats.schedule_active_heartbeat()
@@ -330,6 +349,7 @@
 
     def _registry_changed(self) -> None:
         self.targets.apply(list(self.registry.targets.values()))
+        self.rate_shares.forget_others(set(self.registry.targets))
         self._update_started()
         self.heartbeats.send_soon()
 
@@ -400,6 +420,7 @@
             self._schedule_active_heartbeat()
         heartbeat.usages.extend(self.quota.usages(full=False))
         heartbeat.resends.extend(self.retry_budgets.resend_counts(full=False))
+        heartbeat.rate_limits.extend(self.targets.rate_limits(full=False))
         return heartbeat
 
     def _build_full_heartbeat(
@@ -410,8 +431,10 @@
         heartbeat.CopyFrom(brief)
         heartbeat.ClearField("usages")
         heartbeat.ClearField("resends")
+        heartbeat.ClearField("rate_limits")
         heartbeat.usages.extend(self.quota.usages(full=True))
         heartbeat.resends.extend(self.retry_budgets.resend_counts(full=True))
+        heartbeat.rate_limits.extend(self.targets.rate_limits(full=True))
         settings = self.settings
         heartbeat.description.data_centre = settings.data_centre
         heartbeat.description.caller_address = settings.caller_address
@@ -449,6 +472,7 @@
         member.last_evidence_number = self.targets.record_peer_evidence(
             heartbeat, member.last_evidence_number
         )
+        self.targets.record_peer_rate_limits(heartbeat)
         self.snapshot_fetcher.process_heartbeat(heartbeat)
 
     def _fetch_snapshot(self, source: beats_pb2.Description) -> None:
--- /dev/null
+++ b/src/lacewinglift/mesh/stated_limits.py
@@ -0,0 +1,47 @@
+"""The rate that one target states it takes, and what this instance has left of it."""
+
+import math
+
+from attrs import define
+
+# A share that is not used does not add up to more than this many requests.
+MAX_TOKENS = 1.0
+
+
+@define
+class StatedLimit:
+    """What a target last stated, to any instance, about the rate that it takes."""
+
+    limit_per_s: float | None = None
+    """Requests a second from the whole fleet; None if it states no limit."""
+    stated_at_s: float = -math.inf
+    """Time of the response with the statement."""
+    heard_at_s: float = -math.inf
+    """Time of the last response to this instance with the statement."""
+    tokens: float = 0.0
+    refilled_at_s: float = 0.0
+
+    def update(self, limit_per_s: float | None, stated_at_s: float) -> bool:
+        """Accept a statement unless a later one is known; return whether it differs."""
+        if stated_at_s <= self.stated_at_s:
+            return False
+        self.stated_at_s = stated_at_s
+        if limit_per_s == self.limit_per_s:
+            return False
+        if self.limit_per_s is None:
+            self.tokens = 0.0
+            self.refilled_at_s = stated_at_s
+        self.limit_per_s = limit_per_s
+        return True
+
+    def has_token(self, now_s: float, rate_per_s: float) -> bool:
+        """Return whether a request may be sent now, at a share of the rate."""
+        gained = (now_s - self.refilled_at_s) * rate_per_s
+        self.tokens = min(self.tokens + gained, MAX_TOKENS)
+        self.refilled_at_s = now_s
+        return self.tokens >= 1.0
+
+    def take_token(self) -> None:
+        """Count a request that is sent."""
+        if self.limit_per_s is not None:
+            self.tokens -= 1.0
--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -20,6 +20,7 @@
 from lacewinglift.generated.beats_pb2 import FAILED, SERVED, UNREACHED
 from lacewinglift.logs import log_info
 from lacewinglift.mesh.registry import RegisteredTarget
+from lacewinglift.mesh.stated_limits import StatedLimit
 from lacewinglift.outcomes import Outcome, OutcomeKind
 from lacewinglift.timers import Timers
 
@@ -131,8 +132,7 @@
     shed_until_s: float = 0.0
     consecutive_sheds: int = 0
     pending_attempts: set = field(factory=set)
-    rate_limit_per_s: float | None = None
-    """Requests a second that the target takes from the whole fleet; None: no limit."""
+    limit: StatedLimit = field(factory=StatedLimit)
 
     def load(self, now_s: float) -> float:
         """Return the requests in flight for each slot, over all instances."""
@@ -217,6 +217,8 @@
         self.on_event = on_event
         self.has_connection: Callable[[str], bool] = lambda address: True
         """Returns whether an idle connection to an address is available."""
+        self.rate_share: Callable[[str, float], float] = lambda target, limit: limit
+        """Returns the share of this instance in the rate that a target takes."""
         self.random = random or Random()
         self.states: dict[str, _TargetState] = {}
         self.by_service: dict[str, list[_TargetState]] = {}
@@ -289,6 +291,7 @@
             if chosen is None:
                 return None
             state = chosen.state
+            state.limit.take_token()
             log_fields = _choice_log_fields(chosen, candidates, now)
             attempt = MeshAttempt(
                 state.target, now, state, self, repeatable, log_fields
@@ -305,12 +308,22 @@
         for state in self.by_service.get(service_name, []):
             if state.registered.leaving or state.target.name in exclude:
                 continue
+            if not self._within_rate_limit(state, now_s):
+                continue
             load = state.load(now_s)
             if load < MAX_LOAD:
                 eligible = self._is_eligible(state, now_s, SUSPECT_HOLD_OFF_S)
                 candidates.append(_Candidate(state, load, eligible))
         return candidates
 
+    def _within_rate_limit(self, state: _TargetState, now_s: float) -> bool:
+        """Return whether this instance may send the target a request now."""
+        limit_per_s = state.limit.limit_per_s
+        if limit_per_s is None:
+            return True
+        rate_per_s = self.rate_share(state.target.name, limit_per_s)
+        return state.limit.has_token(now_s, rate_per_s)
+
     def _choose(
         self, candidates: list[_Candidate], repeatable: bool, now_s: float
     ) -> _Candidate | None:
@@ -394,14 +407,23 @@
             if limit_per_s is None and not served:
                 # An error response may lack the statement although the limit holds.
                 return
-            self._set_rate_limit(attempt.state, limit_per_s, self.instance)
+            now = self.timers.now()
+            state = attempt.state
+            if limit_per_s is not None or state.limit.limit_per_s is not None:
+                state.limit.heard_at_s = now
+            if self._set_rate_limit(state, limit_per_s, now, self.instance):
+                self.on_event()
 
     def _set_rate_limit(
-        self, state: _TargetState, limit_per_s: float | None, instance: str
-    ) -> None:
-        if state.rate_limit_per_s == limit_per_s:
-            return
-        state.rate_limit_per_s = limit_per_s
+        self,
+        state: _TargetState,
+        limit_per_s: float | None,
+        stated_at_s: float,
+        instance: str,
+    ) -> bool:
+        """Apply a statement of a target; return whether its limit changes."""
+        if not state.limit.update(limit_per_s, stated_at_s):
+            return False
         log_info(
             "target_rate_limited",
             target=state.target.name,
@@ -409,6 +431,7 @@
             limit_per_s="-" if limit_per_s is None else limit_per_s,
             by=instance,
         )
+        return True
 
     def count_rate_limited(self) -> dict[str, int]:
         """Return the number of targets of each service that state a limit."""
@@ -416,7 +439,7 @@
             return Counter(
                 state.registered.service
                 for state in self.states.values()
-                if state.rate_limit_per_s is not None
+                if state.limit.limit_per_s is not None
             )
 
     def finish(self, attempt: MeshAttempt, outcome: Outcome) -> None:
@@ -557,6 +580,44 @@
                 for event in self.events
             ]
 
+    def rate_limits(self, full: bool) -> list[beats_pb2.TargetRateLimit]:
+        """Return what targets stated recently, to send to other instances.
+
+        Parameters
+        ----------
+        full : bool
+            Whether to include what targets stated to other instances, and earlier.
+        """
+        now = self.timers.now()
+        with self.lock:
+            return [
+                beats_pb2.TargetRateLimit(
+                    target=state.target.name,
+                    born_ms=state.registered.born_ms,
+                    limit_per_s=state.limit.limit_per_s,
+                    age_ms=int((now - state.limit.stated_at_s) * 1000),
+                )
+                for state in self.states.values()
+                if now - state.limit.heard_at_s <= EVENT_REPEAT_S
+                or (full and state.limit.limit_per_s is not None)
+            ]
+
+    def record_peer_rate_limits(self, heartbeat: beats_pb2.Beat) -> None:
+        """Apply what targets stated to another instance."""
+        now = self.timers.now()
+        with self.lock:
+            for report in heartbeat.rate_limits:
+                state = self.states.get(report.target)
+                if state is None or state.registered.born_ms != report.born_ms:
+                    continue
+                limit_per_s = None
+                if report.HasField("limit_per_s"):
+                    limit_per_s = report.limit_per_s
+                stated_at_s = now - report.age_ms / 1000
+                self._set_rate_limit(
+                    state, limit_per_s, stated_at_s, heartbeat.instance
+                )
+
     def loads(self) -> list[beats_pb2.TargetLoad]:
         """Return the requests in flight of this instance, to send to the others."""
         with self.lock:
--- a/testing/mesh/test_target_table.py
+++ b/testing/mesh/test_target_table.py
@@ -248,3 +248,37 @@
                 )
         timers.advance(1 / 35)
     assert_that(lost / sent, LessThan(0.06))
+
+
+def test_statements_of_targets_reach_other_instances(pair, timers):
+    """Guards against a limit, or its end, that only one instance knows."""
+    sender, receiver = pair
+    attempt = sender.acquire("cassa", {"t1", "t2", "t3"})
+    attempt.record_rate_limit(2.0, served=False)
+    send_rate_limits(sender, receiver)
+    assert_that(receiver.states["t0"].limit.limit_per_s, Equals(2.0))
+    timers.advance(0.1)
+    attempt.record_rate_limit(None, served=False)
+    send_rate_limits(sender, receiver)
+    assert_that(receiver.states["t0"].limit.limit_per_s, Equals(2.0))
+    attempt.record_rate_limit(None, served=True)
+    send_rate_limits(sender, receiver)
+    assert_that(receiver.states["t0"].limit.limit_per_s, Equals(None))
+
+
+def test_full_heartbeat_tells_newcomers_of_earlier_limits(pair, timers):
+    """Guards against a new process that sends to targets in need as to others."""
+    sender, receiver = pair
+    attempt = sender.acquire("cassa", {"t1", "t2", "t3"})
+    attempt.record_rate_limit(2.0, served=True)
+    timers.advance(10.0)
+    send_rate_limits(sender, receiver)
+    assert_that(receiver.states["t0"].limit.limit_per_s, Equals(None))
+    send_rate_limits(sender, receiver, full=True)
+    assert_that(receiver.states["t0"].limit.limit_per_s, Equals(2.0))
+
+
+def send_rate_limits(sender, receiver, full=False):
+    heartbeat = beats_pb2.Beat(instance=sender.instance, incarnation=1)
+    heartbeat.rate_limits.extend(sender.rate_limits(full))
+    receiver.record_peer_rate_limits(heartbeat)
