Do not charge the counts of an old instance to one of the first start

An instance of the fleet's first start took any count that it first heard of as made within its time, as it reports an unlimited history. What an instance had admitted while it was cut off from the start on was charged at once.

--- a/src/lacewinglift/mesh/peer_counters.py
+++ b/src/lacewinglift/mesh/peer_counters.py
@@ -3,6 +3,7 @@
 from attrs import define, field
 
 from lacewinglift.generated import beats_pb2
+from lacewinglift.mesh.fleet_history import MAX_HISTORY_MS
 
 # A count is repeated in heartbeats for this long, since datagrams can be lost.
 COUNT_REPEAT_S = 2.0
@@ -45,10 +46,18 @@
         """
         known = self.peers.get(heartbeat.instance)
         if known is None or known.incarnation != heartbeat.incarnation:
-            started_later = 0 < heartbeat.history_ms < own_history_s * 1000
-            known = _PeerCounts(heartbeat.incarnation, started_later)
+            known = _PeerCounts(
+                heartbeat.incarnation, _started_within(heartbeat, own_history_s)
+            )
             self.peers[heartbeat.instance] = known
             return known
         # The first heartbeat that is processed reports all counts above zero.
         known.has_baseline = True
         return known
+
+
+def _started_within(heartbeat: beats_pb2.Beat, duration_s: float) -> bool:
+    """Return whether the sender of a heartbeat has started within the last seconds."""
+    # The maximum stands for a sender that started with the fleet, however long ago.
+    limit_ms = min(duration_s * 1000, MAX_HISTORY_MS)
+    return 0 < heartbeat.history_ms < limit_ms
--- a/testing/mesh/test_fleet_limits.py
+++ b/testing/mesh/test_fleet_limits.py
@@ -4,11 +4,13 @@
 
 from lacewinglift.configuration import Configuration, Fleet, Workspace
 from lacewinglift.generated import beats_pb2
+from lacewinglift.mesh.fleet_history import FleetHistory
 from lacewinglift.mesh.fleet_limits import (
     MAX_TOKEN_WAIT_S,
     MIN_BURST_S,
     FleetQuota,
 )
+from lacewinglift.mesh.members import MemberTable
 from lacewinglift.timers import ManualTimers
 
 HOUSE = Workspace("house", rate_per_s=10.0, burst=10)
@@ -166,3 +168,16 @@
     heartbeat.usages.add(workspace="house", admitted=20)
     quota.record_peer_usage(heartbeat)
     assert not quota.admit(HOUSE).admitted
+
+
+def test_first_counts_of_an_old_instance_are_not_charged_to_a_first_start(timers):
+    """Guards against charging at once what an instance admitted while cut off."""
+    members = MemberTable("self", timers)
+    history = FleetHistory(timers, members, first_start=True)
+    quota = FleetQuota(timers, lambda: 1.0, history)
+    quota.apply(make_configuration())
+    timers.advance(2.0)
+    old = beats_pb2.Beat(instance="old", incarnation=1, history_ms=history.own_ms())
+    old.usages.add(workspace="house", admitted=500)
+    quota.record_peer_usage(old)
+    assert quota.admit(HOUSE).admitted
