Send the levels of buckets in full heartbeats only

Newcomers get a full heartbeat of each instance as they join, so that the brief ones need no levels.

--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -140,7 +140,8 @@
         """Return whether the sender knows better what was admitted recently."""
         if self.history is None or self.history.has_heard_all():
             return False
-        return heartbeat.history_ms > self.history.own_ms()
+        is_full = heartbeat.HasField("description")
+        return is_full and heartbeat.history_ms > self.history.own_ms()
 
     def levels(self) -> dict[str, float]:
         """Return the tokens in the bucket of each workspace."""
@@ -157,7 +158,9 @@
         with self._lock:
             return [
                 beats_pb2.Usage(
-                    workspace=name, admitted=bucket.admitted, tokens=bucket.level
+                    workspace=name,
+                    admitted=bucket.admitted,
+                    tokens=bucket.level if full else None,
                 )
                 for name, bucket in self.buckets.items()
                 if bucket.last_admitted_at_s >= since_s or (full and bucket.admitted)
