Ask a target whose stated rate goes unused, so that its end is noticed

The instance that had the share chose nearer targets each time; only a response without the statement ends a limit, so it stayed. A target whose share has added up is now chosen first.

A new test of the choice failed before.

--- a/src/lacewinglift/mesh/stated_limits.py
+++ b/src/lacewinglift/mesh/stated_limits.py
@@ -42,6 +42,10 @@
         self.refilled_at_s = now_s
         return self.tokens >= 1.0
 
+    def is_share_unused(self) -> bool:
+        """Return whether a limit holds and the share has gone unused for a while."""
+        return self.limit_per_s is not None and self.tokens >= MAX_TOKENS
+
     def take_token(self) -> None:
         """Count a request that is sent."""
         if self.limit_per_s is not None:
--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -378,15 +378,17 @@
         return state.shed_until_s > now_s, last_problem_s
 
     def _least_loaded(self, candidates: list[_Candidate], now_s: float) -> _Candidate:
-        def cost(candidate: _Candidate) -> tuple[float, float]:
+        def cost(candidate: _Candidate) -> tuple[bool, float, float]:
             state, load = candidate.state, candidate.load
+            # Only a response shows that the need of a target has ended.
+            is_due = state.limit.is_share_unused()
             if not state.near:
                 load += self._remote_penalty(state.registered.service)
             if now_s < state.slow_start_until_s:
                 load += SLOW_START_PENALTY
             if not self.has_connection(state.target.address):
                 load += NEW_CONNECTION_PENALTY
-            return load, self.random.random()
+            return not is_due, load, self.random.random()
 
         return min(candidates, key=cost)
 
--- a/testing/mesh/test_target_table.py
+++ b/testing/mesh/test_target_table.py
@@ -282,3 +282,19 @@
     heartbeat = beats_pb2.Beat(instance=sender.instance, incarnation=1)
     heartbeat.rate_limits.extend(sender.rate_limits(full))
     receiver.record_peer_rate_limits(heartbeat)
+
+
+def test_limited_target_is_asked_when_its_share_goes_unused(pair, timers):
+    """Guards against a limit that stays because nobody asks its target again.
+
+    The other targets are nearer, so that they are chosen for each request.
+    """
+    table, _ = pair
+    far = evolve(make_target(0), data_centre="verona")
+    table.apply([far, *(make_target(number) for number in range(1, 4))])
+    attempt = table.acquire("cassa", {"t1", "t2", "t3"})
+    attempt.record_rate_limit(1.0, served=True)
+    attempt.finish(SUCCESS)
+    timers.advance(3.0)
+    names = chosen_names(table, count=4)
+    assert_that(names, Contains("t0"))
