Report the present levels of buckets to restarted processes

A full heartbeat told the level of a bucket as of its last use, however long ago. A process that restarted took it over and refused requests of a workspace that had been idle for a minute.

--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -146,16 +146,22 @@
     def levels(self) -> dict[str, float]:
         """Return the tokens in the bucket of each workspace."""
         fraction = self.reachable_fraction()
-        now = self.timers.now()
         with self._lock:
-            for bucket in self.buckets.values():
-                bucket.refill(now, fraction)
+            self._refill_all(fraction)
             return {name: bucket.level for name, bucket in self.buckets.items()}
 
+    def _refill_all(self, fraction: float) -> None:
+        now = self.timers.now()
+        for bucket in self.buckets.values():
+            bucket.refill(now, fraction)
+
     def usages(self, full: bool) -> list[beats_pb2.Usage]:
         """Return all counts, or the recently increased ones, to send to others."""
         since_s = self.timers.now() - COUNT_REPEAT_S
+        fraction = self.reachable_fraction()
         with self._lock:
+            if full:
+                self._refill_all(fraction)
             return [
                 beats_pb2.Usage(
                     workspace=name,
--- a/testing/mesh/test_fleet_limits.py
+++ b/testing/mesh/test_fleet_limits.py
@@ -181,3 +181,21 @@
     old.usages.add(workspace="house", admitted=500)
     quota.record_peer_usage(old)
     assert quota.admit(HOUSE).admitted
+
+
+def test_restarted_instance_takes_the_present_level_from_its_peers(timers):
+    """Guards against a level of long ago, for which requests are refused."""
+    members = MemberTable("self", timers)
+    peer = FleetQuota(timers, lambda: 1.0)
+    peer.apply(make_configuration())
+    timers.advance(2.0)
+    count_admitted(peer, 12)
+    timers.advance(60.0)
+    history = FleetHistory(timers, members, first_start=False)
+    restarted = FleetQuota(timers, lambda: 1.0, history)
+    restarted.apply(make_configuration())
+    heartbeat = beats_pb2.Beat(instance="peer", incarnation=1, history_ms=60_000)
+    heartbeat.description.beat_address = "10.0.0.1:81"
+    heartbeat.usages.extend(peer.usages(full=True))
+    restarted.record_peer_usage(heartbeat)
+    assert_that(count_admitted(restarted, 10), Equals(10))
