--- a/testing/load/undecided.py
+++ b/testing/load/undecided.py
@@ -34,9 +34,16 @@
     target: Target
     on_ejected: object = None
 
+    def log_fields(self) -> dict[str, object]:
+        """Return nothing: the target is not chosen by any data."""
+        return {}
+
     def mark_response_started(self, latency_s: float) -> None:
         """Ignore the answer."""
 
+    def record_rate_limit(self, limit_per_s: float | None, served: bool) -> None:
+        """Ignore the rate that the target states."""
+
     def finish(self, outcome: Outcome) -> None:
         """Ignore the outcome."""
 
--- a/testing/test_load.py
+++ b/testing/test_load.py
@@ -5,7 +5,7 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan, LessThan
+from testtools.matchers import Equals, GreaterThan, LessThan, StartsWith
 
 from testing.fleet.processes import child_environment, python_command
 from testing.load.__main__ import parse_options
@@ -13,6 +13,8 @@
 from testing.load.procstat import CpuMeter, resident_mb
 from testing.load.reports import format_table, latency_rows, merge, plot_latency
 from testing.load.scraping import parse_metrics
+from testing.load.undecided import PlainTable
+from testing.standins.proxy_harness import call, running_proxy
 from testing.standins.target import TargetGroup
 
 
@@ -50,6 +52,14 @@
     assert_that(totals.percentile_ms(0.0), LessThan(300.0))
 
 
+def test_baseline_without_decisions_forwards_requests(target):
+    """Guards against a baseline whose every request fails."""
+    with running_proxy([target.address]) as proxy:
+        table = PlainTable(proxy.distribution.configuration)
+        proxy.components.forwarder.target_selector = table
+        assert_that(call(proxy), StartsWith(b"HTTP/1.1 200 "))
+
+
 def test_failures_are_counted_by_kind(target):
     """Guards against errors that disappear from a measurement."""
     target.set(shed=True)
