--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -315,6 +315,46 @@
         "",
         "testing/test_forwarder.py -k started_response",
     ),
+    Mutation(
+        "departed-caller-not-noticed",
+        "cancelled-work",
+        "exchanges.py",
+        "if self.cancel_reason is None and _is_disconnected(self.caller_socket):",
+        "if False:",
+        "testing/test_departed_callers.py",
+    ),
+    Mutation(
+        "slack-not-shared",
+        "retry-budget",
+        "mesh/retry_budgets.py",
+        "return left * share + rounding_offset",
+        "return left + rounding_offset",
+        "testing/mesh/test_retry_budget.py -k same_remainder",
+    ),
+    Mutation(
+        "restart-forgets-resends",
+        "retry-budget",
+        "mesh/retry_budgets.py",
+        "return self.history is None or self.history.fleet_s() >= self.limits.window_s",
+        "return True",
+        "testing/mesh/test_retry_budget.py -k restarts",
+    ),
+    Mutation(
+        "levels-not-adopted",
+        "quota",
+        "mesh/fleet_limits.py",
+        "                if adopts_levels:\n",
+        "                if False:\n",
+        "testing/mesh/test_fleet_limits.py -k present_level",
+    ),
+    Mutation(
+        "first-counts-not-charged",
+        "quota",
+        "mesh/peer_counters.py",
+        "    return 0 < heartbeat.history_ms < limit_ms\n",
+        "    return False\n",
+        "testing/mesh/test_quota_restarts.py -k not_get_the_burst",
+    ),
 )
 
 
