--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -355,6 +355,22 @@
         "    return False\n",
         "testing/mesh/test_quota_restarts.py -k not_get_the_burst",
     ),
+    Mutation(
+        "stated-rate-ignored",
+        "target-rate",
+        "mesh/target_table.py",
+        "            if not self._within_rate_limit(state, now_s):\n",
+        "            if False:\n",
+        "testing/mesh/test_rate_limited_targets.py -k no_more_than",
+    ),
+    Mutation(
+        "stated-rate-not-divided",
+        "target-rate",
+        "mesh/rate_shares.py",
+        "        if self.own_name not in rank_candidates(target, names)[:count]:\n",
+        "        if False:\n",
+        "testing/mesh/test_rate_shares.py",
+    ),
 )
 
 
