--- a/testing/standins/scripted_targets.py
+++ b/testing/standins/scripted_targets.py
@@ -8,6 +8,9 @@
 
 from attrs import define, field
 
+# Limit for a test that does not open its gate.
+GATE_TIMEOUT_S = 10
+
 
 @define
 class ReceivedRequest:
@@ -125,3 +128,17 @@
 def serve_bytes(data):
     """Return a script that responds to each request with the same bytes."""
     return serve_responses(lambda received: data)
+
+
+def serve_with_gate(gate, data):
+    """Return a script that holds requests to paths with `slow` until a gate opens.
+
+    Each request gets the same bytes; `gate` is a `threading.Event`.
+    """
+
+    def reply(received):
+        if "slow" in received.line:
+            gate.wait(GATE_TIMEOUT_S)
+        return data
+
+    return serve_responses(reply)
--- a/testing/test_departed_callers.py
+++ b/testing/test_departed_callers.py
@@ -16,7 +16,7 @@
 from testing.standins.scripted_targets import (
     ScriptedTarget,
     make_response,
-    serve_responses,
+    serve_with_gate,
 )
 
 TOKEN_WAIT_S = 0.2
@@ -30,12 +30,7 @@
 
 @pytest.fixture
 def target(released):
-    def reply(received):
-        if "/slow" in received.line:
-            released.wait(5)
-        return make_response(200, b"sold")
-
-    target = ScriptedTarget(serve_responses(reply))
+    target = ScriptedTarget(serve_with_gate(released, make_response(200, b"sold")))
     yield target
     released.set()
     target.close()
--- a/testing/test_request_handler.py
+++ b/testing/test_request_handler.py
@@ -24,7 +24,7 @@
 from testing.standins.scripted_targets import (
     ScriptedTarget,
     make_response,
-    serve_responses,
+    serve_with_gate,
 )
 
 
@@ -35,12 +35,8 @@
 
 @pytest.fixture
 def proxy(gate):
-    def reply(received):
-        if "slow" in received.line:
-            gate.wait(10)
-        return make_response(200, b"sold", "X-Lacewinglift-Verdict: not_run")
-
-    target = ScriptedTarget(serve_responses(reply))
+    response = make_response(200, b"sold", "X-Lacewinglift-Verdict: not_run")
+    target = ScriptedTarget(serve_with_gate(gate, response))
     with running_proxy([target.address], worker_threads=8) as proxy:
         yield proxy
     gate.set()
--- a/testing/test_shutdown.py
+++ b/testing/test_shutdown.py
@@ -18,7 +18,7 @@
 from testing.standins.scripted_targets import (
     ScriptedTarget,
     make_response,
-    serve_responses,
+    serve_with_gate,
 )
 
 
@@ -29,12 +29,7 @@
 
 @pytest.fixture
 def proxy(gate):
-    def reply(received):
-        if "slow" in received.line:
-            gate.wait(10)
-        return make_response(200, b"sold")
-
-    target = ScriptedTarget(serve_responses(reply))
+    target = ScriptedTarget(serve_with_gate(gate, make_response(200, b"sold")))
     with running_proxy([target.address], request_timeout_s=20.0) as proxy:
         yield proxy
     gate.set()
