--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -15,6 +15,7 @@
 from lacewinglift.kv import STORE_DRIVERS
 from lacewinglift.logs import LEFT_OUT_REPORT_INTERVAL_S, log_info, report_left_out
 from lacewinglift.mesh.configuration_holder import ConfigurationHolder
+from lacewinglift.mesh.configuration_lag import ConfigurationLag
 from lacewinglift.mesh.directory import Directory
 from lacewinglift.mesh.fleet_history import FleetHistory
 from lacewinglift.mesh.fleet_limits import FleetQuota
@@ -107,6 +108,9 @@
         self.random = Random()
         self.metrics = Metrics()
         self.configuration_holder = ConfigurationHolder(self.timers)
+        self.configuration_lag = ConfigurationLag(
+            self.timers, self.configuration_holder.generation
+        )
         self.started = threading.Event()
         self.members = MemberTable(settings.instance, self.timers)
         self.traffic = MeshTraffic()
@@ -151,6 +155,7 @@
             settings.fetch_address,
             SnapshotService(self.build_snapshot, self.traffic),
             self.apply_snapshot,
+            self.timers,
         )
         self.snapshot_fetcher = SnapshotFetcher(
             self.timers,
@@ -188,6 +193,7 @@
             self.store,
             self.snapshots,
             self.traffic,
+            self.configuration_lag,
         )
         self.metrics.registry.register(collector)
         self.frontend = Frontend(settings, self._build_request_components(dialect))
@@ -331,6 +337,7 @@
     def apply_configuration(self, value: bytes) -> None:
         """Apply a configuration if it is valid and newer."""
         configuration = try_read_configuration(self.codec, value)
+        lag_s = self.configuration_lag.lag_s()
         if configuration is None or not self.configuration_holder.apply_if_newer(
             configuration, value
         ):
@@ -343,6 +350,7 @@
             generation=configuration.generation,
             routes=len(configuration.routes),
             workspaces=len(configuration.workspaces),
+            lag_s=lag_s,
         )
         self._update_started()
         self.heartbeats.send_soon()
@@ -473,6 +481,7 @@
             heartbeat, member.last_evidence_number
         )
         self.targets.record_peer_rate_limits(heartbeat)
+        self.configuration_lag.record(heartbeat.configuration_version)
         self.snapshot_fetcher.process_heartbeat(heartbeat)
 
     def _fetch_snapshot(self, source: beats_pb2.Description) -> None:
@@ -489,3 +498,6 @@
         if self.members.reachable():
             self.peer_addresses.expire()
         self.registry.remove_expired()
+        self.configuration_lag.report(
+            self.snapshots.failed_fetches, len(self.members.reachable())
+        )
--- a/src/lacewinglift/mesh/snapshots.py
+++ b/src/lacewinglift/mesh/snapshots.py
@@ -15,6 +15,7 @@
 from lacewinglift.loops import LoopRunner
 from lacewinglift.mesh.traffic import Direction, MeshTraffic, MessageKind
 from lacewinglift.socket_addresses import split_address
+from lacewinglift.timers import Durations, Timers
 
 FETCH_TIMEOUT_S = 1.0
 # The fastest one: a link of 5 Mbit/s gains little more from the others.
@@ -85,6 +86,8 @@
         Serves the snapshots.
     on_snapshot : callable
         Receives the fetched snapshots.
+    timers : Timers
+        Clock.
     """
 
     def __init__(
@@ -92,12 +95,15 @@
         address: str,
         service: SnapshotService,
         on_snapshot: Callable[[beats_pb2.Snapshot], None],
+        timers: Timers,
     ) -> None:
         self.address = address
         self.service = service
         self.on_snapshot = on_snapshot
+        self.timers = timers
         self.fetching = False
         self.failed_fetches = 0
+        self.fetch_times = Durations()
         self.lock = threading.Lock()
         self.runner = LoopRunner("snapshots", self._serve)
 
@@ -120,6 +126,7 @@
         )
 
     async def _fetch(self, address: str, request: beats_pb2.SnapshotRequest) -> None:
+        started_s = self.timers.now()
         try:
             reply = await fetch_snapshot(address, request)
             self.service.traffic.record(
@@ -128,10 +135,16 @@
             self.on_snapshot(reply)
         except _FETCH_ERRORS as error:
             self.failed_fetches += 1
-            log_info("snapshot_fetch_failed", peer=address, reason=repr(error))
+            log_info(
+                "snapshot_fetch_failed",
+                peer=address,
+                reason=repr(error),
+                after_s=self.timers.now() - started_s,
+            )
         except Exception:
             log_exception("snapshot_rejected", peer=address)
         finally:
+            self.fetch_times.record(self.timers.now() - started_s)
             with self.lock:
                 self.fetching = False
 
--- a/src/lacewinglift/mesh/telemetry.py
+++ b/src/lacewinglift/mesh/telemetry.py
@@ -16,6 +16,7 @@
 from lacewinglift.errors import LacewingliftError
 from lacewinglift.kv import KeyValueStore, Listing, WatchResult
 from lacewinglift.mesh.configuration_holder import ConfigurationHolder
+from lacewinglift.mesh.configuration_lag import ConfigurationLag
 from lacewinglift.mesh.fleet_limits import FleetQuota
 from lacewinglift.mesh.members import MemberTable
 from lacewinglift.mesh.observers import StoreContact
@@ -101,6 +102,7 @@
     store: InstrumentedStore
     snapshots: SnapshotExchange
     traffic: MeshTraffic
+    configuration_lag: ConfigurationLag
 
     def describe(self) -> Iterable[Metric]:
         """Return nothing: metric names are known only once they are collected."""
@@ -118,6 +120,8 @@
         yield from self._store_calls()
         yield from self.traffic.collect()
         yield self._failed_fetches()
+        yield self._fetch_times()
+        yield self._configuration_lag()
         yield self._timer_delays()
 
     def _ages(self) -> Metric:
@@ -204,6 +208,22 @@
             value=self.snapshots.failed_fetches,
         )
 
+    def _fetch_times(self) -> Metric:
+        times = self.snapshots.fetch_times
+        return SummaryMetricFamily(
+            "lacewinglift_snapshot_fetch_seconds",
+            "Duration of the fetches of a snapshot, failed ones included.",
+            count_value=times.count,
+            sum_value=times.total_s,
+        )
+
+    def _configuration_lag(self) -> Metric:
+        return GaugeMetricFamily(
+            "lacewinglift_configuration_lag_seconds",
+            "Time for which a newer configuration has been known of; 0 if none is.",
+            value=self.configuration_lag.lag_s(),
+        )
+
     def _timer_delays(self) -> Metric:
         delays = self.timers.delays
         return SummaryMetricFamily(
--- a/src/lacewinglift/request_handler.py
+++ b/src/lacewinglift/request_handler.py
@@ -173,6 +173,8 @@
         """Time for which the connection waited for a worker thread."""
         id_header = self.components.dialect.logged_id_header()
         self.logged_id = head.value(id_header) or "-"
+        self.received_bytes = 0
+        """Size of the response body that a target has sent."""
         self.service_name = "-"
         self.admission_log_fields: Mapping[str, object] = {}
 
@@ -216,6 +218,7 @@
             by=reason,
             reason=str(error) or type(error).__name__,
             after_s=self._elapsed_s(),
+            bytes=self.received_bytes,
         )
 
     def _elapsed_s(self) -> float:
@@ -420,6 +423,7 @@
                 self._access_checked_content(response.iter_content(), exchange),
             )
         finally:
+            self.received_bytes = response.body_bytes
             response.close()
         self._log_request_end(response, name)
         return f"{response.status // 100}xx"
--- a/src/lacewinglift/timers.py
+++ b/src/lacewinglift/timers.py
@@ -28,16 +28,16 @@
 
 
 @define(eq=False)
-class TimerDelays:
-    """Time by which callbacks started after they were due."""
+class Durations:
+    """Number and sum of durations."""
 
     count: int = 0
     total_s: float = 0.0
 
-    def record(self, delay_s: float) -> None:
-        """Count one callback."""
+    def record(self, duration_s: float) -> None:
+        """Count one duration."""
         self.count += 1
-        self.total_s += delay_s
+        self.total_s += duration_s
 
 
 class Timers(Protocol):
@@ -46,7 +46,8 @@
     Callbacks run one at a time and must not block.
     """
 
-    delays: TimerDelays
+    delays: Durations
+    """Time by which callbacks started after they were due."""
 
     def now(self) -> float:
         """Return monotonic time in seconds; it advances while a process is paused."""
@@ -88,7 +89,7 @@
 
     def __init__(self) -> None:
         self.schedule = _Schedule()
-        self.delays = TimerDelays()
+        self.delays = Durations()
         self.condition = threading.Condition()
         self.stopped = False
         self.thread = threading.Thread(target=self._run, name="timers", daemon=True)
@@ -167,7 +168,7 @@
     def __init__(self, start_s: float = 1000.0) -> None:
         self.time_s = start_s
         self.schedule = _Schedule()
-        self.delays = TimerDelays()
+        self.delays = Durations()
 
     def now(self) -> float:
         """Return the current manual time in seconds."""
--- a/testing/mesh/test_telemetry.py
+++ b/testing/mesh/test_telemetry.py
@@ -7,6 +7,7 @@
 from lacewinglift.errors import StoreUnavailableError
 from lacewinglift.kv import Listing
 from lacewinglift.mesh.configuration_holder import ConfigurationHolder
+from lacewinglift.mesh.configuration_lag import ConfigurationLag
 from lacewinglift.mesh.fleet_limits import FleetQuota
 from lacewinglift.mesh.members import MemberTable
 from lacewinglift.mesh.observers import StoreContact
@@ -48,8 +49,10 @@
             "127.0.0.1:0",
             SnapshotService(lambda request: None, MeshTraffic()),
             lambda snapshot: None,
+            timers,
         ),
         MeshTraffic(),
+        ConfigurationLag(timers, lambda: 3),
     )
 
 
@@ -120,6 +123,9 @@
     collector.traffic.record(MessageKind.HEARTBEAT, Direction.SENT, 400)
     collector.traffic.record(MessageKind.SNAPSHOT, Direction.RECEIVED, 9000)
     collector.snapshots.failed_fetches = 3
+    collector.snapshots.fetch_times.record(4.0)
+    collector.configuration_lag.record(4)
+    collector.timers.advance(2.0)
     collector.timers.delays.record(0.25)
     text = scrape(collector)
     for line in (
@@ -127,6 +133,8 @@
         'lacewinglift_mesh_bytes_total{direction="sent",kind="heartbeat"} 1000.0',
         'lacewinglift_mesh_bytes_total{direction="received",kind="snapshot"} 9000.0',
         "lacewinglift_snapshot_fetches_failed_total 3.0",
+        "lacewinglift_snapshot_fetch_seconds_sum 4.0",
+        "lacewinglift_configuration_lag_seconds 2.0",
         "lacewinglift_timer_delay_seconds_sum 0.25",
     ):
         assert line in text
