--- a/testing/mesh/simulated_fleet.py
+++ b/testing/mesh/simulated_fleet.py
@@ -78,9 +78,11 @@
     bytes_per_s: float
     free_at_s: float = 0.0
     max_wait_s: float = 0.0
+    other_traffic_s: float = 0.0
+    """Time for which each packet waits behind traffic that is not simulated."""
 
     def wait_s(self, now_s):
-        return max(self.free_at_s - now_s, 0.0)
+        return max(self.free_at_s - now_s, self.other_traffic_s)
 
     def send(self, now_s, size):
         """Send `size` bytes and return the time at which the last one has left."""
@@ -256,10 +258,15 @@
         heapq.heappush(self.pending, (time_s, next(self.counter), action))
 
     def transfer(self, snapshots, server, request):
-        """Send a snapshot in chunks over the server's link."""
+        """Send a snapshot in chunks over the server's link.
+
+        Opening the connection and the request each wait for the requester's link.
+        """
         started_s = self.timers.now()
         snapshot = server.build_snapshot(request)
         link = self.links[server.settings.instance]
+        requester_link = self.links[snapshots.instance.settings.instance]
+        request_arrives_s = started_s + 2 * requester_link.wait_s(started_s) + LATENCY_S
 
         def send_chunk(left):
             now = self.timers.now()
@@ -271,7 +278,7 @@
                 sent_s = link.send(now, min(left, CHUNK_BYTES)) + LATENCY_S
                 self.at(sent_s, lambda: send_chunk(left - CHUNK_BYTES))
 
-        self.at(started_s + LATENCY_S, lambda: send_chunk(snapshot.ByteSize()))
+        self.at(request_arrives_s, lambda: send_chunk(snapshot.ByteSize()))
 
     def run(self, duration_s, caller_rate_per_s, probe_rate_per_s):
         """Let callers send requests, and operators probe each instance.
--- a/testing/mesh/test_fleet_traffic.py
+++ b/testing/mesh/test_fleet_traffic.py
@@ -57,6 +57,26 @@
         assert_that(fleet.timers.now() - started_s, LessThan(CONFIGURATION_BOUND_S))
 
 
+@pytest.mark.parametrize("wait_s", [0.3, 0.6, 0.9])
+def test_configuration_reaches_an_instance_whose_link_is_full(wait_s):
+    """Load: each packet that one instance sends waits behind responses to its callers.
+
+    Guards against a fetch that is given up and starts anew before it can end, so that
+    the instance handles requests by an old version for as long as its link is full.
+    """
+    fleet = SimulatedFleet(12, SLOW_LINK_BYTES_PER_S)
+    run(fleet, 1.0)
+    late = fleet.instances[-1]
+    fleet.links[late.settings.instance].other_traffic_s = wait_s
+    run(fleet, 1.0)
+    started_s = fleet.timers.now()
+    for instance in fleet.instances[:3]:
+        instance.apply_configuration(fleet.configuration_value(2))
+    while fleet.generations() != {2}:
+        run(fleet, STEP_S)
+        assert_that(fleet.timers.now() - started_s, LessThan(CONFIGURATION_BOUND_S))
+
+
 def test_frequent_heartbeats_do_not_grow_with_instances_that_serve_no_callers():
     """Load: the same callers in fleets of 36 and of 72 instances.
 
--- a/testing/test_endless_responses.py
+++ b/testing/test_endless_responses.py
@@ -11,6 +11,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, EndsWith, Equals, LessThan, Not, StartsWith
 
+from lacewinglift.configuration import Route
 from lacewinglift.dialects import Dialect
 from lacewinglift.outcomes import OutcomeKind
 from lacewinglift.pools import PRUNE_INTERVAL_S
@@ -22,6 +23,9 @@
 # An invalid response has to be noticed by its bytes, long before the timeout.
 NOTICED_WITHIN_S = 2.0
 CLOSED_WITHIN_S = 1.0
+# The users' bound after the timeout of a route.
+ENDED_WITHIN_S = 0.5
+ROUTE_TIMEOUT_S = 1.0
 # Idle connections are checked once in each interval.
 IDLE_CLOSED_WITHIN_S = PRUNE_INTERVAL_S + CLOSED_WITHIN_S
 # Socket buffers of both sides hold bytes that nobody reads.
@@ -133,6 +137,63 @@
         assert wait_until(lambda: proxy.components.concurrency_limiter.in_progress == 0)
 
 
+def read_end(proxy, limit_s):
+    """Send a request and read for `limit_s` at most.
+
+    Returns the last bytes of the response, and whether the connection was closed.
+    """
+    end = b""
+    until_s = time.monotonic() + limit_s
+    with proxy.connect() as sock:
+        sock.sendall(request_bytes("POST", "/cassa", "Request-Id: own", body=b"x"))
+        with contextlib.suppress(TimeoutError):
+            while (left_s := until_s - time.monotonic()) > 0:
+                sock.settimeout(left_s)
+                try:
+                    block = sock.recv(65536)
+                except ConnectionResetError:
+                    return end, True
+                if not block:
+                    return end, True
+                end = block[-16:]
+    return end, False
+
+
+def stop_in_body(target, sock, stream):
+    """Send a part of a body and nothing more."""
+    read_body(stream, received := read_head(stream))
+    target.received.append(received)
+    sock.sendall(HEAD + b"Content-Length: 100\r\n\r\npart")
+    target.wait_until_closed(sock)
+
+
+UNFINISHED_BODIES = {
+    name: lambda start=start, block=block: EndlessTarget(start, block)
+    for name, (start, block) in ENDLESS_BODIES.items()
+} | {"stopped": lambda: stop_in_body}
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize("name", UNFINISHED_BODIES)
+def test_body_that_does_not_end_is_cut_at_the_timeout_of_its_route(name, idempotent):
+    """Guards against a response that holds its caller and a link past the timeout.
+
+    The head came in time. The target has failed, and the cut must not look complete.
+    """
+    script = UNFINISHED_BODIES[name]()
+    fields = {"request_timeout_s": SERVICE_TIMEOUT_S, "dialect": DIALECT}
+    with proxy_with_targets(script, **fields) as (proxy, _):
+        route = Route(
+            "/cassa", "cassa", timeout_s=ROUTE_TIMEOUT_S, idempotent=idempotent
+        )
+        proxy.publish(routes=(route,))
+        end, closed = read_end(proxy, ROUTE_TIMEOUT_S + ENDED_WITHIN_S)
+        assert closed
+        assert_that(end, Not(EndsWith(b"0\r\n\r\n")))
+        assert wait_until(proxy.selector.kinds)
+        assert_that(proxy.selector.kinds(), Equals([OutcomeKind.TIMEOUT]))
+
+
 @pytest.mark.parametrize("pause_s", [0.0, 0.2])
 def test_bytes_without_end_after_a_response_belong_to_no_request(pause_s):
     """Guards against a kept connection whose endless rest answers the next request."""
