--- a/src/lacewinglift/mesh/snapshots.py
+++ b/src/lacewinglift/mesh/snapshots.py
@@ -1,7 +1,6 @@
 """Snapshots of configuration and registry that instances fetch from each other."""
 
 import asyncio
-import threading
 import zlib
 from collections.abc import Callable
 
@@ -13,11 +12,13 @@
 from lacewinglift.generated.beats_grpc import SnapshotsBase, SnapshotsStub
 from lacewinglift.logs import log_exception, log_info
 from lacewinglift.loops import LoopRunner
+from lacewinglift.mesh.fetch_slots import FetchSlots
 from lacewinglift.mesh.traffic import Direction, MeshTraffic, MessageKind
 from lacewinglift.socket_addresses import split_address
 from lacewinglift.timers import Durations, Timers
 
-FETCH_TIMEOUT_S = 1.0
+# On a full link, opening the connection and the request each wait for a second or more.
+FETCH_TIMEOUT_S = 4.0
 # The fastest one: a link of 5 Mbit/s gains little more from the others.
 COMPRESSION_LEVEL = 1
 _FETCH_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
@@ -101,10 +102,9 @@
         self.service = service
         self.on_snapshot = on_snapshot
         self.timers = timers
-        self.fetching = False
+        self.slots = FetchSlots(timers)
         self.failed_fetches = 0
         self.fetch_times = Durations()
-        self.lock = threading.Lock()
         self.runner = LoopRunner("snapshots", self._serve)
 
     def start(self) -> None:
@@ -116,11 +116,9 @@
         self.runner.stop()
 
     def fetch(self, address: str, request: beats_pb2.SnapshotRequest) -> None:
-        """Fetch a snapshot in the background, unless a fetch is in progress."""
-        with self.lock:
-            if self.fetching:
-                return
-            self.fetching = True
+        """Fetch a snapshot in the background, unless one may be about to arrive."""
+        if not self.slots.try_start():
+            return
         asyncio.run_coroutine_threadsafe(
             self._fetch(address, request), self.runner.loop
         )
@@ -145,8 +143,7 @@
             log_exception("snapshot_rejected", peer=address)
         finally:
             self.fetch_times.record(self.timers.now() - started_s)
-            with self.lock:
-                self.fetching = False
+            self.slots.end()
 
     async def _serve(self) -> None:
         server = Server([self.service])
--- a/testing/mesh/simulated_fleet.py
+++ b/testing/mesh/simulated_fleet.py
@@ -10,6 +10,7 @@
 from lacewinglift.configuration import Configuration, Fleet, Workspace
 from lacewinglift.dialects import DEFAULT_DIALECT
 from lacewinglift.kv import Listing, store_driver
+from lacewinglift.mesh.fetch_slots import FetchSlots
 from lacewinglift.mesh.full_heartbeats import INITIAL_FULL_HEARTBEATS
 from lacewinglift.mesh.heartbeats import Recipients
 from lacewinglift.mesh.instance import MeshInstance
@@ -119,17 +120,19 @@
 
     fleet: "SimulatedFleet"
     instance: MeshInstance
-    fetching: bool = False
+    slots: FetchSlots = field(init=False)
     failed_fetches: int = 0
 
+    def __attrs_post_init__(self):
+        self.slots = FetchSlots(self.fleet.timers)
+
     def fetch(self, address, request):
-        if self.fetching:
+        if not self.slots.try_start():
             return
-        self.fetching = True
         self.fleet.transfer(self, self.fleet.by_fetch_address[address], request)
 
     def end(self, snapshot):
-        self.fetching = False
+        self.slots.end()
         if snapshot is None:
             self.failed_fetches += 1
         else:
