Cut a response whose body does not end at the timeout of its route

The target was not held to have failed, since the attempt ended with its caller.

The timeout of a route may now cover the body, as on the users' platform, where it is the longest time that a caller is kept waiting. The cut does not look complete and counts as a timeout of the target. The product's own routes keep their meaning (the response must begin).

--- a/src/lacewinglift/configuration.py
+++ b/src/lacewinglift/configuration.py
@@ -75,6 +75,8 @@
     """Refusals by targets that do not count as attempts of a request."""
     timeout_s: float | None = None
     """Time until the response must begin; None uses the timeout of the service."""
+    timeout_covers_body: bool = False
+    """Whether the response must be complete, and not only begin, within the timeout."""
     objective_s: float | None = None
     """Response time after which a response is worth less to the caller."""
     priority: int = 0
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -166,6 +166,8 @@
     truncated response; a response that is marked as not run allows it in any case.
     """
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
+    body_deadline_s: float | None = None
+    """Time, by `timers`, at which the target must have sent its whole response."""
     free_refusals: int = 0
     """Number of `not_run` attempts that do not count towards `max_attempts`."""
     request_id: str | None = None
@@ -222,6 +224,11 @@
         self.body_bytes = 0
         self._preloaded: Iterator[bytes] | None = None
 
+    @property
+    def unfinished(self) -> bool:
+        """Return whether the target has not yet sent the whole response."""
+        return not self._call.finished
+
     @property
     def is_server_error(self) -> bool:
         """Return whether the status is a server error (5xx)."""
@@ -256,6 +263,9 @@
         try:
             while block := self._response.read1(MAX_READ_BYTES, decode_content=False):
                 self.body_bytes += len(block)
+                # A socket that is shut down still receives what its peer sends.
+                if self._call.exchange.cancel_reason is CancelReason.DEADLINE:
+                    raise TimeoutError("the deadline passed within the body")
                 yield block
         except TimeoutError as error:
             self._raise_truncated(OutcomeKind.TIMEOUT, error)
@@ -276,6 +286,8 @@
             self._raise_truncated(OutcomeKind.CUT, None)
         if self._call.exchange.cancel_reason is not None:
             self._raise_truncated(OutcomeKind.CANCELLED, None)
+        # The caller may take its time to read the rest.
+        self._call.exchange.deadline_s = None
         kind = OutcomeKind.ERROR if self.is_server_error else OutcomeKind.SUCCESS
         self._call.finish(kind, self._latency_s, self.body_bytes)
         self._call.release(self._raw, self.upload_finished)
@@ -287,7 +299,10 @@
         return True
 
     def _raise_truncated(self, kind: OutcomeKind, error: Exception | None) -> None:
-        if self._call.exchange.cancel_reason is not None:
+        reason = self._call.exchange.cancel_reason
+        if reason is CancelReason.DEADLINE:
+            kind = self._call.timeout_kind()
+        elif reason is not None:
             kind = OutcomeKind.CANCELLED
         self._call.finish(kind, self._latency_s)
         self._call.close()
@@ -333,12 +348,12 @@
         self,
         forwarder: "Forwarder",
         attempt: Attempt,
-        service_name: str,
+        service: Service,
         exchange: Exchange,
     ) -> None:
         self.forwarder = forwarder
         self.attempt = attempt
-        self.service_name = service_name
+        self.service = service
         self.exchange = exchange
         self.timers = forwarder.timers
         self.started_s = self.timers.now()
@@ -351,6 +366,12 @@
     def elapsed_s(self) -> float:
         return self.timers.now() - self.started_s
 
+    def timeout_kind(self) -> OutcomeKind:
+        """Return the outcome of a timeout; CANCELLED if it is no evidence."""
+        min_timeout_s = self.service.request_timeout_s * TIMEOUT_EVIDENCE_MIN_FRACTION
+        short = self.elapsed_s() < min_timeout_s
+        return OutcomeKind.CANCELLED if short else OutcomeKind.TIMEOUT
+
     def finish(
         self,
         kind: OutcomeKind,
@@ -364,7 +385,7 @@
         latency_s = self.elapsed_s() if latency_s is None else latency_s
         self.attempt.finish(Outcome(kind, latency_s, response_bytes))
         if self.forwarder.on_attempt is not None:
-            self.forwarder.on_attempt(self.service_name, kind, latency_s)
+            self.forwarder.on_attempt(self.service.name, kind, latency_s)
 
     def close(self) -> None:
         """Close the connection unless it was released."""
@@ -596,7 +617,8 @@
         except TruncatedResponseError as error:
             self.worst_verdict = Verdict.MAY_HAVE_RUN
             raise self._connection_error(error) from error
-        self.exchange.deadline_s = None
+        if response.unfinished:
+            self.exchange.deadline_s = self.request.body_deadline_s
         if not response.is_server_error:
             return None
         message = f"a target failed with status {response.status}"
@@ -685,7 +707,7 @@
     def _call_target(self, attempt: Attempt) -> ForwardedResponse:
         try:
             self.call = _TargetCall(
-                self.forwarder, attempt, self.service.name, self.exchange
+                self.forwarder, attempt, self.service, self.exchange
             )
         except Exception:
             attempt.finish(Outcome(OutcomeKind.CONNECT_FAILED, 0.0))
@@ -710,11 +732,10 @@
         """Return the outcome to record; CANCELLED if it is no evidence of a fault."""
         if self.exchange.abandoned:
             return OutcomeKind.CANCELLED
-        min_timeout_s = self.service.request_timeout_s * TIMEOUT_EVIDENCE_MIN_FRACTION
         if kind is OutcomeKind.CONNECT_FAILED and self._remaining_s() > 0:
             return kind
         out_of_time = kind in (OutcomeKind.TIMEOUT, OutcomeKind.CONNECT_FAILED)
-        if out_of_time and self.call.elapsed_s() < min_timeout_s:
+        if out_of_time and self.call.timeout_kind() is OutcomeKind.CANCELLED:
             return OutcomeKind.CANCELLED
         return kind
 
@@ -780,7 +801,7 @@
         self._raise_if_not_run(response)
         self.call.attempt.mark_response_started(latency_s)
         if not self.request.idempotent:
-            self.exchange.deadline_s = None
+            self.exchange.deadline_s = self.request.body_deadline_s
         if self.exchange.cancel_reason is not None:
             raise self._connection_error(None)
         sock.settimeout(self.service.request_timeout_s)
--- a/src/lacewinglift/request_handler.py
+++ b/src/lacewinglift/request_handler.py
@@ -25,7 +25,7 @@
 from lacewinglift.concurrency import ConcurrencyLimiter
 from lacewinglift.configuration import Configuration, Workspace
 from lacewinglift.dialects import DEFAULT_DIALECT, Dialect
-from lacewinglift.exchanges import Exchange, ExchangeMonitor
+from lacewinglift.exchanges import CancelReason, Exchange, ExchangeMonitor
 from lacewinglift.forwarder import (
     ExchangeCancelledError,
     ForwardedResponse,
@@ -403,6 +403,7 @@
             deadline_covers_upload=caller_timeout_s is not None,
             idempotent=route.idempotent,
             max_attempts=route.max_attempts,
+            body_deadline_s=deadline_s if route.timeout_covers_body else None,
             free_refusals=route.free_refusals,
             request_id=self.head.value(dialect.request_id_header or ""),
             logged_id=self.logged_id,
@@ -450,6 +451,7 @@
     ) -> Iterator[bytes]:
         for block in blocks:
             exchange.check_access()
-            if exchange.cancel_reason is not None:
+            # A passed deadline ends the response at its next block.
+            if exchange.cancel_reason not in (None, CancelReason.DEADLINE):
                 raise ExchangeCancelledError(exchange.cancel_reason.value)
             yield block
--- a/testing/test_endless_responses.py
+++ b/testing/test_endless_responses.py
@@ -145,7 +145,8 @@
     end = b""
     until_s = time.monotonic() + limit_s
     with proxy.connect() as sock:
-        sock.sendall(request_bytes("POST", "/cassa", "Request-Id: own", body=b"x"))
+        headers = ("Request-Id: own", "Connection: close")
+        sock.sendall(request_bytes("POST", "/cassa", *headers, body=b"x"))
         with contextlib.suppress(TimeoutError):
             while (left_s := until_s - time.monotonic()) > 0:
                 sock.settimeout(left_s)
@@ -184,7 +185,11 @@
     fields = {"request_timeout_s": SERVICE_TIMEOUT_S, "dialect": DIALECT}
     with proxy_with_targets(script, **fields) as (proxy, _):
         route = Route(
-            "/cassa", "cassa", timeout_s=ROUTE_TIMEOUT_S, idempotent=idempotent
+            "/cassa",
+            "cassa",
+            timeout_s=ROUTE_TIMEOUT_S,
+            timeout_covers_body=True,
+            idempotent=idempotent,
         )
         proxy.publish(routes=(route,))
         end, closed = read_end(proxy, ROUTE_TIMEOUT_S + ENDED_WITHIN_S)
