Leave a part of the link to traffic that is not responses

Responses were read as fast as the link allows.

An instance whose settings state the speed of its link reads long responses at three quarters of it, all together; the first 64 KB of each response are not delayed. Links of unknown speed are not limited.

--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -5,6 +5,7 @@
 import math
 import socket
 import threading
+import time
 from collections.abc import Callable, Iterator, Mapping
 from typing import Protocol
 
@@ -29,6 +30,7 @@
     TargetResponse,
 )
 from lacewinglift.refusals import RefusalError, refuse
+from lacewinglift.response_pacing import ResponsePacer
 from lacewinglift.retries import (
     IDEMPOTENT_METHODS,
     RetryBudget,
@@ -267,6 +269,7 @@
                 if self._call.exchange.cancel_reason is CancelReason.DEADLINE:
                     raise TimeoutError("the deadline passed within the body")
                 yield block
+                self._call.forwarder.pace_response(len(block), self.body_bytes)
         except TimeoutError as error:
             self._raise_truncated(OutcomeKind.TIMEOUT, error)
         except (HTTPError, http.client.HTTPException, OSError, ValueError) as error:
@@ -426,6 +429,8 @@
     make_retry_budget : callable, default=None
         Returns the retry budget of a service. By default, each service has a budget
         that counts the requests of this instance alone.
+    pacer : ResponsePacer, default=None
+        Limits the rate of long responses; no limit by default.
     """
 
     def __init__(
@@ -437,6 +442,7 @@
         on_connection: Callable[[str, bool], None] | None = None,
         dialect: Dialect = DEFAULT_DIALECT,
         make_retry_budget: Callable[[str], RetryBudgetProtocol] | None = None,
+        pacer: ResponsePacer | None = None,
     ) -> None:
         self.target_selector = target_selector
         self.timers = timers
@@ -447,6 +453,7 @@
         self.make_retry_budget = make_retry_budget or (
             lambda service: RetryBudget(timers)
         )
+        self.pacer = pacer or ResponsePacer(timers)
         self.pools = TargetPools(timers)
         self.retry_budgets: dict[str, RetryBudgetProtocol] = {}
         self._lock = threading.Lock()
@@ -492,6 +499,12 @@
         attempts = _AttemptLoop(self, request, service, workspace_name, deadline_s)
         return attempts.run()
 
+    def pace_response(self, size: int, received: int) -> None:
+        """Wait until a further block of a response may be read."""
+        wait_s = self.pacer.reserve(size, received)
+        if wait_s > 0:
+            time.sleep(wait_s)
+
     def retry_budget(self, service_name: str) -> RetryBudgetProtocol:
         """Return the retry budget of a service."""
         with self._lock:
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -44,6 +44,7 @@
 from lacewinglift.mesh.traffic import MeshTraffic
 from lacewinglift.metrics import Metrics
 from lacewinglift.request_handler import RequestComponents
+from lacewinglift.response_pacing import ResponsePacer
 from lacewinglift.shutdown import Shutdown, ShutdownState, StopReport
 from lacewinglift.timers import ThreadTimers, Timers
 
@@ -237,6 +238,7 @@
             on_connection=self.metrics.record_connection,
             dialect=dialect,
             make_retry_budget=self.retry_budgets.budget_for,
+            pacer=ResponsePacer(self.timers, settings.link_bytes_per_s),
         )
         self.targets.has_connection = forwarder.pools.has_idle
         return RequestComponents(
--- a/src/lacewinglift/mesh/settings.py
+++ b/src/lacewinglift/mesh/settings.py
@@ -42,6 +42,8 @@
     retry_limits: RetryLimits = DEFAULT_RETRY_LIMITS
     first_start: bool = False
     """Whether the whole fleet starts for the first time, without callers yet."""
+    link_bytes_per_s: float | None = None
+    """Speed of the link of the instance; None if it is not known."""
     worker_threads: int = 96
     max_address_lifetime_s: float = ADDRESS_LIFETIME_S
     """Longest time for which callers may use resolved addresses."""
--- a/testing/standins/proxy_harness.py
+++ b/testing/standins/proxy_harness.py
@@ -28,6 +28,7 @@
 from lacewinglift.member_views import MemberView
 from lacewinglift.metrics import Metrics
 from lacewinglift.request_handler import RequestComponents
+from lacewinglift.response_pacing import ResponsePacer
 from lacewinglift.shutdown import Shutdown
 from lacewinglift.timers import ThreadTimers
 
@@ -150,7 +151,13 @@
 
 
 @contextlib.contextmanager
-def running_proxy(targets, worker_threads=8, dialect=DEFAULT_DIALECT, **service_fields):
+def running_proxy(
+    targets,
+    worker_threads=8,
+    dialect=DEFAULT_DIALECT,
+    link_bytes_per_s=None,
+    **service_fields,
+):
     """Run a proxy in front of `targets` (address strings)."""
     timers = ThreadTimers()
     targets = [
@@ -173,6 +180,7 @@
             metrics.record_attempt,
             metrics.record_retry,
             dialect=dialect,
+            pacer=ResponsePacer(timers, link_bytes_per_s),
         ),
         AddressBook("milano", lambda: members),
         Shutdown(timers, lambda: 0.3, leaving_announced.set, 10.0),
