Reproduce a watch that misses changes of a restored store; known red

The stand-in of the platform's store can be restored from a copy, names its era in all answers, and refuses a watch from a revision that it does not have.

--- /dev/null
+++ b/testing/adapter/test_restored_store.py
@@ -0,0 +1,126 @@
+"""A store that comes back from a copy some seconds old."""
+
+import pytest
+from adapter.codec import PlatformCodec
+from adapter.store_client import PlatformStoreClient
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, Not
+
+from lacewinglift.mesh.members import MemberTable
+from lacewinglift.mesh.observers import Observer
+from lacewinglift.mesh.registry import TargetRegistry
+from lacewinglift.timers import ThreadTimers
+from testing.standins.platform_store import PlatformStoreStandIn
+from testing.standins.proxy_harness import wait_until
+
+# Writes that are lost, and as many that follow the restore.
+LOST_WRITES = 10
+
+
+def make_entry(state="ready", sequence=1):
+    return {
+        "address": "10.0.0.1:80",
+        "born": 1,
+        "server_info": {"service": "tills", "zone": "milano", "slots": 4},
+        "status": {"state": state, "sequence": sequence},
+    }
+
+
+class Watching:
+    """An observer of a store that holds one target and one configuration."""
+
+    def __init__(self):
+        self.store = PlatformStoreStandIn()
+        self.store.put("op/config", b"first")
+        self.store.put("servers/old", make_entry())
+        self.timers = ThreadTimers()
+        self.registry = TargetRegistry(self.timers)
+        self.configurations = []
+        self.observer = Observer(
+            PlatformStoreClient(self.store.address),
+            PlatformCodec(),
+            self.registry,
+            MemberTable("self", self.timers),
+            self.configurations.append,
+            lambda addresses: None,
+            "127.0.0.1:81",
+            "milano",
+            self.timers,
+            is_started=lambda: True,
+            read_immediately=False,
+        )
+        self.observer.start()
+        assert wait_until(lambda: self.configurations and self.registry.ready)
+
+    def lose_writes(self):
+        """Let the observer see writes that a restore will undo; return the copy."""
+        copy = self.store.copy()
+        for sequence in range(LOST_WRITES):
+            self.store.put("servers/lost", make_entry(sequence=sequence + 1))
+        assert wait_until(lambda: self.registry.revision == self.store.revision)
+        return copy
+
+    def close(self):
+        self.observer.stop()
+        self.timers.stop()
+        self.store.close()
+
+
+@pytest.fixture
+def watching():
+    watching = Watching()
+    yield watching
+    watching.close()
+
+
+def fill_up(count):
+    """Return writes that give out revisions again, and concern nobody."""
+    return [(f"other/{number}", {}) for number in range(count)]
+
+
+def test_watch_misses_no_target_of_the_new_history(watching):
+    """Guards against a watch that goes on from a revision that was given out again.
+
+    The new target is written at a revision that the watch has already passed.
+    """
+    copy = watching.lose_writes()
+    rewritten = [("servers/new", make_entry()), *fill_up(2 * LOST_WRITES)]
+    watching.store.restore(copy, rewritten)
+    assert wait_until(lambda: "new" in watching.registry.targets)
+
+
+def test_watch_misses_no_configuration_of_the_new_history(watching):
+    """Guards against a version that stays unknown since its revision is not new."""
+    copy = watching.lose_writes()
+    for _ in range(LOST_WRITES):
+        watching.store.put("op/config", b"lost")
+    assert wait_until(lambda: watching.configurations.count(b"lost") == LOST_WRITES)
+    rewritten = [("op/config", {"later": True}), *fill_up(4 * LOST_WRITES)]
+    watching.store.restore(copy, rewritten)
+    assert wait_until(lambda: b'{"later": true}' in watching.configurations)
+
+
+def test_target_that_the_restored_store_lacks_is_kept_until_it_writes_again(watching):
+    """Guards against dropping targets whose entries were written after the copy."""
+    copy = watching.lose_writes()
+    watching.store.restore(copy, fill_up(2 * LOST_WRITES))
+    watching.store.put("servers/other", make_entry())
+    assert wait_until(lambda: "other" in watching.registry.targets)
+    assert_that(watching.registry.targets, Contains("lost"))
+    watching.store.put("servers/lost", make_entry(sequence=50))
+    assert wait_until(lambda: watching.registry.targets["lost"].sequence == 50)
+    watching.registry.remove_expired()
+    assert_that(watching.registry.missing_since_s, Equals({}))
+
+
+def test_target_that_left_does_not_come_back_with_the_copy(watching):
+    """Guards against requests to a target whose leaving was lost with the store."""
+    copy = watching.store.copy()
+    watching.store.put("servers/old", make_entry("draining", sequence=2))
+    assert wait_until(lambda: watching.registry.targets["old"].leaving)
+    watching.store.remove("servers/old")
+    assert wait_until(lambda: not watching.registry.targets)
+    rewritten = [("servers/new", make_entry()), *fill_up(2 * LOST_WRITES)]
+    watching.store.restore(copy, rewritten)
+    assert wait_until(lambda: "new" in watching.registry.targets)
+    assert_that(watching.registry.targets, Not(Contains("old")))
--- a/testing/standins/platform_store.py
+++ b/testing/standins/platform_store.py
@@ -35,6 +35,8 @@
 
     host: str = "127.0.0.1"
     page_size: int = 500
+    era: int = 1
+    """Number of times that the store was restored from a copy, plus one."""
     revision: int = 100
     oldest_revision: int = 100
     """Oldest revision from which a watch may start; earlier history is dropped."""
@@ -90,6 +92,30 @@
             self.oldest_revision = self.revision
             self.condition.notify_all()
 
+    def copy(self):
+        """Return a copy to restore the store from."""
+        with self.condition:
+            return self.revision, dict(self.entries), dict(self.leases)
+
+    def restore(self, copy, rewritten=()):
+        """Return to a copy; the owners of keys write some of them again at once.
+
+        Parameters
+        ----------
+        copy : tuple
+            Copy of the store.
+        rewritten : iterable of (str, dict)
+            Keys and fields that are written before anybody else calls.
+        """
+        with self.condition:
+            self.revision, entries, leases = copy
+            self.entries, self.leases = dict(entries), dict(leases)
+            self.events = [e for e in self.events if e["rev"] <= self.revision]
+            self.era += 1
+            for key, fields in rewritten:
+                self._write(key, json.dumps(fields).encode(), 0)
+            self.condition.notify_all()
+
     def expire_leases(self):
         """Remove expired leases together with their keys."""
         now = time.monotonic()
@@ -139,7 +165,7 @@
         deadline_s = time.monotonic() + int(query["wait_ms"]) / 1000
         with self.condition:
             while True:
-                if after < self.oldest_revision:
+                if not self.oldest_revision <= after <= self.revision:
                     return 410, {}
                 events = [
                     event
@@ -234,6 +260,7 @@
         data = json.dumps(fields).encode()
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
+        self.send_header("Store-Era", str(self.store.era))
         self.send_header("Content-Length", str(len(data)))
         self.end_headers()
         self.wfile.write(data)
