Read and log the era of the store

The store of the users' platform counts its restores in Store-Era. Listings and watches carry it, and store_restored logs each rise. No other decision has changed.

--- a/src/lacewinglift/kv.py
+++ b/src/lacewinglift/kv.py
@@ -40,6 +40,12 @@
     items: tuple[Item, ...]
     revision: int
     """A watch with this revision as `after` misses no change of these keys."""
+    era: int = 0
+    """Era of the service: rises when it is restored from a copy.
+
+    Revisions go back then and are given out again, so that they are comparable only
+    within an era. 0 if the service does not name one.
+    """
 
 
 @frozen
@@ -49,6 +55,8 @@
     changes: tuple[Change, ...]
     revision: int
     """Revision to pass as `after` to the next call."""
+    era: int = 0
+    """Era of the service, as in `Listing`."""
 
 
 class KeyValueStore(Protocol):
--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -75,10 +75,16 @@
     timers: Timers
     last_answer_at_s: float = float("-inf")
     failing: bool = False
+    era: int = 0
+    """Newest era that the store has named."""
 
-    def record_answer(self) -> None:
-        """Record that the store answered a call."""
+    def record_answer(self, era: int) -> None:
+        """Record that the store answered a call, and the era that it named."""
         self.last_answer_at_s = self.timers.now()
+        if era > self.era:
+            if self.era:
+                log_warning("store_restored", previous=self.era, era=era)
+            self.era = era
         if self.failing:
             self.failing = False
             log_info("store_regained")
@@ -263,7 +269,7 @@
     def _list_targets(self) -> int:
         """Read all targets; return the revision to watch from."""
         listing = self.store.list(self.codec.targets_prefix)
-        self.contact.record_answer()
+        self.contact.record_answer(listing.era)
         targets = [self._read_target(item.key, item.value) for item in listing.items]
         readable = [target for target in targets if target is not None]
         self.registry.replace_all(readable, listing.revision)
@@ -273,7 +279,7 @@
         """Read the configuration; return the revision to watch from."""
         key = self.codec.configuration_key
         listing = self.store.list(key)
-        self.contact.record_answer()
+        self.contact.record_answer(listing.era)
         for item in listing.items:
             if item.key == key:
                 self.apply_configuration(item.value)
@@ -288,7 +294,7 @@
             except HistoryLostError as error:
                 log_info("store_history_lost", prefix=prefix, reason=error)
                 return
-            self.contact.record_answer()
+            self.contact.record_answer(result.era)
             revision = result.revision
             if result.changes:
                 self._apply_target_changes(result)
@@ -303,7 +309,7 @@
             except HistoryLostError as error:
                 log_info("store_history_lost", prefix=key, reason=error)
                 return
-            self.contact.record_answer()
+            self.contact.record_answer(result.era)
             for change in result.changes:
                 if change.key == key and change.value is not None:
                     self.apply_configuration(change.value)
@@ -321,7 +327,7 @@
                 ANNOUNCEMENT_TTL_S,
             )
         listing = self.store.list(prefix, stale=True)
-        self.contact.record_answer()
+        self.contact.record_answer(listing.era)
         self.add_addresses(
             [item.value.decode(errors="replace") for item in listing.items]
         )
--- a/testing/mesh/test_observers.py
+++ b/testing/mesh/test_observers.py
@@ -116,7 +116,7 @@
     chosen = update_roles(fleet)
     refused = sorted(chosen)[0]
     for name in chosen:
-        fleet[name].contact.record_answer()
+        fleet[name].contact.record_answer(0)
     fleet[refused].contact.record_failure(StoreUnavailableError("refused"))
     send_heartbeats(fleet, fleet, 2)
     others = update_roles(fleet) - {refused}
@@ -129,7 +129,7 @@
     It must not wait for its own watch, but accept newer targets from others.
     """
     name = sorted(update_roles(fleet))[0]
-    fleet[name].contact.record_answer()
+    fleet[name].contact.record_answer(0)
     assert fleet[name].has_working_watch()
     fleet[name].contact.record_failure(StoreUnavailableError("refused"))
     assert not fleet[name].has_working_watch()
@@ -139,7 +139,7 @@
     """Guards against additional observers only because nothing changes for seconds."""
     chosen = update_roles(fleet)
     for name in chosen:
-        fleet[name].contact.record_answer()
+        fleet[name].contact.record_answer(0)
     for step in range(2):
         timers.advance(2.0)
         send_heartbeats(fleet, fleet, 2 + step)
@@ -203,7 +203,7 @@
             observer.stopped = True
         elif remaining.pop(0):
             observer.timers.advance(0.01)
-            observer.contact.record_answer()
+            observer.contact.record_answer(0)
             observer.timers.advance(0.01)
         raise StoreUnavailableError("down")
 
--- a/testing/mesh/test_telemetry.py
+++ b/testing/mesh/test_telemetry.py
@@ -69,7 +69,7 @@
     collector.configuration_holder.apply_if_newer(configuration, b"")
     collector.quota.apply(configuration)
     collector.registry.replace_all([], 7)
-    collector.contact.record_answer()
+    collector.contact.record_answer(0)
     collector.retry_budgets.budget_for("cassa").record_request()
     collector.targets.apply(
         [
