Read the store again when its era has risen

A watch whose answer names another era than its listing ends; configuration and targets are read again at once, by whichever watch notices first.

--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -3,14 +3,14 @@
 import math
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 from attrs import define
 
 from lacewinglift.configuration import Configuration
 from lacewinglift.errors import ConfigurationError, StoreError
-from lacewinglift.kv import HistoryLostError, KeyValueStore, WatchResult
+from lacewinglift.kv import HistoryLostError, KeyValueStore, Listing, WatchResult
 from lacewinglift.logs import log_exception, log_info, log_warning
 from lacewinglift.mesh.members import (
     STORE_CONTACT_MAX_AGE_S,
@@ -263,57 +263,74 @@
                 log_exception("observer_failed")
                 time.sleep(RETRY_MAX_DELAY_S)
 
+    def _read_restored_store(self) -> None:
+        """Read the store after a restore; the other watch may notice it later.
+
+        Targets whose entries were lost write them again.
+        """
+        self.registry.record_outage()
+        self._list_configuration()
+        self._list_targets()
+
     def _is_watching(self) -> bool:
         return self.watching.is_set() and not self.stopped
 
-    def _list_targets(self) -> int:
-        """Read all targets; return the revision to watch from."""
+    def _list_targets(self) -> Listing:
+        """Read all targets; a watch starts from the listing."""
         listing = self.store.list(self.codec.targets_prefix)
         self.contact.record_answer(listing.era)
         targets = [self._read_target(item.key, item.value) for item in listing.items]
         readable = [target for target in targets if target is not None]
         self.registry.replace_all(readable, listing.revision)
-        return listing.revision
+        return listing
 
-    def _list_configuration(self) -> int:
-        """Read the configuration; return the revision to watch from."""
+    def _list_configuration(self) -> Listing:
+        """Read the configuration; a watch starts from the listing."""
         key = self.codec.configuration_key
         listing = self.store.list(key)
         self.contact.record_answer(listing.era)
         for item in listing.items:
             if item.key == key:
                 self.apply_configuration(item.value)
-        return listing.revision
+        return listing
 
-    def _watch_targets(self) -> None:
-        prefix = self.codec.targets_prefix
-        revision = self._list_targets()
+    def _watch(
+        self, prefix: str, timeout_s: float, listing: Listing
+    ) -> Iterator[WatchResult]:
+        """Yield changes since a listing; end if some may have been missed.
+
+        After a restore of the store, a revision that was given out again is not the
+        one that the watch has come from.
+        """
+        revision = listing.revision
         while self._is_watching():
             try:
-                result = self.store.watch(prefix, revision, TARGETS_WATCH_TIMEOUT_S)
+                result = self.store.watch(prefix, revision, timeout_s)
             except HistoryLostError as error:
                 log_info("store_history_lost", prefix=prefix, reason=error)
                 return
             self.contact.record_answer(result.era)
+            if result.era != listing.era:
+                self._read_restored_store()
+                return
             revision = result.revision
+            yield result
+
+    def _watch_targets(self) -> None:
+        prefix = self.codec.targets_prefix
+        listing = self._list_targets()
+        for result in self._watch(prefix, TARGETS_WATCH_TIMEOUT_S, listing):
             if result.changes:
                 self._apply_target_changes(result)
                 time.sleep(TARGETS_BATCH_DELAY_S)
 
     def _watch_configuration(self) -> None:
         key = self.codec.configuration_key
-        revision = self._list_configuration()
-        while self._is_watching():
-            try:
-                result = self.store.watch(key, revision, CONFIGURATION_WATCH_TIMEOUT_S)
-            except HistoryLostError as error:
-                log_info("store_history_lost", prefix=key, reason=error)
-                return
-            self.contact.record_answer(result.era)
+        listing = self._list_configuration()
+        for result in self._watch(key, CONFIGURATION_WATCH_TIMEOUT_S, listing):
             for change in result.changes:
                 if change.key == key and change.value is not None:
                     self.apply_configuration(change.value)
-            revision = result.revision
 
     def _announce(self) -> None:
         self._sleep(ANNOUNCEMENT_DELAY_S)
--- a/testing/adapter/test_restored_store.py
+++ b/testing/adapter/test_restored_store.py
@@ -97,6 +97,7 @@
     assert wait_until(lambda: watching.configurations.count(b"lost") == LOST_WRITES)
     rewritten = [("op/config", {"later": True}), *fill_up(4 * LOST_WRITES)]
     watching.store.restore(copy, rewritten)
+    watching.store.put("servers/old", make_entry(sequence=2))
     assert wait_until(lambda: b'{"later": true}' in watching.configurations)
 
 
