Order the targets of different instances by the era of the store

A registry kept the highest revision that it had seen. An instance that names none is taken to be of the same era, so that builds can be mixed. With the order by revision only, three of the tests fail, among them 36 instances of which three read a restored store.

--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -373,7 +373,10 @@
         return compress_snapshot(snapshot) if request.accepts_compressed else snapshot
 
     def _has_newer_registry(self, request: beats_pb2.SnapshotRequest) -> bool:
-        if request.registry_revision > self.registry.revision:
+        position = self.registry.position_of(
+            request.registry_revision, request.store_era
+        )
+        if position > self.registry.position():
             return False
         return request.registry_digest != self.registry.digest
 
@@ -385,7 +388,9 @@
             self.apply_configuration(snapshot.configuration)
         if snapshot.registry_revision:
             targets = [from_message(each) for each in snapshot.targets]
-            self.registry.apply_snapshot(targets, snapshot.registry_revision)
+            self.registry.apply_snapshot(
+                targets, snapshot.registry_revision, snapshot.store_era
+            )
 
     # ---- heartbeats ----
 
@@ -419,6 +424,7 @@
             configuration_version=self.configuration_holder.generation(),
             registry_digest=self.registry.digest,
             registry_revision=self.registry.revision,
+            store_era=self.registry.era,
             store_age_ms=min(int(min(store_age_s, 1e6) * 1000), MAX_STORE_AGE_MS),
             observer=self.observer.watching.is_set(),
             evidence=self.targets.evidence(),
@@ -491,6 +497,7 @@
             configuration_version=self.configuration_holder.generation(),
             registry_digest=self.registry.digest,
             registry_revision=self.registry.revision,
+            store_era=self.registry.era,
             accepts_compressed=True,
         )
         self.snapshots.fetch(source.fetch_address, request)
--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -281,7 +281,7 @@
         self.contact.record_answer(listing.era)
         targets = [self._read_target(item.key, item.value) for item in listing.items]
         readable = [target for target in targets if target is not None]
-        self.registry.replace_all(readable, listing.revision)
+        self.registry.replace_all(readable, listing.revision, listing.era)
         return listing
 
     def _list_configuration(self) -> Listing:
@@ -365,7 +365,7 @@
                 target = self._read_target(change.key, change.value)
                 if target is not None:
                     written.append(target)
-        self.registry.apply_changes(written, removed, result.revision)
+        self.registry.apply_changes(written, removed, result.revision, result.era)
 
     def _target_name(self, key: str) -> str:
         return key.removeprefix(self.codec.targets_prefix)
--- a/src/lacewinglift/mesh/registry.py
+++ b/src/lacewinglift/mesh/registry.py
@@ -89,6 +89,8 @@
     on_change: Callable[[], None] = lambda: None
     targets: dict[str, RegisteredTarget] = field(factory=dict)
     revision: int = 0
+    era: int = 0
+    """Era of the store that the revision belongs to."""
     digest: int = 0
     ready: bool = False
     """Whether the targets were read from the store or fetched at least once."""
@@ -105,15 +107,30 @@
         """Record that a call to the store failed now."""
         self.last_outage_at_s = self.timers.now()
 
-    def replace_all(self, targets: Iterable[RegisteredTarget], revision: int) -> None:
-        """Apply a complete listing of the store."""
+    def position(self) -> tuple[int, int]:
+        """Return era and revision, which order the states of all instances."""
+        return self.era, self.revision
+
+    def position_of(self, revision: int, era: int) -> tuple[int, int]:
+        """Return the position of another instance.
+
+        Instances of an earlier build name no era; theirs is taken to be the same.
+        """
+        return era or self.era, revision
+
+    def replace_all(
+        self, targets: Iterable[RegisteredTarget], revision: int, era: int = 0
+    ) -> None:
+        """Apply a complete listing of the store, unless it is of an earlier era."""
         with self.lock:
+            if era < self.era:
+                return
             listed = {target.name: target for target in targets}
             for target in listed.values():
                 self._upsert(target)
             for name in [name for name in self.targets if name not in listed]:
                 self._remove_or_mark_missing(name)
-            self.revision = max(self.revision, revision)
+            self._advance(revision, era)
             self._commit_update()
 
     def apply_changes(
@@ -121,40 +138,43 @@
         written: Iterable[RegisteredTarget],
         removed: Iterable[str],
         revision: int,
+        era: int = 0,
     ) -> None:
-        """Apply changes from a watch of the store."""
+        """Apply changes from a watch of the store, unless of an earlier era."""
         with self.lock:
+            if era < self.era:
+                return
             for target in written:
                 self._upsert(target)
             for name in removed:
                 if name in self.targets:
                     self._remove_or_mark_missing(name)
-            self.revision = max(self.revision, revision)
+            self._advance(revision, era)
             self._commit_update()
 
     def apply_snapshot(
-        self, targets: Iterable[RegisteredTarget], revision: int
+        self, targets: Iterable[RegisteredTarget], revision: int, era: int = 0
     ) -> bool:
-        """Apply the targets of another instance unless their revision is older.
+        """Apply the targets of another instance unless their position is older.
 
         Returns whether they were applied.
         """
         with self.lock:
-            if revision < self.revision and self.ready:
+            if self.position_of(revision, era) < self.position() and self.ready:
                 return False
             listed = {target.name: target for target in targets}
             for name in [name for name in self.targets if name not in listed]:
                 self._remove_with_tombstone(name)
             for target in listed.values():
                 self._upsert(target)
-            self.revision = max(self.revision, revision)
+            self._advance(revision, era)
             self._commit_update()
             return True
 
-    def confirm_revision(self, revision: int) -> None:
-        """Record that the same targets are registered at this or a later revision."""
+    def confirm_position(self, revision: int, era: int) -> None:
+        """Record that the same targets are registered at this or a later position."""
         with self.lock:
-            self.revision = max(self.revision, revision)
+            self._advance(revision, era)
             self.last_confirmed_at_s = self.timers.now()
 
     def remove_expired(self) -> None:
@@ -179,9 +199,14 @@
         with self.lock:
             return beats_pb2.Snapshot(
                 registry_revision=self.revision,
+                store_era=self.era,
                 targets=[target.to_message() for target in self.targets.values()],
             )
 
+    def _advance(self, revision: int, era: int) -> None:
+        position = self.position_of(revision, era)
+        self.era, self.revision = max(self.position(), position)
+
     def _upsert(self, target: RegisteredTarget) -> None:
         tombstone = self.tombstones.get(target.name)
         if (
--- a/src/lacewinglift/mesh/snapshot_fetch_policy.py
+++ b/src/lacewinglift/mesh/snapshot_fetch_policy.py
@@ -44,29 +44,31 @@
 
     def has_newer_state(self, heartbeat: beats_pb2.Beat) -> bool:
         """Return whether the sender of a heartbeat has a newer version or targets."""
-        registry = self.registry
         newer_targets = (
-            heartbeat.registry_revision >= max(registry.revision, 1)
-            and heartbeat.registry_digest != registry.digest
+            self._is_not_older(heartbeat)
+            and heartbeat.registry_digest != self.registry.digest
         )
         return newer_targets or heartbeat.configuration_version > self.generation()
 
     def _should_fetch_targets(self, heartbeat: beats_pb2.Beat) -> bool:
         """Return whether to fetch targets; confirm the own ones if they are equal."""
         registry = self.registry
-        if (
-            heartbeat.registry_revision < registry.revision
-            or not heartbeat.registry_revision
-        ):
+        if not self._is_not_older(heartbeat):
             return False
         if heartbeat.registry_digest == registry.digest:
-            registry.confirm_revision(heartbeat.registry_revision)
+            registry.confirm_position(heartbeat.registry_revision, heartbeat.store_era)
             self.behind_since_s = None
             return False
         if not self.has_working_watch() or not registry.ready:
             return True
         return self._is_watch_late()
 
+    def _is_not_older(self, heartbeat: beats_pb2.Beat) -> bool:
+        """Return whether the sender has targets, and not of an earlier position."""
+        revision = heartbeat.registry_revision
+        position = self.registry.position_of(revision, heartbeat.store_era)
+        return revision > 0 and position >= self.registry.position()
+
     def _is_watch_late(self) -> bool:
         now = self.timers.now()
         if (
--- a/testing/mesh/test_fleet_traffic.py
+++ b/testing/mesh/test_fleet_traffic.py
@@ -1,8 +1,9 @@
 """Traffic between the instances of a large fleet, on slow links."""
 
 import pytest
+from attrs import evolve
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan, LessThan
+from testtools.matchers import Contains, Equals, GreaterThan, LessThan
 
 from testing.mesh.simulated_fleet import STEP_S, SimulatedFleet
 
@@ -77,6 +78,25 @@
         assert_that(fleet.timers.now() - started_s, LessThan(CONFIGURATION_BOUND_S))
 
 
+def test_target_that_registers_after_a_restore_of_the_store_stays_known():
+    """Load: 36 instances, of which three read a restored store at a lower revision.
+
+    Guards against instances that fetch from each other what was registered before the
+    restore, and remove the new target again.
+    """
+    fleet = SimulatedFleet(36, SLOW_LINK_BYTES_PER_S)
+    run(fleet, 1.0)
+    for instance in fleet.instances:
+        instance.registry.era = 1
+    known = list(fleet.instances[0].registry.targets.values())
+    new = evolve(known[0], name="new", address="10.2.9.9:8489")
+    for instance in fleet.instances[:3]:
+        instance.registry.replace_all([*known, new], 5, era=2)
+    run(fleet, CONFIGURATION_BOUND_S)
+    for instance in fleet.instances:
+        assert_that(instance.registry.targets, Contains("new"))
+
+
 def test_frequent_heartbeats_do_not_grow_with_instances_that_serve_no_callers():
     """Load: the same callers in fleets of 36 and of 72 instances.
 
--- a/testing/mesh/test_snapshot_fetch_policy.py
+++ b/testing/mesh/test_snapshot_fetch_policy.py
@@ -34,6 +34,7 @@
             configuration_version=generation,
             registry_digest=self.other.digest,
             registry_revision=self.other.revision,
+            store_era=self.other.era,
         )
         return self.policy.should_fetch(heartbeat)
 
@@ -86,3 +87,34 @@
     """Guards against delaying a newer configuration until the store reports it."""
     assert setup.should_fetch(generation=4)
     assert not setup.should_fetch(generation=2)
+
+
+def test_targets_of_a_restored_store_are_newer_at_a_lower_revision(setup):
+    """Guards against instances that keep targets from before a restore."""
+    setup.has_working_watch = False
+    setup.own.apply_changes([], ["t2"], 50)
+    setup.other.replace_all([make_target(1), make_target(3)], 7, era=2)
+    assert setup.should_fetch()
+    setup.own.apply_snapshot(setup.other.targets.values(), 7, era=2)
+    assert "t3" in setup.own.targets
+    assert not setup.should_fetch()
+
+
+def test_targets_from_before_a_restore_are_not_fetched(setup):
+    """Guards against losing a target again that registered after a restore."""
+    setup.has_working_watch = False
+    setup.own.replace_all([make_target(1), make_target(3)], 7, era=2)
+    setup.other.apply_changes([], ["t2"], 50)
+    setup.other.era = 1
+    assert not setup.should_fetch()
+    assert not setup.own.apply_snapshot(setup.other.targets.values(), 50, era=1)
+    assert "t3" in setup.own.targets
+
+
+def test_instance_that_names_no_era_is_taken_to_be_of_the_same_one(setup):
+    """Guards against a fleet in which an earlier build is not heard any more."""
+    setup.has_working_watch = False
+    setup.own.replace_all([make_target(1), make_target(3)], 7, era=2)
+    setup.other.apply_changes([], ["t2"], 50)
+    assert setup.should_fetch()
+    assert setup.own.apply_snapshot(setup.other.targets.values(), 50)
