--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -164,6 +164,7 @@
         self.watching = threading.Event()
         self.stopped = False
         self.lease: str | None = None
+        self.lease_era = 0
 
     def start(self) -> None:
         """Start the threads and the periodic check of the role."""
@@ -337,6 +338,11 @@
         if not self._is_watching():
             return
         prefix = self.codec.instances_prefix
+        era = self.contact.era
+        if era != self.lease_era:
+            # A restored store may have given the lease's ID to somebody else.
+            self.lease = None
+            self.lease_era = era
         if self.lease is None or not self.store.renew_lease(self.lease):
             self.lease = self.store.put_with_lease(
                 prefix + self.members.own_name,
@@ -351,8 +357,14 @@
         self._sleep(PEER_DISCOVERY_INTERVAL_S - ANNOUNCEMENT_DELAY_S)
 
     def _sleep(self, duration_s: float) -> None:
+        """Wait while this instance watches and the store is not restored."""
         until_s = self.timers.now() + duration_s
-        while self._is_watching() and self.timers.now() < until_s:
+        era = self.contact.era
+        while (
+            self._is_watching()
+            and self.contact.era == era
+            and self.timers.now() < until_s
+        ):
             time.sleep(ROLE_CHECK_INTERVAL_S)
 
     def _apply_target_changes(self, result: WatchResult) -> None:
--- a/testing/adapter/test_restored_store.py
+++ b/testing/adapter/test_restored_store.py
@@ -1,11 +1,14 @@
 """A store that comes back from a copy some seconds old."""
 
+import math
+
 import pytest
 from adapter.codec import PlatformCodec
 from adapter.store_client import PlatformStoreClient
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, Not
 
+from lacewinglift.mesh import observers
 from lacewinglift.mesh.members import MemberTable
 from lacewinglift.mesh.observers import Observer
 from lacewinglift.mesh.registry import TargetRegistry
@@ -125,3 +128,20 @@
     watching.store.restore(copy, rewritten)
     assert wait_until(lambda: "new" in watching.registry.targets)
     assert_that(watching.registry.targets, Not(Contains("old")))
+
+
+def test_instance_announces_itself_again_after_a_restore(watching, monkeypatch):
+    """Guards against an observer that new instances do not find.
+
+    Its entry was lost, and the ID of its lease was given to somebody else.
+    """
+    monkeypatch.setattr(observers, "ANNOUNCEMENT_DELAY_S", 0.2)
+    key = "lacewinglift/instances/self"
+    copy = watching.store.copy()
+    assert wait_until(lambda: key in watching.store.entries)
+    assert wait_until(lambda: watching.observer.lease is not None)
+    foreign_lease = int(watching.observer.lease)
+    watching.store.restore(copy, fill_up(LOST_WRITES))
+    watching.store.leases[foreign_lease] = math.inf
+    watching.store.put("servers/old", make_entry(sequence=2))
+    assert wait_until(lambda: key in watching.store.entries)
