Do not believe an unnamed refusal on a reused connection

A refusal with the ID of an earlier request was already discarded, and a connection is closed after a refusal. One without an ID was taken for the present request's: callers were told that it had not run, and it was sent to a second target. On a connection that has carried a request, such a refusal now ends the attempt as one that may have run. On a new connection it is believed as before.

--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -365,6 +365,8 @@
         self.pool: TargetPool
         self.connection: TargetConnection
         self.pool, self.connection = forwarder.pools.checkout(attempt.target.address)
+        self.reused = self.connection.sock is not None
+        """Whether the connection has carried an earlier request."""
 
     def elapsed_s(self) -> float:
         return self.timers.now() - self.started_s
@@ -914,6 +916,9 @@
             response.status == WRONG_TARGET_STATUS
             and self.dialect.expected_target_header is not None
         )
+        if (wrong_target or marked_not_run) and self._may_be_earlier(response):
+            message = "a refusal that names no request came on a reused connection"
+            raise _AttemptFailedError(OutcomeKind.CUT, Verdict.MAY_HAVE_RUN, message)
         if wrong_target:
             raise _AttemptFailedError(
                 OutcomeKind.WRONG_TARGET,
@@ -931,6 +936,16 @@
             retry_after_s,
         )
 
+    def _may_be_earlier(self, response: HTTPResponse) -> bool:
+        """Return whether a response may be a repetition of one to an earlier request.
+
+        A response with the ID of another request has been discarded before.
+        """
+        header = self.dialect.request_id_header
+        if header is None or self.request.request_id is None:
+            return False
+        return self.call.reused and header not in response.headers
+
     def _connection_error(self, error: Exception | None) -> Exception:
         """Return the exception for a failure after the connection was opened."""
         reason = self.exchange.cancel_reason
