Keep to what targets say in responses: that they leave, or want a pause

Server-Leaving in any answer of a target: it counts as leaving at once, whatever the store says, and other instances learn of it with the targets. Retry-After in a 503: this instance sends it nothing for that time, which no success of an earlier request ends; a pause is bounded by ten minutes. A target that starts again is used again. The names of the headers stand in the adapter.

--- a/src/lacewinglift/dialects.py
+++ b/src/lacewinglift/dialects.py
@@ -28,6 +28,8 @@
     rate_limit_header : str or None
         Lower-case name of the header with which a target states the requests a second
         that it takes from the whole fleet, until a response comes without it.
+    leaving_header : str or None
+        Lower-case name of the header with which a target states that it leaves.
     serves_builtin_paths : bool
         Whether address lists and metrics are served in addition to the routes.
     not_run_status : int or None
@@ -44,6 +46,7 @@
     request_id_header: str | None = None
     expected_target_header: str | None = None
     rate_limit_header: str | None = None
+    leaving_header: str | None = None
     serves_builtin_paths: bool = True
     not_run_status: int | None = None
     fractional_retry_after: bool = False
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator, Mapping
+from http import HTTPStatus
 from typing import Protocol
 
 from attrs import define, frozen
@@ -82,6 +83,14 @@
         """
         ...
 
+    def record_leaving(self) -> None:
+        """Record that the target states that it leaves."""
+        ...
+
+    def record_pause(self, duration_s: float) -> None:
+        """Record that the target wants no request of this instance for some time."""
+        ...
+
     def finish(self, outcome: Outcome) -> None:
         """Record the outcome of the attempt."""
         ...
@@ -321,13 +330,13 @@
     return int(lengths[0])
 
 
-def _parse_rate(text: str) -> float | None:
-    """Return a rate in requests a second; None if it cannot be read."""
+def _parse_number(text: str) -> float | None:
+    """Return a finite number that is not negative; None if it cannot be read."""
     try:
-        rate_per_s = float(text)
+        number = float(text)
     except ValueError:
         return None
-    return rate_per_s if 0 <= rate_per_s < math.inf else None
+    return number if 0 <= number < math.inf else None
 
 
 def _final_response_started(sock: socket.socket) -> bool:
@@ -812,7 +821,7 @@
         latency_s = self.call.elapsed_s()
         if not self.exchange.mark_response_started():
             raise self._connection_error(None)
-        self._record_rate_limit(response)
+        self._record_statements(response)
         self._raise_if_not_run(response)
         self.call.attempt.mark_response_started(latency_s)
         if not self.request.idempotent:
@@ -897,12 +906,24 @@
             raise self._connection_error(error) from error
         return response, connection.last_response
 
+    def _record_statements(self, response: HTTPResponse) -> None:
+        """Record what the target states about itself, whatever the response is."""
+        if response.status == WRONG_TARGET_STATUS:
+            return
+        self._record_rate_limit(response)
+        header = self.dialect.leaving_header
+        if header is not None and response.headers.get(header) == "1":
+            self.call.attempt.record_leaving()
+        pause_s = _parse_number(response.headers.get("retry-after", ""))
+        if response.status == HTTPStatus.SERVICE_UNAVAILABLE and pause_s is not None:
+            self.call.attempt.record_pause(pause_s)
+
     def _record_rate_limit(self, response: HTTPResponse) -> None:
         header = self.dialect.rate_limit_header
-        if header is None or response.status == WRONG_TARGET_STATUS:
+        if header is None:
             return
         text = response.headers.get(header)
-        limit_per_s = None if text is None else _parse_rate(text)
+        limit_per_s = None if text is None else _parse_number(text)
         if text is not None and limit_per_s is None:
             target = self.call.attempt.target.name
             log_warning("rate_limit_unreadable", target=target, value=text)
@@ -927,8 +948,7 @@
             )
         if not marked_not_run:
             return
-        retry_after = response.headers.get("retry-after", "")
-        retry_after_s = float(retry_after) if retry_after.isdigit() else None
+        retry_after_s = _parse_number(response.headers.get("retry-after", ""))
         raise _AttemptFailedError(
             OutcomeKind.SHED,
             Verdict.NOT_RUN,
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -126,6 +126,7 @@
             on_event=self.heartbeats.send_to_active_soon,
         )
         self.registry = TargetRegistry(self.timers, self._registry_changed)
+        self.targets.on_leaving = self.registry.mark_leaving
         self.history = FleetHistory(self.timers, self.members, settings.first_start)
         self.quota = FleetQuota(self.timers, self.reachable_fraction, self.history)
         self.retry_budgets = FleetRetryBudgets(
--- a/src/lacewinglift/mesh/registry.py
+++ b/src/lacewinglift/mesh/registry.py
@@ -171,6 +171,15 @@
             self._commit_update()
             return True
 
+    def mark_leaving(self, name: str, born_ms: int) -> None:
+        """Record that a target said in a response that it leaves."""
+        with self.lock:
+            known = self.targets.get(name)
+            if known is None or known.born_ms != born_ms or known.leaving:
+                return
+            self.targets[name] = evolve(known, leaving=True)
+            self._commit_update()
+
     def confirm_position(self, revision: int, era: int) -> None:
         """Record that the same targets are registered at this or a later position."""
         with self.lock:
--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 from random import Random
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from lacewinglift.configuration import Target
 from lacewinglift.generated import beats_pb2
@@ -61,6 +61,8 @@
 NEW_CONNECTION_PENALTY = 0.2
 # Penalty of a target in slow start.
 SLOW_START_PENALTY = 0.5
+# Longest time for which a target is left alone at its own word.
+MAX_PAUSE_S = 600.0
 # Each event is repeated in heartbeats for this long, since datagrams can be lost.
 EVENT_REPEAT_S = 1.5
 
@@ -93,6 +95,14 @@
         """Record the rate that the target states in a response."""
         self.table.record_rate_limit(self, limit_per_s, served)
 
+    def record_leaving(self) -> None:
+        """Record that the target states that it leaves."""
+        self.table.record_leaving(self)
+
+    def record_pause(self, duration_s: float) -> None:
+        """Record that the target wants no request of this instance for some time."""
+        self.table.record_pause(self, duration_s)
+
     def finish(self, outcome: Outcome) -> None:
         """Record the end of the attempt; later calls have no effect."""
         self.table.finish(self, outcome)
@@ -130,6 +140,8 @@
     path_hold_off_until_s: float = 0.0
     unreached_at_s: dict[str, float] = field(factory=dict)
     shed_until_s: float = 0.0
+    paused_until_s: float = 0.0
+    """Time until which the target wants no request of this instance."""
     consecutive_sheds: int = 0
     pending_attempts: set = field(factory=set)
     limit: StatedLimit = field(factory=StatedLimit)
@@ -150,7 +162,8 @@
             return "doubted"
         if now_s < self.path_hold_off_until_s:
             return "unreachable"
-        return "shedding" if now_s < self.shed_until_s else "usable"
+        shedding = now_s < max(self.shed_until_s, self.paused_until_s)
+        return "shedding" if shedding else "usable"
 
     def is_suspected(self) -> bool:
         """Return whether the target failed and has not recovered yet."""
@@ -219,6 +232,8 @@
         """Returns whether an idle connection to an address is available."""
         self.rate_share: Callable[[str, float], float] = lambda target, limit: limit
         """Returns the share of this instance in the rate that a target takes."""
+        self.on_leaving: Callable[[str, int], None] = lambda name, born_ms: None
+        """Called with name and start of a target that states that it leaves."""
         self.random = random or Random()
         self.states: dict[str, _TargetState] = {}
         self.by_service: dict[str, list[_TargetState]] = {}
@@ -308,6 +323,8 @@
         for state in self.by_service.get(service_name, []):
             if state.registered.leaving or state.target.name in exclude:
                 continue
+            if now_s < state.paused_until_s:
+                continue
             if not self._within_rate_limit(state, now_s):
                 continue
             load = state.load(now_s)
@@ -401,6 +418,26 @@
 
     # ---- outcomes ----
 
+    def record_leaving(self, attempt: MeshAttempt) -> None:
+        """Send a target that states that it leaves no further requests."""
+        state = attempt.state
+        with self.lock:
+            if state.registered.leaving:
+                return
+            state.registered = evolve(state.registered, leaving=True)
+        log_info("target_leaving", target=state.target.name)
+        # Outside the lock, as the registry calls back while it holds its own.
+        self.on_leaving(state.target.name, state.registered.born_ms)
+
+    def record_pause(self, attempt: MeshAttempt, duration_s: float) -> None:
+        """Send a target no request for the time that it states."""
+        with self.lock:
+            now = self.timers.now()
+            state = attempt.state
+            paused_until_s = now + min(duration_s, MAX_PAUSE_S)
+            state.paused_until_s = max(state.paused_until_s, paused_until_s)
+        log_info("target_paused", target=state.target.name, pause_s=duration_s)
+
     def record_rate_limit(
         self, attempt: MeshAttempt, limit_per_s: float | None, served: bool
     ) -> None:
--- a/src/lacewinglift/targets.py
+++ b/src/lacewinglift/targets.py
@@ -124,6 +124,12 @@
     def record_rate_limit(self, limit_per_s: float | None, served: bool) -> None:
         """Do nothing: only instances of a mesh keep a rate that a target states."""
 
+    def record_leaving(self) -> None:
+        """Do nothing: the configuration says which targets leave."""
+
+    def record_pause(self, duration_s: float) -> None:
+        """Do nothing: only instances of a mesh keep the pause that a target states."""
+
     def finish(self, outcome: Outcome) -> None:
         """Record the end of the attempt; later calls have no effect."""
         self.service.finish(self, outcome)
--- a/testing/load/undecided.py
+++ b/testing/load/undecided.py
@@ -44,6 +44,12 @@
     def record_rate_limit(self, limit_per_s: float | None, served: bool) -> None:
         """Ignore the rate that the target states."""
 
+    def record_leaving(self) -> None:
+        """Ignore that the target leaves."""
+
+    def record_pause(self, duration_s: float) -> None:
+        """Ignore the pause that the target states."""
+
     def finish(self, outcome: Outcome) -> None:
         """Ignore the outcome."""
 
--- a/testing/standins/proxy_harness.py
+++ b/testing/standins/proxy_harness.py
@@ -43,6 +43,8 @@
     on_ejected: object = None
     response_started: bool = False
     rate_limits: list = field(factory=list)
+    leaving: bool = False
+    pauses_s: list = field(factory=list)
 
     def log_fields(self):
         return {"load": 0.0}
@@ -53,6 +55,12 @@
     def record_rate_limit(self, limit_per_s, served):
         self.rate_limits.append((limit_per_s, served))
 
+    def record_leaving(self):
+        self.leaving = True
+
+    def record_pause(self, duration_s):
+        self.pauses_s.append(duration_s)
+
     def finish(self, outcome):
         self.outcomes.append((self.target.name, outcome))
 
