Use the extended deadline of a large upload for its response too

Read of the diff: the deadline of the body was fixed before the upload, so that the response to an upload that took longer than the timeout of its route would have been cut when it began.

--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -177,8 +177,8 @@
     truncated response; a response that is marked as not run allows it in any case.
     """
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
-    body_deadline_s: float | None = None
-    """Time, by `timers`, at which the target must have sent its whole response."""
+    deadline_covers_body: bool = False
+    """Whether the response must be complete, and not only begin, by the deadline."""
     free_refusals: int = 0
     """Number of `not_run` attempts that do not count towards `max_attempts`."""
     request_id: str | None = None
@@ -642,7 +642,7 @@
             self.worst_verdict = Verdict.MAY_HAVE_RUN
             raise self._connection_error(error) from error
         if response.unfinished:
-            self.exchange.deadline_s = self.request.body_deadline_s
+            self.exchange.deadline_s = self._body_deadline_s()
         if not response.is_server_error:
             return None
         message = f"a target failed with status {response.status}"
@@ -825,7 +825,7 @@
         self._raise_if_not_run(response)
         self.call.attempt.mark_response_started(latency_s)
         if not self.request.idempotent:
-            self.exchange.deadline_s = self.request.body_deadline_s
+            self.exchange.deadline_s = self._body_deadline_s()
         if self.exchange.cancel_reason is not None:
             raise self._connection_error(None)
         sock.settimeout(self.service.request_timeout_s)
@@ -833,6 +833,9 @@
             body.discard_replay_buffer()
         return ForwardedResponse(self.call, response, raw, latency_s, upload_finished)
 
+    def _body_deadline_s(self) -> float | None:
+        return self.deadline_s if self.request.deadline_covers_body else None
+
     def _set_exchange_deadline(self, streaming: bool) -> None:
         if self.request.deadline_covers_upload:
             self.exchange.deadline_s = self.deadline_s
--- a/src/lacewinglift/request_handler.py
+++ b/src/lacewinglift/request_handler.py
@@ -403,7 +403,7 @@
             deadline_covers_upload=caller_timeout_s is not None,
             idempotent=route.idempotent,
             max_attempts=route.max_attempts,
-            body_deadline_s=deadline_s if route.timeout_covers_body else None,
+            deadline_covers_body=route.timeout_covers_body,
             free_refusals=route.free_refusals,
             request_id=self.head.value(dialect.request_id_header or ""),
             logged_id=self.logged_id,
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -391,8 +391,8 @@
         "body-without-deadline",
         "timeout-of-route",
         "request_handler.py",
-        "deadline_s if route.timeout_covers_body else None",
-        "None",
+        "deadline_covers_body=route.timeout_covers_body",
+        "deadline_covers_body=False",
         "testing/test_endless_responses.py -k does_not_end",
     ),
     Mutation(
