Tell an era of 0 from a store that names none, and announce as late as before

Read of the diff: a first restore of a store that counts from 0 would have gone unnoticed, and an observer that sees its first era announced itself at once, where it has to wait for 2 s.

--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -354,15 +354,14 @@
         self.add_addresses(
             [item.value.decode(errors="replace") for item in listing.items]
         )
-        self._sleep(PEER_DISCOVERY_INTERVAL_S - ANNOUNCEMENT_DELAY_S)
+        self._sleep(PEER_DISCOVERY_INTERVAL_S - ANNOUNCEMENT_DELAY_S, era)
 
-    def _sleep(self, duration_s: float) -> None:
-        """Wait while this instance watches and the store is not restored."""
+    def _sleep(self, duration_s: float, era: int | None = None) -> None:
+        """Wait while this instance watches, and while the store is in `era`."""
         until_s = self.timers.now() + duration_s
-        era = self.contact.era
         while (
             self._is_watching()
-            and self.contact.era == era
+            and era in (None, self.contact.era)
             and self.timers.now() < until_s
         ):
             time.sleep(ROLE_CHECK_INTERVAL_S)
--- a/testing/adapter/test_restored_store.py
+++ b/testing/adapter/test_restored_store.py
@@ -147,3 +147,17 @@
     watching.store.leases[foreign_lease] = math.inf
     watching.store.put("servers/old", make_entry(sequence=2))
     assert wait_until(lambda: key in watching.store.entries)
+
+
+def test_first_restore_is_noticed_if_eras_are_counted_from_0(watching):
+    """Guards against an era of 0 that is taken for a store that names none."""
+    assert_that(PlatformStoreClient(watching.store.address).list("x").era, Equals(2))
+    watching.store.era = 0
+    assert_that(PlatformStoreClient(watching.store.address).list("x").era, Equals(1))
+
+
+def test_observer_waits_before_it_announces_itself(watching):
+    """Guards against an announcement by each instance that observes for a moment."""
+    assert_that(watching.observer.contact.era, Equals(2))
+    short_s = observers.ANNOUNCEMENT_DELAY_S / 2
+    assert not wait_until(lambda: watching.observer.lease, short_s)
