Wait for the target, and not for the caller, in the test of endless bodies

Traced: on a busy machine the caller read slower than the target sent, so that the proxy waited for the caller at the deadline, which is no evidence against the target. The target of the test now pauses between blocks, and a test of its own holds that a caller who does not read is no fault of the target.

--- a/testing/test_endless_responses.py
+++ b/testing/test_endless_responses.py
@@ -26,6 +26,8 @@
 # The users' bound after the timeout of a route.
 ENDED_WITHIN_S = 0.5
 ROUTE_TIMEOUT_S = 1.0
+# Slow enough that the proxy waits for the target, and never for the caller to read.
+BLOCK_PAUSE_S = 0.05
 # Idle connections are checked once in each interval.
 IDLE_CLOSED_WITHIN_S = PRUNE_INTERVAL_S + CLOSED_WITHIN_S
 # Socket buffers of both sides hold bytes that nobody reads.
@@ -37,8 +39,9 @@
 class EndlessTarget:
     """Script that sends `start` after a request, then `block` until it is closed."""
 
-    def __init__(self, start, block, pause_s=0.0):
+    def __init__(self, start, block, pause_s=0.0, block_pause_s=0.0):
         self.start = start
+        self.block_pause_s = block_pause_s
         self.block = block * max(BLOCK_BYTES // len(block), 1)
         self.pause_s = pause_s
         self.sent_bytes = 0
@@ -57,6 +60,7 @@
             while True:
                 sock.sendall(self.block)
                 self.sent_bytes += len(self.block)
+                time.sleep(self.block_pause_s)
         self.closed_at_s = time.monotonic()
         self.closed.set()
 
@@ -169,7 +173,9 @@
 
 
 UNFINISHED_BODIES = {
-    name: lambda start=start, block=block: EndlessTarget(start, block)
+    name: lambda start=start, block=block: EndlessTarget(
+        start, block, block_pause_s=BLOCK_PAUSE_S
+    )
     for name, (start, block) in ENDLESS_BODIES.items()
 } | {"stopped": lambda: stop_in_body}
 
@@ -199,6 +205,20 @@
         assert_that(proxy.selector.kinds(), Equals([OutcomeKind.TIMEOUT]))
 
 
+def test_caller_that_does_not_read_is_no_fault_of_the_target():
+    """Guards against holding a target to have failed whose response nobody takes."""
+    script = EndlessTarget(*ENDLESS_BODIES["close-delimited"])
+    fields = {"request_timeout_s": SERVICE_TIMEOUT_S, "dialect": DIALECT}
+    with proxy_with_targets(script, **fields) as (proxy, _), proxy.connect() as sock:
+        route = Route(
+            "/cassa", "cassa", timeout_s=ROUTE_TIMEOUT_S, timeout_covers_body=True
+        )
+        proxy.publish(routes=(route,))
+        sock.sendall(request_bytes("POST", "/cassa", "Request-Id: own", body=b"x"))
+        assert wait_until(proxy.selector.kinds)
+        assert_that(proxy.selector.kinds(), Equals([OutcomeKind.CANCELLED]))
+
+
 @pytest.mark.parametrize("pause_s", [0.0, 0.2])
 def test_bytes_without_end_after_a_response_belong_to_no_request(pause_s):
     """Guards against a kept connection whose endless rest answers the next request."""
