Keep targets whose entries a restore lost also if the watch is refused

Read of the diff: with fewer writes after a restore than were lost, the watch gets 410 and the listing is read again, but the targets that it lacks were removed at once instead of being kept for the 2 s in which they write again. The registry itself now notes the outage when a listing is of a later era. The test failed before.

--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -265,11 +265,7 @@
                 time.sleep(RETRY_MAX_DELAY_S)
 
     def _read_restored_store(self) -> None:
-        """Read the store after a restore; the other watch may notice it later.
-
-        Targets whose entries were lost write them again.
-        """
-        self.registry.record_outage()
+        """Read the store after a restore; the other watch may notice it later."""
         self._list_configuration()
         self._list_targets()
 
--- a/src/lacewinglift/mesh/registry.py
+++ b/src/lacewinglift/mesh/registry.py
@@ -125,6 +125,9 @@
         with self.lock:
             if era < self.era:
                 return
+            if era > self.era > 0:
+                # Targets whose entries were lost by a restore write them again.
+                self.record_outage()
             listed = {target.name: target for target in targets}
             for target in listed.values():
                 self._upsert(target)
--- a/testing/adapter/test_restored_store.py
+++ b/testing/adapter/test_restored_store.py
@@ -106,10 +106,16 @@
     assert wait_until(lambda: b'{"later": true}' in watching.configurations)
 
 
-def test_target_that_the_restored_store_lacks_is_kept_until_it_writes_again(watching):
-    """Guards against dropping targets whose entries were written after the copy."""
+@pytest.mark.parametrize("following", [0, 2 * LOST_WRITES])
+def test_target_that_the_restored_store_lacks_is_kept_until_it_writes_again(
+    watching, following
+):
+    """Guards against dropping targets whose entries were written after the copy.
+
+    The watch is refused if fewer writes follow the restore than were lost.
+    """
     copy = watching.lose_writes()
-    watching.store.restore(copy, fill_up(2 * LOST_WRITES))
+    watching.store.restore(copy, fill_up(following))
     watching.store.put("servers/other", make_entry())
     assert wait_until(lambda: "other" in watching.registry.targets)
     assert_that(watching.registry.targets, Contains("lost"))
