Announce at once that an observer changes or loses the store

After a start, the chosen observer may be one that the store refuses.

An observer now sends a heartbeat to all when its role changes and when its contact to the store is lost or regained. Instances that are not observers do not, or a start in an outage would cost a round of heartbeats from each.

testing/mesh/test_observers.py::test_refused_observer_tells_the_others_at_once fails without the change.

--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -227,6 +227,7 @@
             self.timers,
             self.is_started,
             read_immediately=not settings.first_start,
+            on_role_change=self.heartbeats.send_soon,
         )
 
     def _build_request_components(self, dialect: Dialect) -> RequestComponents:
--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -77,6 +77,8 @@
     failing: bool = False
     era: int = 0
     """Newest era that the store has named."""
+    on_change: Callable[[], None] = lambda: None
+    """Called when calls begin to fail, and when the store answers again."""
 
     def record_answer(self, era: int) -> None:
         """Record that the store answered a call, and the era that it named."""
@@ -88,12 +90,14 @@
         if self.failing:
             self.failing = False
             log_info("store_regained")
+            self.on_change()
 
     def record_failure(self, error: StoreError) -> None:
         """Record that a call failed."""
         if not self.failing:
             self.failing = True
             log_warning("store_lost", code=error.code, reason=error)
+            self.on_change()
 
     def age_s(self) -> float:
         """Return the time since the last answer; infinite while calls fail."""
@@ -130,6 +134,9 @@
     read_immediately : bool
         Whether to read the store once before the observers are known, because
         callers are waiting.
+    on_role_change : callable, default=None
+        Called when the role changes, and when an observer loses or regains the store.
+        The others must know soon, since they watch the store instead of it.
     """
 
     def __init__(
@@ -145,6 +152,7 @@
         timers: Timers,
         is_started: Callable[[], bool],
         read_immediately: bool,
+        on_role_change: Callable[[], None] | None = None,
     ) -> None:
         self.store = store
         self.codec = codec
@@ -157,7 +165,8 @@
         self.timers = timers
         self.is_started = is_started
         self.read_immediately = read_immediately
-        self.contact = StoreContact(timers)
+        self.on_role_change = on_role_change
+        self.contact = StoreContact(timers, on_change=self._announce_contact)
         self.started_at_s = timers.now()
         self.last_observer_at_s = self.started_at_s + INITIAL_LISTEN_S
         """Last time at which an observer that reaches the store was reachable."""
@@ -196,6 +205,12 @@
             self.watching.set()
         else:
             self.watching.clear()
+        if self.on_role_change is not None:
+            self.on_role_change()
+
+    def _announce_contact(self) -> None:
+        if self.watching.is_set() and self.on_role_change is not None:
+            self.on_role_change()
 
     def has_working_watch(self) -> bool:
         """Return whether this instance receives changes from the store itself."""
--- a/testing/mesh/test_observers.py
+++ b/testing/mesh/test_observers.py
@@ -123,6 +123,36 @@
     assert_that({data_centre_of(name) for name in others}, HasLength(3))
 
 
+def test_refused_observer_tells_the_others_at_once(fleet):
+    """Guards against a fleet that watches nothing for seconds after its start.
+
+    The instances learn from heartbeats alone that the chosen observer is refused.
+    """
+    announced = []
+    for name, observer in fleet.items():
+        observer.on_role_change = lambda name=name: announced.append(name)
+    chosen = update_roles(fleet)
+    assert_that(set(announced), Equals(chosen))
+    refused = sorted(chosen)[0]
+    announced.clear()
+    fleet[refused].contact.record_failure(StoreUnavailableError("refused"))
+    fleet[refused].contact.record_failure(StoreUnavailableError("refused"))
+    assert_that(announced, Equals([refused]))
+    fleet[refused].contact.record_answer(0)
+    assert_that(announced, Equals([refused, refused]))
+
+
+def test_failed_first_read_announces_nothing(fleet):
+    """Guards against one more heartbeat from each instance that starts in an outage.
+
+    Only observers are watched for their contact to the store.
+    """
+    announced = []
+    fleet["f0"].on_role_change = lambda: announced.append("f0")
+    fleet["f0"].contact.record_failure(StoreUnavailableError("down"))
+    assert_that(announced, Equals([]))
+
+
 def test_observer_that_the_store_refuses_has_no_working_watch(fleet):
     """Guards against outdated targets at an observer that the store refuses.
 
