End the tasks left in an event loop before it closes

A control part that stopped closed its loop while the handler of a stream that was accepted during the stop still waited.

The loop's thread now cancels and awaits all remaining tasks, as asyncio.run does. test_tasks_left_over_end_before_their_loop_closes failed before with "Task was destroyed but it is pending".

--- a/src/lacewinglift/loops.py
+++ b/src/lacewinglift/loops.py
@@ -49,4 +49,16 @@
             log_exception("loop_failed", thread=self.thread.name)
         finally:
             self.started.set()
+            self._cancel_remaining_tasks()
             self.loop.close()
+
+    def _cancel_remaining_tasks(self) -> None:
+        """End the tasks that the coroutine did not await, such as late handlers.
+
+        A task that still waits when its loop closes raises in whatever thread collects
+        it.
+        """
+        tasks = asyncio.all_tasks(self.loop)
+        for task in tasks:
+            task.cancel()
+        self.loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
--- a/testing/test_loops.py
+++ b/testing/test_loops.py
@@ -1,5 +1,7 @@
 """Event loops in separate threads."""
 
+import asyncio
+
 import pytest
 
 from lacewinglift.loops import LoopRunner
@@ -31,3 +33,30 @@
 
     with pytest.raises(RuntimeError, match="cannot listen"):
         LoopRunner("test", main).start()
+
+
+def test_tasks_left_over_end_before_their_loop_closes():
+    """Guards against "Event loop is closed", raised where a late task is collected.
+
+    A server that stops does not wait for the handler of a stream that it accepted
+    meanwhile.
+    """
+    ended = []
+
+    async def handle_late_stream():
+        try:
+            await asyncio.Event().wait()
+        finally:
+            ended.append("handler")
+
+    async def main():
+        runner.started.set()
+        await runner.stopping.wait()
+        runner.late = asyncio.create_task(handle_late_stream())
+        await asyncio.sleep(0)
+
+    runner = LoopRunner("test", main)
+    runner.start()
+    runner.stop()
+    assert ended == ["handler"]
+    assert runner.late.cancelled()
