Refuse requests that come so late in a stop that it could cut them

Report of another operator: in a planned stop, requests that came late in the grace were passed on and cut at its end with no answer, sales among them. It can happen here: a head or the end of a body that arrives on an open connection while the instance drains was passed on, whatever time was left.

While the instance drains, a request is taken only if its timeout ends before the stop does, or if three quarters of the stop are left. Otherwise it is refused as not run, with Retry-After 0, before it uses a token of its workspace, and again after its body has arrived.

--- a/src/lacewinglift/request_handler.py
+++ b/src/lacewinglift/request_handler.py
@@ -326,7 +326,9 @@
         started_s = self.components.timers.now()
         status = "refused"
         self.service_name = access.service.name
+        deadline_s = started_s + self._timeout_s(access)
         try:
+            self._refuse_if_late_in_stop(deadline_s)
             if access.workspace is not None:
                 check_standing(self.components.standing)
                 self._admit(access.workspace)
@@ -339,13 +341,30 @@
                 ),
                 self._monitored_exchange(access) as exchange,
             ):
-                status = self._forward_to_target(access, exchange, started_s)
+                status = self._forward_to_target(access, exchange, deadline_s)
         finally:
             name = access.service.name
             self.components.metrics.requests.labels(name, status).inc()
             elapsed_s = self.components.timers.now() - started_s
             self.components.metrics.request_latency.labels(name).observe(elapsed_s)
 
+    def _timeout_s(self, access: Access) -> float:
+        timeout_s = access.route.timeout_s or access.service.request_timeout_s
+        caller_timeout_s = self._caller_timeout_s()
+        return (
+            timeout_s if caller_timeout_s is None else min(timeout_s, caller_timeout_s)
+        )
+
+    def _caller_timeout_s(self) -> float | None:
+        return self.head.timeout_s(self.components.dialect.timeout_header)
+
+    def _refuse_if_late_in_stop(self, deadline_s: float) -> None:
+        """Refuse a request that the end of a shutdown could cut."""
+        if self.components.shutdown.accepts(deadline_s - self.components.timers.now()):
+            return
+        message = "this instance is about to stop; use another address"
+        raise refuse("stopping", message, retry_after_s=0.0)
+
     def _admit(self, workspace: Workspace) -> None:
         decision = self.components.admission.admit(workspace)
         self.admission_log_fields = {"workspace": workspace.name, **decision.log_fields}
@@ -383,24 +402,22 @@
             self.stream.cancelled = bool  # bool() returns False.
 
     def _forward_to_target(
-        self, access: Access, exchange: Exchange, started_s: float
+        self, access: Access, exchange: Exchange, deadline_s: float
     ) -> str:
         dialect = self.components.dialect
         route = access.route
-        timeout_s = route.timeout_s or access.service.request_timeout_s
-        caller_timeout_s = self.head.timeout_s(dialect.timeout_header)
-        if caller_timeout_s is not None:
-            timeout_s = min(timeout_s, caller_timeout_s)
-        deadline_s = started_s + timeout_s
-        if self.body.fits_replay_buffer and started_s < deadline_s:
-            self.body.preload(lambda: deadline_s - self.components.timers.now())
+        now = self.components.timers.now
+        if self.body.fits_replay_buffer and now() < deadline_s:
+            self.body.preload(lambda: deadline_s - now())
+            # The stop may have gone on while the body arrived.
+            self._refuse_if_late_in_stop(deadline_s)
         request = ForwardRequest(
             self.head.method,
             self.head.target,
             headers_to_target(self.head.headers, dialect.reserved_headers()),
             self.body,
             exchange,
-            deadline_covers_upload=caller_timeout_s is not None,
+            deadline_covers_upload=self._caller_timeout_s() is not None,
             idempotent=route.idempotent,
             max_attempts=route.max_attempts,
             deadline_covers_body=route.timeout_covers_body,
--- a/src/lacewinglift/shutdown.py
+++ b/src/lacewinglift/shutdown.py
@@ -11,6 +11,9 @@
 from lacewinglift.timers import Timers
 
 POLL_INTERVAL_S = 0.05
+# Part of the stop bound that must be left for a request that may last longer than what
+# is left. Its caller is better served by another instance, where it cannot be cut.
+MIN_FRACTION_LEFT = 0.75
 
 
 class ShutdownState(enum.Enum):
@@ -84,6 +87,8 @@
         self.stop_bound_s = stop_bound_s
         self.close_while_leaving = close_while_leaving
         self.state = ShutdownState.SERVING
+        self.deadline_s: float | None = None
+        """Time at which requests in progress are cut; None before the shutdown."""
         self._forced = threading.Event()
 
     def closes_connections(self) -> bool:
@@ -96,13 +101,22 @@
         """Return whether requests are refused."""
         return self.state is ShutdownState.STOPPED
 
+    def accepts(self, duration_s: float) -> bool:
+        """Return whether a request can be taken that lasts up to `duration_s`."""
+        if self.state is ShutdownState.STOPPED:
+            return False
+        if self.state is not ShutdownState.DRAINING or self.deadline_s is None:
+            return True
+        left_s = self.deadline_s - self.timers.now()
+        return left_s >= min(duration_s, MIN_FRACTION_LEFT * self.stop_bound_s)
+
     def force_stop(self) -> None:
         """End a running shutdown immediately; called on a second signal."""
         self._forced.set()
 
     def run(self, frontend: Drainable) -> StopReport:
         """Shut down gracefully; cancel what is left at the deadline or when forced."""
-        deadline_s = self.timers.now() + self.stop_bound_s
+        deadline_s = self.deadline_s = self.timers.now() + self.stop_bound_s
         log_info("stop_begins", bound_s=self.stop_bound_s)
         self.state = ShutdownState.LEAVING
         self.on_leaving()
--- a/testing/test_shutdown.py
+++ b/testing/test_shutdown.py
@@ -1,3 +1,4 @@
+import contextlib
 import errno
 import socket
 import threading
@@ -36,14 +37,19 @@
 
 
 @pytest.fixture
-def proxy(gate):
+def target(gate):
     target = ScriptedTarget(serve_with_gate(gate, make_response(200, b"sold")))
-    with running_proxy([target.address], request_timeout_s=20.0) as proxy:
-        yield proxy
+    yield target
     gate.set()
     target.close()
 
 
+@pytest.fixture
+def proxy(target):
+    with running_proxy([target.address], request_timeout_s=20.0) as proxy:
+        yield proxy
+
+
 def start_stop(proxy):
     reports = []
     shutdown = proxy.components.shutdown
@@ -126,6 +132,60 @@
         assert_that(reports[0].cut_requests, Equals(1))
 
 
+LATE_STOP_BOUND_S = 1.5
+
+
+@contextlib.contextmanager
+def late_in_a_stop(proxy, sent):
+    """Connect, send some bytes, and wait until little of the stop is left."""
+    proxy.components.shutdown.stop_bound_s = LATE_STOP_BOUND_S
+    with proxy.connect() as late:
+        if sent:
+            late.sendall(sent)
+            assert wait_until(lambda: proxy.components.exchange_monitor.in_progress())
+        thread, reports = start_stop(proxy)
+        assert in_state(proxy, ShutdownState.DRAINING)
+        time.sleep(LATE_STOP_BOUND_S / 2 - 0.3)
+        yield late
+    thread.join(5)
+    assert_that(reports[0].cut_requests, Equals(0))
+
+
+@pytest.mark.parametrize("method", ["POST", "GET"])
+def test_request_that_comes_late_in_a_stop_is_refused(proxy, target, method):
+    """Guards against a late request that is passed on and cut at the end of a stop.
+
+    Its caller, who gets no answer, does not know whether a sale has run.
+    """
+    with late_in_a_stop(proxy, b"") as late:
+        late.sendall(request_bytes(method, "/cassa/slow"))
+        reply = receive_all(late)
+    assert_that(reply, StartsWith(b"HTTP/1.1 503 "))
+    assert_that(reply, Contains(b"X-Lacewinglift-Refusal: stopping"))
+    assert_that(reply, Contains(b"X-Lacewinglift-Verdict: not_run"))
+    assert_that(reply, Contains(b"Connection: close"))
+    assert_that(target.received, Equals([]))
+    assert_that(proxy.admission.requested_workspaces, Equals([]))
+
+
+def test_request_whose_body_comes_late_in_a_stop_is_refused(proxy, target):
+    """Guards against an upload that ends late, is passed on, and is cut."""
+    whole = request_bytes("POST", "/cassa/slow", body=b"x" * 100)
+    with late_in_a_stop(proxy, whole[:-50]) as late:
+        late.sendall(whole[-50:])
+        reply = receive_all(late)
+    assert_that(reply, StartsWith(b"HTTP/1.1 503 "))
+    assert_that(reply, Contains(b"X-Lacewinglift-Verdict: not_run"))
+    assert_that(target.received, Equals([]))
+
+
+def test_late_request_that_ends_before_the_stop_is_served(proxy):
+    """Guards against refusing what can still be served."""
+    with late_in_a_stop(proxy, b"") as late:
+        late.sendall(request_bytes("POST", "/cassa", "X-Request-Timeout-Ms: 300"))
+        assert_that(receive_all(late), StartsWith(b"HTTP/1.1 200 "))
+
+
 def test_busy_callers_lose_no_request_during_a_stop(proxy):
     """Guards against a request that is accepted and then cut by the stop."""
     lost, answered, ended = [], [], []
