Start worker threads when requests need them

WorkerPool replaces cheroot's pool: a thread is started when a connection has a request and no thread is idle, up to the same bounds as before; the one that was idle for the shortest time is used first, so that the others end after 5 s. cheroot's thread for a full queue ends at once, since no queue is bounded.

Ruled out on paper: one selector for waiting on targets, and a loop in place of threads; both would rewrite the forwarder, which runs straight down, and neither was tried.

--- a/src/lacewinglift/frontend.py
+++ b/src/lacewinglift/frontend.py
@@ -18,6 +18,7 @@
 from lacewinglift.logs import log_exception, log_warning
 from lacewinglift.request_handler import RequestComponents, RequestHandler
 from lacewinglift.socket_addresses import split_address
+from lacewinglift.worker_pool import WorkerPool
 
 LISTEN_BACKLOG = 1024
 MAX_CONNECTIONS = 4096
@@ -147,13 +148,8 @@
     def __init__(
         self, address: tuple[str, int], worker_threads: int, handler: RequestHandler
     ) -> None:
-        super().__init__(
-            address,
-            CallerGateway,
-            minthreads=worker_threads,
-            maxthreads=worker_threads,
-            server_name="lacewinglift",
-        )
+        super().__init__(address, CallerGateway, server_name="lacewinglift")
+        self.requests = WorkerPool(self, worker_threads, "frontend")
         self.handler = handler
         self.accepting = True
         self.connections: set[CallerConnection] = set()
@@ -221,6 +217,9 @@
                 return
             self.process_conn(connection)
 
+    def _serve_unservicable(self) -> None:
+        """End at once; no connection is rejected because of a full queue."""
+
     def error_log(
         self, msg: str = "", level: int = logging.INFO, traceback: bool = False
     ) -> None:
--- a/src/lacewinglift/mesh/endpoints.py
+++ b/src/lacewinglift/mesh/endpoints.py
@@ -10,6 +10,7 @@
 
 from lacewinglift.logs import log_exception
 from lacewinglift.socket_addresses import split_address
+from lacewinglift.worker_pool import WorkerPool
 
 WORKER_THREADS = 2
 LISTEN_BACKLOG = 512
@@ -28,6 +29,11 @@
 Endpoint = Callable[[Query], EndpointResponse]
 
 
+class _EndpointHTTPServer(Server):
+    def _serve_unservicable(self) -> None:
+        """End at once; no connection is rejected because of a full queue."""
+
+
 class EndpointServer:
     """Serves endpoint functions by path on one address.
 
@@ -41,12 +47,12 @@
 
     def __init__(self, address: str, endpoints: Mapping[str, Endpoint]) -> None:
         self.endpoints = dict(endpoints)
-        self.server = Server(
+        self.server = _EndpointHTTPServer(
             split_address(address),
             self._handle_wsgi_request,
-            numthreads=WORKER_THREADS,
             request_queue_size=LISTEN_BACKLOG,
         )
+        self.server.requests = WorkerPool(self.server, WORKER_THREADS, "endpoints")
         self.thread: threading.Thread | None = None
 
     def start(self) -> None:
--- a/testing/adapter/platform_fleet.py
+++ b/testing/adapter/platform_fleet.py
@@ -149,6 +149,10 @@
         }
         return self.get(host, "frontend", path, "POST", **headers)
 
+    def count_threads(self, host):
+        """Return the number of threads of an instance."""
+        return len(os.listdir(f"/proc/{self.processes[host].pid}/task"))
+
     def read_log(self, host):
         """Return the log of an instance."""
         return (self.folder / f"{host}.log").read_text()
--- a/testing/adapter/test_process.py
+++ b/testing/adapter/test_process.py
@@ -12,6 +12,8 @@
 from testing.standins.platform_store import PlatformStoreStandIn
 from testing.standins.proxy_harness import wait_until
 
+MAX_THREADS_AT_REST = 20
+
 
 def test_request_is_translated_for_callers_and_targets(fleet):
     """Guards against a header that is not translated between caller and target."""
@@ -80,6 +82,16 @@
     assert_that(fleet.send_request(HOSTS[2])[0], Equals(200))
 
 
+def test_instance_at_rest_has_few_threads(fleet):
+    """Guards against a large fleet that does not fit on one machine, or in its bench.
+
+    Threads for callers are started by requests, and end again.
+    """
+    fleet.start_all()
+    for host in HOSTS:
+        assert_that(fleet.count_threads(host), LessThan(MAX_THREADS_AT_REST + 1))
+
+
 def test_all_instances_restart_after_a_kill(fleet):
     """Guards against a fleet that cannot restart without its in-memory state."""
     fleet.start_all()
