--- a/tools/measure_fleet_traffic.py
+++ b/tools/measure_fleet_traffic.py
@@ -33,8 +33,8 @@
             for each in fleet.instances
             if each.is_active() is active
         ]
-        datagrams = sum(rate[0] for rate in rates) / len(rates)
-        kilobytes = sum(rate[1] for rate in rates) / len(rates) / 1000
+        datagrams = sum(rate[0] for rate in rates) / max(len(rates), 1)
+        kilobytes = sum(rate[1] for rate in rates) / max(len(rates), 1) / 1000
         cells += [str(len(rates)), f"{datagrams:.0f}", f"{kilobytes:.1f}"]
     longest_wait_s = max(link.max_wait_s for link in fleet.links.values())
     return " | ".join(["", *cells, f"{longest_wait_s:.2f}", ""]).strip()
