--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -155,9 +155,11 @@
         for bucket in self.buckets.values():
             bucket.refill(now, fraction)
 
-    def usages(self, full: bool) -> list[beats_pb2.Usage]:
-        """Return all counts, or the recently increased ones, to send to others."""
-        since_s = self.timers.now() - COUNT_REPEAT_S
+    def usages(
+        self, full: bool, repeat_s: float = COUNT_REPEAT_S
+    ) -> list[beats_pb2.Usage]:
+        """Return all counts, or those of the last `repeat_s`, to send to others."""
+        since_s = self.timers.now() - repeat_s
         fraction = self.reachable_fraction()
         with self._lock:
             if full:
--- a/src/lacewinglift/mesh/full_heartbeats.py
+++ b/src/lacewinglift/mesh/full_heartbeats.py
@@ -6,14 +6,18 @@
 """
 
 import threading
+import zlib
 from collections.abc import Sequence
 
 from attrs import define, field
 
 # The first heartbeats of an instance are full ones to all, since nobody knows it yet.
 INITIAL_FULL_HEARTBEATS = 6
-# Afterwards each heartbeat is a full one for every n-th instance in turn, in case an
-# earlier one was lost.
+# The first of these go to all instances at once also in a large fleet; the second one
+# covers the loss of the first.
+INITIAL_HEARTBEATS_TO_ALL = 2
+# Afterwards each instance gets a full one every n-th round, in case an earlier one was
+# lost.
 FULL_HEARTBEAT_EVERY = 6
 
 
@@ -22,7 +26,7 @@
     """Selects the recipients of full heartbeats among those of each heartbeat."""
 
     sent: int = 0
-    """Number of heartbeats that were sent to all instances."""
+    """Number of periodic heartbeats that were sent."""
     newcomers: set[str] = field(factory=set)
     """Addresses of instances that joined and have got no full heartbeat since."""
     lock: threading.Lock = field(factory=threading.Lock)
@@ -38,12 +42,28 @@
             newcomers, self.newcomers = self.newcomers, set()
         return sorted(newcomers)
 
-    def split(self, addresses: Sequence[str]) -> tuple[list[str], list[str]]:
-        """Return the recipients of a full and those of a brief heartbeat."""
-        self.sent += 1
+    def is_next_for_all(self) -> bool:
+        """Return whether the next heartbeat goes to all instances at once."""
+        return self.sent < INITIAL_HEARTBEATS_TO_ALL
+
+    def split(
+        self, addresses: Sequence[str], round_number: int
+    ) -> tuple[list[str], list[str]]:
+        """Return the recipients of a full and those of a brief heartbeat.
+
+        Parameters
+        ----------
+        addresses : sequence of str
+            Recipients of a heartbeat.
+        round_number : int
+            Number of the round, in which each instance gets one heartbeat or more.
+        """
         if self.sent <= INITIAL_FULL_HEARTBEATS:
             return list(addresses), []
-        turn = self.sent % FULL_HEARTBEAT_EVERY
-        full = list(addresses[turn::FULL_HEARTBEAT_EVERY])
-        chosen = set(full)
-        return full, [each for each in addresses if each not in chosen]
+        turn = round_number % FULL_HEARTBEAT_EVERY
+        full, brief = [], []
+        for address in addresses:
+            # By a hash, since the places of addresses move as instances join.
+            is_turn = zlib.crc32(address.encode()) % FULL_HEARTBEAT_EVERY == turn
+            (full if is_turn else brief).append(address)
+        return full, brief
--- a/src/lacewinglift/mesh/heartbeats.py
+++ b/src/lacewinglift/mesh/heartbeats.py
@@ -16,12 +16,11 @@
 
 from lacewinglift.generated import beats_pb2
 from lacewinglift.logs import log_info, log_warning
+from lacewinglift.mesh.heartbeat_rounds import HEARTBEAT_INTERVAL_S
 from lacewinglift.mesh.traffic import Direction, MeshTraffic, MessageKind
 from lacewinglift.socket_addresses import split_address
 from lacewinglift.timers import Timers
 
-# Interval of heartbeats to all instances.
-HEARTBEAT_INTERVAL_S = 1.0
 # Shortest interval of heartbeats between instances that serve callers.
 ACTIVE_HEARTBEAT_INTERVAL_S = 0.1
 # Rate of the datagrams to the instances that serve callers. It bounds the share of the
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -1,6 +1,7 @@
 """Builds, starts and stops the components of an instance of a mesh."""
 
 import threading
+from collections.abc import Sequence
 from random import Random
 
 from lacewinglift.addresses import AddressBook
@@ -20,6 +21,7 @@
 from lacewinglift.mesh.fleet_history import FleetHistory
 from lacewinglift.mesh.fleet_limits import FleetQuota
 from lacewinglift.mesh.full_heartbeats import FullHeartbeatSchedule
+from lacewinglift.mesh.heartbeat_rounds import HEARTBEAT_INTERVAL_S, HeartbeatRounds
 from lacewinglift.mesh.heartbeats import (
     HeartbeatExchange,
     OutgoingHeartbeat,
@@ -27,6 +29,7 @@
 )
 from lacewinglift.mesh.members import MemberTable, PeerAddresses
 from lacewinglift.mesh.observers import Codec, Observer, try_read_configuration
+from lacewinglift.mesh.peer_counters import COUNT_REPEAT_S
 from lacewinglift.mesh.rate_shares import RateShares
 from lacewinglift.mesh.registry import TargetRegistry, from_message
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets
@@ -106,6 +109,7 @@
         self.incarnation = self.timers.wall_ms()
         self.sequence = 0
         self.full_heartbeats = FullHeartbeatSchedule()
+        self.rounds = HeartbeatRounds()
         self.random = Random()
         self.metrics = Metrics()
         self.configuration_holder = ConfigurationHolder(self.timers)
@@ -398,26 +402,68 @@
 
     def build_heartbeats(self, recipients: Recipients) -> list[OutgoingHeartbeat]:
         """Return the next heartbeats of this instance to a group of instances."""
-        brief = self._build_brief_heartbeat()
         if recipients is Recipients.ACTIVE:
             active = [each.description.beat_address for each in self.members.active()]
-            return [OutgoingHeartbeat(brief, active)]
+            return [OutgoingHeartbeat(self._build_brief_heartbeat(), active)]
         newcomers = self.full_heartbeats.take_newcomers()
-        welcome = self._build_full_heartbeat(brief, MAX_GOSSIPED_PEERS_TO_NEWCOMERS)
-        outgoing = [OutgoingHeartbeat(welcome, newcomers)]
-        if recipients is Recipients.NEWCOMERS:
-            return outgoing
-        others = sorted(self._known_addresses() - set(newcomers))
-        described, known = self.full_heartbeats.split(others)
-        full = self._build_full_heartbeat(brief, MAX_GOSSIPED_PEERS)
-        outgoing.append(OutgoingHeartbeat(full, described))
-        outgoing.append(OutgoingHeartbeat(brief, known))
+        outgoing = []
+        if newcomers:
+            welcome = self._build_full_heartbeat(
+                self._build_brief_heartbeat(), MAX_GOSSIPED_PEERS_TO_NEWCOMERS
+            )
+            outgoing.append(OutgoingHeartbeat(welcome, newcomers))
+        if recipients is Recipients.ALL:
+            outgoing += self._build_periodic_heartbeats(set(newcomers))
         return outgoing
 
-    def _build_brief_heartbeat(self) -> beats_pb2.Beat:
+    def _build_periodic_heartbeats(self, greeted: set[str]) -> list[OutgoingHeartbeat]:
+        """Return the heartbeats of this second, except to `greeted` addresses."""
+        to_all = self.full_heartbeats.is_next_for_all() or self._is_followed_by_all()
+        serving = self.members.active() if self.is_active() else []
+        recipients = self.rounds.next_recipients(
+            self._known_addresses() - greeted,
+            [member.description.beat_address for member in serving],
+            to_all,
+        )
+        self.full_heartbeats.sent += 1
+        return [
+            *self._build_for_round(recipients.each_time, HEARTBEAT_INTERVAL_S),
+            *self._build_for_round(recipients.in_turn, recipients.round_s),
+        ]
+
+    def _build_for_round(
+        self, addresses: Sequence[str], interval_s: float
+    ) -> list[OutgoingHeartbeat]:
+        """Return a full and a brief heartbeat, each to some of the addresses."""
+        if not addresses:
+            return []
+        brief = self._build_brief_heartbeat(interval_s)
+        full_recipients, others = self.full_heartbeats.split(
+            addresses, self.rounds.rounds
+        )
+        full = self._build_full_heartbeat(brief, MAX_GOSSIPED_PEERS)
+        return [
+            OutgoingHeartbeat(full, full_recipients),
+            OutgoingHeartbeat(brief, others),
+        ]
+
+    def _is_followed_by_all(self) -> bool:
+        """Return whether all others must learn soon what this instance reports."""
+        return self.observer.watching.is_set() or self._serving_state() != (
+            beats_pb2.SERVING
+        )
+
+    def _build_brief_heartbeat(
+        self, interval_s: float = HEARTBEAT_INTERVAL_S
+    ) -> beats_pb2.Beat:
+        """Build a heartbeat to instances that get one at least every `interval_s`."""
         self.sequence += 1
+        self.members.own_active = self.is_active()
+        repeat_s = max(COUNT_REPEAT_S, interval_s + HEARTBEAT_INTERVAL_S)
         store_age_s = self.observer.contact.age_s()
-        loads = self.targets.loads()
+        is_frequent = interval_s <= HEARTBEAT_INTERVAL_S
+        # Others do not use loads that are older than the interval of a round.
+        loads = self.targets.loads() if is_frequent else []
         heartbeat = beats_pb2.Beat(
             instance=self.settings.instance,
             incarnation=self.incarnation,
@@ -431,13 +477,18 @@
             observer=self.observer.watching.is_set(),
             evidence=self.targets.evidence(),
             loads=loads,
-            active=self.is_active(),
+            active=self.members.own_active,
             history_ms=self.history.own_ms(),
+            lost=self.members.lost_active(),
         )
+        if not is_frequent:
+            heartbeat.interval_ms = int(interval_s * 1000)
         if loads:
             self._schedule_active_heartbeat()
-        heartbeat.usages.extend(self.quota.usages(full=False))
-        heartbeat.resends.extend(self.retry_budgets.resend_counts(full=False))
+        heartbeat.usages.extend(self.quota.usages(full=False, repeat_s=repeat_s))
+        heartbeat.resends.extend(
+            self.retry_budgets.resend_counts(full=False, repeat_s=repeat_s)
+        )
         heartbeat.rate_limits.extend(self.targets.rate_limits(full=False))
         return heartbeat
 
@@ -485,6 +536,7 @@
         if member is None:
             return
         self.peer_addresses.add([member.description.beat_address, *heartbeat.peers])
+        self.members.record_losses(heartbeat)
         self.quota.record_peer_usage(heartbeat)
         self.retry_budgets.record_peer_resends(heartbeat)
         member.last_evidence_number = self.targets.record_peer_evidence(
--- a/src/lacewinglift/mesh/members.py
+++ b/src/lacewinglift/mesh/members.py
@@ -7,6 +7,7 @@
 
 from lacewinglift.generated import beats_pb2
 from lacewinglift.logs import log_info, log_warning
+from lacewinglift.mesh.heartbeat_rounds import HEARTBEAT_INTERVAL_S
 from lacewinglift.rendezvous import rank_candidates
 from lacewinglift.socket_addresses import split_address
 from lacewinglift.timers import Timers
@@ -14,6 +15,14 @@
 # An instance without a heartbeat for this long counts as unreachable: callers are not
 # sent to it and it is not chosen as observer.
 MEMBER_TIMEOUT_S = 2.5
+# Longest interval between heartbeats that a sender may state.
+MAX_STATED_INTERVAL_S = 30.0
+# A lost instance is reported to the others for this long.
+LOSS_REPORT_S = 12.0
+# Bound of the lost instances that one heartbeat names.
+MAX_REPORTED_LOSSES = 64
+# Number of instances that must report a loss; one alone may have lost its own path.
+LOSS_REPORTERS_MIN = 2
 # An instance counts as active for this long after it reported that it is.
 ACTIVE_TIMEOUT_S = 3.0
 # An unreachable instance may still admit requests, so its fraction of the quotas stays
@@ -92,15 +101,26 @@
     """Last time at which the instance reported a share of the callers' requests."""
     last_evidence_number: int = 0
     """Number of the last event of this incarnation that was applied."""
+    loss_reporters: set[str] = field(factory=set)
+    """Instances that have lost it since its last heartbeat was received."""
 
     @property
     def name(self) -> str:
         """Return the name of the instance."""
         return self.heartbeat.instance
 
-    def is_reachable(self, now_s: float) -> bool:
-        """Return whether a heartbeat was received within the timeout."""
-        return now_s - self.last_heartbeat_at_s <= MEMBER_TIMEOUT_S
+    def interval_s(self) -> float:
+        """Return the time until the next heartbeat that the sender stated."""
+        stated_s = min(self.heartbeat.interval_ms / 1000, MAX_STATED_INTERVAL_S)
+        return max(stated_s, HEARTBEAT_INTERVAL_S)
+
+    def silent_s(self, now_s: float) -> float:
+        """Return the time since the last heartbeat."""
+        return now_s - self.last_heartbeat_at_s
+
+    def is_reported_lost(self) -> bool:
+        """Return whether several others have lost the instance."""
+        return len(self.loss_reporters) >= LOSS_REPORTERS_MIN
 
 
 @define(eq=False)
@@ -110,6 +130,8 @@
     own_name: str
     timers: Timers
     members: dict[str, Member] = field(factory=dict)
+    own_active: bool = False
+    """Whether this instance serves callers, so that others that do send it more."""
     on_join: Callable[[str], None] = lambda address: None
     """Called with the heartbeat address of an instance or incarnation that joined."""
     lock: threading.RLock = field(factory=threading.RLock)
@@ -143,6 +165,7 @@
                 log_info("member_state", member=heartbeat.instance, state=state)
             member.heartbeat = heartbeat
             member.last_heartbeat_at_s = now
+            member.loss_reporters.clear()
             if heartbeat.active:
                 member.last_active_at_s = now
             return member
@@ -155,9 +178,12 @@
         with self.lock:
             now = self.timers.now()
             for name, member in list(self.members.items()):
-                silent_s = now - member.last_heartbeat_at_s
+                silent_s = member.silent_s(now)
+                timeout_s = self._timeout_s(member)
                 leaving = member.heartbeat.state == beats_pb2.DRAINING
-                if silent_s > (MEMBER_TIMEOUT_S if leaving else REMOVE_MEMBER_AFTER_S):
+                if silent_s > (
+                    timeout_s if leaving else max(REMOVE_MEMBER_AFTER_S, timeout_s)
+                ):
                     del self.members[name]
                     log_info("member_forgotten", member=name, silent_s=silent_s)
 
@@ -167,9 +193,52 @@
             return list(self.members.values())
 
     def reachable(self) -> list[Member]:
-        """Return the members with a heartbeat within the timeout."""
+        """Return the members that are not silent for longer than they stated."""
         now = self.timers.now()
-        return [member for member in self.known() if member.is_reachable(now)]
+        return [member for member in self.known() if self._is_reachable(member, now)]
+
+    def _is_reachable(self, member: Member, now_s: float) -> bool:
+        silent_s = member.silent_s(now_s)
+        if member.is_reported_lost() and silent_s > MEMBER_TIMEOUT_S:
+            return False
+        return silent_s <= self._timeout_s(member)
+
+    def _timeout_s(self, member: Member) -> float:
+        if self.own_active and member.heartbeat.active:
+            return MEMBER_TIMEOUT_S
+        return MEMBER_TIMEOUT_S * member.interval_s() / HEARTBEAT_INTERVAL_S
+
+    def lost_active(self) -> list[beats_pb2.LostMember]:
+        """Return the active instances that this one has lost, to tell the others.
+
+        Only active instances hear each other often enough to be the first to know.
+        """
+        if not self.own_active:
+            return []
+        now = self.timers.now()
+        lost = [
+            member
+            for member in self.known()
+            if member.heartbeat.active
+            and MEMBER_TIMEOUT_S < member.silent_s(now) <= LOSS_REPORT_S
+        ]
+        return [
+            beats_pb2.LostMember(
+                instance=member.name, incarnation=member.heartbeat.incarnation
+            )
+            for member in lost[:MAX_REPORTED_LOSSES]
+        ]
+
+    def record_losses(self, heartbeat: beats_pb2.Beat) -> None:
+        """Record which instances the sender of a heartbeat has lost."""
+        with self.lock:
+            for lost in heartbeat.lost:
+                member = self.members.get(lost.instance)
+                if (
+                    member is not None
+                    and member.heartbeat.incarnation == lost.incarnation
+                ):
+                    member.loss_reporters.add(heartbeat.instance)
 
     def active(self) -> list[Member]:
         """Return the members that recently had a share of the callers' requests."""
@@ -187,8 +256,10 @@
         """
         now = self.timers.now()
         known = self.known()
-        reachable = sum(member.is_reachable(now) for member in known)
-        return (reachable + 1) / (max(len(known), expected) + 1)
+        heard = sum(member.silent_s(now) <= MEMBER_TIMEOUT_S for member in known)
+        # An instance that sends in longer intervals is heard only part of the time.
+        due = sum(min(MEMBER_TIMEOUT_S / each.interval_s(), 1.0) for each in known)
+        return min((heard + 1) / (max(due, expected) + 1), 1.0)
 
 
 def _is_newer(heartbeat: beats_pb2.Beat, known: Member, now_s: float) -> bool:
--- a/src/lacewinglift/mesh/retry_budgets.py
+++ b/src/lacewinglift/mesh/retry_budgets.py
@@ -283,9 +283,11 @@
                 )
                 self.recent_rate.add(requests)
 
-    def resend_counts(self, full: bool) -> list[beats_pb2.ResendCount]:
-        """Return all counts, or the recently increased ones, to send to others."""
-        since_s = self.timers.now() - COUNT_REPEAT_S
+    def resend_counts(
+        self, full: bool, repeat_s: float = COUNT_REPEAT_S
+    ) -> list[beats_pb2.ResendCount]:
+        """Return all counts, or those of the last `repeat_s`, to send to others."""
+        since_s = self.timers.now() - repeat_s
         with self.lock:
             return [
                 beats_pb2.ResendCount(
