Count the time of pipelined requests from their arrival, and lose no response to them

- A request behind a slow one got its whole timeout anew when its turn came, so that a target was given more time than its caller still waited, and ran a request whose caller had given up.
Its time now counts from its arrival: from the read that held it, or from the check of exchanges (every 40 ms) that found its connection readable.
- A response that closes its connection was lost to a reset if further requests arrived after it.
The connection is now read to its end, up to 1 s, whenever the caller did not ask to close it.

--- a/src/lacewinglift/callers.py
+++ b/src/lacewinglift/callers.py
@@ -68,6 +68,10 @@
     head_bytes_seen: int = 0
     queued_at_s: float | None = None
     """Time at which the connection was passed to the worker threads."""
+    arrived_s: float = 0.0
+    """Time from which on the last request that was read is known to have arrived."""
+    next_arrived_s: float | None = None
+    """The same of a pipelined request that is not read yet; None if there is none."""
 
     def poll_head(self) -> RequestHead | None:
         """Read the part of the next request head that has arrived.
@@ -102,9 +106,23 @@
         if block is None:
             self.head_bytes_seen = len(seen)
             return None
+        self._record_arrival()
         self.head_bytes_seen = 0
         self.head_started_s = None
-        return parse_head(block)
+        head = parse_head(block)
+        if len(seen) > len(block) and not head.has_body:
+            self.note_input()
+        return head
+
+    def _record_arrival(self) -> None:
+        times_s = (self.next_arrived_s, self.queued_at_s, self.head_started_s)
+        self.arrived_s = min(time_s for time_s in times_s if time_s is not None)
+        self.next_arrived_s = None
+
+    def note_input(self) -> None:
+        """Record that a further request has arrived before this one has ended."""
+        if self.next_arrived_s is None:
+            self.next_arrived_s = self.timers.now()
 
     def _extract_head(self, seen: bytes) -> bytes | None:
         # One empty line before a request is allowed, because some callers send it
--- a/src/lacewinglift/exchanges.py
+++ b/src/lacewinglift/exchanges.py
@@ -73,6 +73,8 @@
         self.deadline_s: float | None = None
         self.cancel_reason: CancelReason | None = None
         self.full_access_check_at_s = timers.now()
+        self.on_caller_input: Callable[[], None] | None = None
+        """Called while the caller has sent more than this request."""
         self.abandoned = False
         """Whether the current target was abandoned before it responded."""
         self._target_socket: socket.socket | None = None
@@ -145,6 +147,11 @@
             self._finished = True
             self._close_target_socket()
 
+    def record_caller_input(self) -> None:
+        """Report that the caller has sent more than this request."""
+        if self.on_caller_input is not None:
+            self.on_caller_input()
+
     def check_caller(self) -> None:
         """Cancel the exchange if the caller has disconnected."""
         if self.cancel_reason is None and _is_disconnected(self.caller_socket):
@@ -227,8 +234,10 @@
             descriptor = exchange.caller_socket.fileno()
             if descriptor >= 0:
                 by_descriptor[descriptor] = exchange
-                poll.register(descriptor, select.POLLRDHUP)
+                poll.register(descriptor, select.POLLRDHUP | select.POLLIN)
         for descriptor, events in poll.poll(0):
+            if events & select.POLLIN:
+                by_descriptor[descriptor].record_caller_input()
             # POLLRDHUP is also reported if a pipelined request is still unread; a
             # peek at the first unread byte would not show the end of the stream.
             if events & _DISCONNECT_EVENTS:
--- a/src/lacewinglift/request_handler.py
+++ b/src/lacewinglift/request_handler.py
@@ -225,10 +225,12 @@
         return self.components.timers.now() - self.started_s
 
     def _end_connection(self) -> bool:
-        if not self.body.finished:
+        if self.body.finished and self.writer.keep_alive:
+            return True
+        if not self.body.finished or self.head.keep_alive:
+            # The caller may still send the body, or further requests.
             self.stream.linger()
-            return False
-        return self.writer.keep_alive
+        return False
 
     def _send_refusal(self, refusal: Refusal) -> bool:
         self._log_refusal(refusal)
@@ -326,7 +328,8 @@
         started_s = self.components.timers.now()
         status = "refused"
         self.service_name = access.service.name
-        deadline_s = started_s + self._timeout_s(access)
+        # A pipelined request has waited for the responses to those before it.
+        deadline_s = self.stream.arrived_s + self._timeout_s(access)
         try:
             self._refuse_if_late_in_stop(deadline_s)
             if access.workspace is not None:
@@ -394,6 +397,8 @@
         )
         lost = check.is_access_lost if self.components.cancel_on_access_loss else None
         exchange = Exchange(self.components.timers, self.stream.socket, lost)
+        if not self.head.has_body:
+            exchange.on_caller_input = self.stream.note_input
         self.stream.cancelled = lambda: exchange.cancel_reason is not None
         try:
             with self.components.exchange_monitor.tracking(exchange):
