Compare a few random targets for each request, not all

Each instance chose the least loaded target of all it knew, by loads that are up to a second old, so that all chose the same one; a target that has just started is the least loaded for everybody.

Two targets of each kind (near or not, with an open connection or not) are drawn and compared by the same cost; if all drawn are full, two of the free ones are.

--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -55,6 +55,10 @@
 REMOTE_PENALTY_MIN = 0.25
 REMOTE_PENALTY_PER_BYTE = 1 / 100_000
 REMOTE_PENALTY_MAX = 0.9
+# Targets of the same distance, with or without an open connection, that are compared
+# for one request. If all instances compared all targets, each would choose the same one
+# until it heard of the others' choices.
+SAMPLED_TARGETS = 2
 # Weight of the last response in the moving average of a service's response size.
 RESPONSE_BYTES_EWMA_WEIGHT = 0.1
 # Penalty of a target to which a new connection must be opened.
@@ -395,19 +399,41 @@
         return state.shed_until_s > now_s, last_problem_s
 
     def _least_loaded(self, candidates: list[_Candidate], now_s: float) -> _Candidate:
-        def cost(candidate: _Candidate) -> tuple[bool, float, float]:
+        def cost(candidate: _Candidate) -> tuple[float, float]:
             state, load = candidate.state, candidate.load
-            # Only a response shows that the need of a target has ended.
-            is_due = state.limit.is_share_unused()
             if not state.near:
                 load += self._remote_penalty(state.registered.service)
             if now_s < state.slow_start_until_s:
                 load += SLOW_START_PENALTY
             if not self.has_connection(state.target.address):
                 load += NEW_CONNECTION_PENALTY
-            return not is_due, load, self.random.random()
+            return load, self.random.random()
 
-        return min(candidates, key=cost)
+        return min(self._sample(candidates), key=cost)
+
+    def _sample(self, candidates: list[_Candidate]) -> list[_Candidate]:
+        """Return the targets to compare: those to be asked again, or a random few.
+
+        Only a response shows that the need of a target has ended.
+        """
+        due = [each for each in candidates if each.state.limit.is_share_unused()]
+        if due:
+            return due
+        sampled = self._sample_groups(candidates)
+        if all(each.load >= FULL_LOAD for each in sampled):
+            free = [each for each in candidates if each.load < FULL_LOAD]
+            sampled = self._sample_groups(free) or sampled
+        return sampled
+
+    def _sample_groups(self, candidates: list[_Candidate]) -> list[_Candidate]:
+        groups: dict[tuple[bool, bool], list[_Candidate]] = {}
+        for each in candidates:
+            connected = self.has_connection(each.state.target.address)
+            groups.setdefault((each.state.near, connected), []).append(each)
+        sampled = []
+        for group in groups.values():
+            sampled += self.random.sample(group, min(len(group), SAMPLED_TARGETS))
+        return sampled
 
     def _remote_penalty(self, service: str) -> float:
         response_bytes = self.mean_response_bytes.get(service, 0.0)
--- a/testing/mesh/test_target_table.py
+++ b/testing/mesh/test_target_table.py
@@ -198,6 +198,26 @@
     assert_that(rest, Contains("torino"))
 
 
+def test_instances_with_old_loads_do_not_all_choose_the_same_target(timers):
+    """Load: twenty instances choose before they hear of each other, one target is idle.
+
+    Guards against a crowd at the target that was the least loaded a moment ago, as
+    after its restart; it queues or refuses what the others have slots for.
+    """
+    tables = [
+        MeshTargetTable(timers, f"f{number}", "milano", random=Random(number))
+        for number in range(20)
+    ]
+    heartbeat = beats_pb2.Beat(instance="busy", incarnation=1)
+    for number in range(1, 10):
+        heartbeat.loads.add(target=f"t{number}", in_flight=1)
+    for table in tables:
+        table.apply([make_target(number, slots=6) for number in range(10)])
+        table.record_peer_evidence(heartbeat, 0)
+    names = [table.acquire("cassa").target.name for table in tables]
+    assert_that(names.count("t0"), LessThan(8))
+
+
 def test_open_connections_are_preferred(timers):
     """Guards against a new connection for each request when an instance gets few."""
     table = MeshTargetTable(timers, "a", "milano", random=Random(1))
