Abandon an ejected target only if the retry budget grants the retry

The retry is now reserved before the attempt is abandoned, and counted once.

test_request_without_retry_budget_is_not_abandoned_when_its_target_is_ejected got 504 before.

--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -556,9 +556,12 @@
         self.reported_failure: _AttemptFailedError | None = None
         """Failure that the refusal reports if the request is given up."""
         self.call: _TargetCall
+        self.budget = forwarder.retry_budget(service.name)
+        self.retry_reserved = False
+        """Whether the budget has granted the retry after an abandoned attempt."""
 
     def run(self) -> ForwardedResponse:
-        budget = self.forwarder.retry_budget(self.service.name)
+        budget = self.budget
         budget.record_request()
         while True:
             attempt = self._next_attempt()
@@ -659,6 +662,9 @@
         replayable = self.request.body.replayable
         if not may_retry(self.request.repeatable, failure.verdict, replayable):
             return "may_have_run"
+        if self.retry_reserved:
+            self.retry_reserved = False
+            return None
         return None if budget.try_acquire() else "retry_budget"
 
     def _log_choice(self, attempt: Attempt, repeatable: bool) -> None:
@@ -793,7 +799,21 @@
         if self._has_further_attempt():
             # The request is retried as soon as its target is ejected; it need not wait
             # for a target that is known to be faulty.
-            self.call.attempt.on_ejected = self.exchange.make_abandon_callback()
+            self.call.attempt.on_ejected = self._make_ejection_callback()
+
+    def _make_ejection_callback(self) -> Callable[[], None]:
+        """Return a function that abandons the attempt if the request can be retried."""
+        abandon = self.exchange.make_abandon_callback()
+
+        def abandon_for_retry() -> None:
+            # Without a retry, the caller would get an error in place of a response.
+            if not self.request.body.replayable:
+                return
+            if self.retry_reserved or self.budget.try_acquire():
+                self.retry_reserved = True
+                abandon()
+
+        return abandon_for_retry
 
     def _send_and_receive(self) -> ForwardedResponse:
         connection = self.call.connection
--- a/testing/test_forwarder.py
+++ b/testing/test_forwarder.py
@@ -502,6 +502,50 @@
         assert_that(reply.result(5.0), EndsWith(b"sold"))
 
 
+def test_request_without_retry_budget_is_not_abandoned_when_its_target_is_ejected():
+    """Guards against giving up a request at which its target works.
+
+    While the budget grants no retry, abandoning the target only turns its response
+    into a 502.
+    """
+    gate = threading.Event()
+
+    def respond_late(target, sock, stream):
+        target.received.append(read_head(stream))
+        gate.wait(5.0)
+        sock.sendall(make_response(200, b"sold"))
+
+    with (
+        proxy_with_targets(respond_late, SOLD) as (proxy, first, second),
+        ThreadPoolExecutor() as pool,
+    ):
+        budget = proxy.components.forwarder.retry_budget("cassa")
+        budget.try_acquire = lambda: False
+        reply = pool.submit(call, proxy, "GET")
+        assert wait_until(lambda: first.received)
+        assert wait_until(lambda: proxy.selector.attempts[0].on_ejected is not None)
+        proxy.selector.attempts[0].on_ejected()
+        gate.set()
+        assert_that(reply.result(5.0), EndsWith(b"sold"))
+        assert_that(second.received, Equals([]))
+
+
+def test_retry_after_an_abandoned_attempt_is_counted_once():
+    """Guards against a budget that is charged twice for one retry."""
+    with (
+        proxy_with_targets(hang, SOLD, request_timeout_s=3.0) as (proxy, first, _),
+        ThreadPoolExecutor() as pool,
+    ):
+        budget = proxy.components.forwarder.retry_budget("cassa")
+        granted = []
+        budget.try_acquire = lambda: not granted.append(1)
+        reply = pool.submit(call, proxy, "GET")
+        assert wait_until(lambda: first.received)
+        proxy.selector.attempts[0].on_ejected()
+        assert_that(reply.result(2.0), EndsWith(b"sold"))
+        assert_that(granted, Equals([1]))
+
+
 def test_post_is_not_retried_when_its_target_is_ejected():
     """Guards against a non-idempotent request that is sent twice after an ejection."""
     with (
