Split the forwarder, and count only pipelined requests from their arrival

The interfaces of the choice of a target and of retry budgets are in attempts.py, the streamed response in forwarded_response.py; no behaviour changes with the move.

--- a/src/lacewinglift/callers.py
+++ b/src/lacewinglift/callers.py
@@ -69,7 +69,7 @@
     queued_at_s: float | None = None
     """Time at which the connection was passed to the worker threads."""
     arrived_s: float = 0.0
-    """Time from which on the last request that was read is known to have arrived."""
+    """Time at which the last request was read, or noticed while an earlier one ran."""
     next_arrived_s: float | None = None
     """The same of a pipelined request that is not read yet; None if there is none."""
 
@@ -115,8 +115,10 @@
         return head
 
     def _record_arrival(self) -> None:
-        times_s = (self.next_arrived_s, self.queued_at_s, self.head_started_s)
-        self.arrived_s = min(time_s for time_s in times_s if time_s is not None)
+        if self.next_arrived_s is None:
+            self.arrived_s = self.timers.now()
+        else:
+            self.arrived_s = self.next_arrived_s
         self.next_arrived_s = None
 
     def note_input(self) -> None:
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -1,14 +1,12 @@
 """Sends requests to targets, retries them and streams the response."""
 
 import http.client
-import itertools
 import math
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator
 from http import HTTPStatus
-from typing import Protocol
 
 from attrs import define, frozen
 from urllib3 import HTTPHeaderDict
@@ -17,11 +15,13 @@
 from urllib3.util import SKIP_HEADER
 from urllib3.util.wait import wait_for_read
 
-from lacewinglift.bodies import MAX_READ_BYTES, CallerGoneError, RequestBody
-from lacewinglift.configuration import DEFAULT_MAX_ATTEMPTS, Service, Target
+from lacewinglift.attempts import Attempt, RetryBudgetProtocol, TargetSelector
+from lacewinglift.bodies import CallerGoneError, RequestBody
+from lacewinglift.configuration import DEFAULT_MAX_ATTEMPTS, Service
 from lacewinglift.dialects import DEFAULT_DIALECT, Dialect
 from lacewinglift.exchanges import CancelReason, Exchange
-from lacewinglift.headers import BadRequestError, Headers, headers_to_caller
+from lacewinglift.forwarded_response import ForwardedResponse, TruncatedResponseError
+from lacewinglift.headers import BadRequestError, Headers
 from lacewinglift.logs import log_info, log_warning
 from lacewinglift.outcomes import Outcome, OutcomeKind
 from lacewinglift.pools import (
@@ -46,101 +46,12 @@
 # A timeout after less than this fraction of the service's timeout is not evidence
 # against the target: it results from a short deadline of the caller.
 TIMEOUT_EVIDENCE_MIN_FRACTION = 0.1
-# The response to a request on a route that is declared idempotent is read completely
-# before it is forwarded if it is not larger than this, so that the request can be
-# retried at another target if the response is truncated.
-MAX_PRELOAD_BYTES = 1024 * 1024
 WRONG_TARGET_STATUS = 421  # Misdirected Request
 # Retry-After of the refusal when no target is usable. If all targets are at their
 # limits, some of their requests will have ended by then.
 NO_TARGET_RETRY_AFTER_S = 0.5
 
 
-class Attempt(Protocol):
-    """A target chosen for one attempt."""
-
-    target: Target
-    on_ejected: Callable[[], None] | None
-    """Called when the target is ejected; set by the forwarder."""
-
-    def log_fields(self) -> Mapping[str, object]:
-        """Return the data that the choice was based on, as fields of a log line."""
-        ...
-
-    def mark_response_started(self, latency_s: float) -> None:
-        """Record that the head of the response has arrived."""
-        ...
-
-    def record_rate_limit(self, limit_per_s: float | None, served: bool) -> None:
-        """Record what the target states about the rate that it takes.
-
-        Parameters
-        ----------
-        limit_per_s : float or None
-            Requests a second from the whole fleet; None if it states no limit.
-        served : bool
-            Whether the target served the request.
-        """
-        ...
-
-    def record_leaving(self) -> None:
-        """Record that the target states that it leaves."""
-        ...
-
-    def record_pause(self, duration_s: float) -> None:
-        """Record that the target wants no request of this instance for some time."""
-        ...
-
-    def finish(self, outcome: Outcome) -> None:
-        """Record the outcome of the attempt."""
-        ...
-
-
-class TargetSelector(Protocol):
-    """Selects the target of each attempt."""
-
-    def acquire(
-        self, service_name: str, exclude: set[str], repeatable: bool = False
-    ) -> Attempt | None:
-        """Select a target for an attempt.
-
-        Parameters
-        ----------
-        service_name : str
-            Name of the service.
-        exclude : set of str
-            Names of targets that must not be selected.
-        repeatable : bool, default=False
-            Whether the request can be sent to another target if this one fails.
-
-        Returns
-        -------
-        Attempt or None
-            The attempt; None if no target can be selected.
-        """
-        ...
-
-
-class RetryBudgetProtocol(Protocol):
-    """Limits the retries of the requests of one service."""
-
-    def record_request(self) -> None:
-        """Count the first attempt of a request."""
-        ...
-
-    def try_acquire(self) -> bool:
-        """Return whether a request may be retried now; count the retry if so."""
-        ...
-
-    def log_fields(self) -> Mapping[str, object]:
-        """Return the state of the budget, as fields of a log line."""
-        ...
-
-
-class TruncatedResponseError(Exception):
-    """A response was truncated; the caller must not receive it as complete."""
-
-
 class ExchangeCancelledError(Exception):
     """The exchange was cancelled; nothing more is sent to the caller."""
 
@@ -206,130 +117,6 @@
     """The target began its response before it had received the whole body."""
 
 
-class ForwardedResponse:
-    """Response of a target, whose body is streamed.
-
-    `close` must be called, whether or not the body was read.
-    """
-
-    def __init__(
-        self,
-        call: "_TargetCall",
-        response: HTTPResponse,
-        raw: TargetResponse,
-        latency_s: float,
-        upload_finished: bool,
-    ) -> None:
-        self.status = response.status
-        self.reason = response.reason or ""
-        self.headers = headers_to_caller(response.headers.iteritems())
-        self.content_length = _declared_length(response, raw)
-        self.has_no_body = raw.length == 0
-        self.upload_finished = upload_finished
-        self.target_name = call.attempt.target.name
-        self.attempts = 1
-        self._call = call
-        self._response = response
-        self._raw = raw
-        self._latency_s = latency_s
-        self.body_bytes = 0
-        self._preloaded: Iterator[bytes] | None = None
-
-    @property
-    def unfinished(self) -> bool:
-        """Return whether the target has not yet sent the whole response."""
-        return not self._call.finished
-
-    @property
-    def is_server_error(self) -> bool:
-        """Return whether the status is a server error (5xx)."""
-        return self.status >= 500
-
-    def preload(self) -> None:
-        """Read the body to its end unless it is larger than `MAX_PRELOAD_BYTES`.
-
-        Raises
-        ------
-        TruncatedResponseError
-            If the body is truncated.
-        """
-        source = self.iter_content()
-        blocks = []
-        size = 0
-        for block in source:
-            blocks.append(block)
-            size += len(block)
-            if size > MAX_PRELOAD_BYTES:
-                break
-        self._preloaded = itertools.chain(blocks, source)
-
-    def iter_content(self) -> Iterator[bytes]:
-        """Yield the body in blocks; raise TruncatedResponseError if it is truncated."""
-        if self._preloaded is not None:
-            yield from self._preloaded
-            return
-        if self.has_no_body:
-            self._finish_body()
-            return
-        try:
-            while block := self._response.read1(MAX_READ_BYTES, decode_content=False):
-                self.body_bytes += len(block)
-                # A socket that is shut down still receives what its peer sends.
-                if self._call.exchange.cancel_reason is CancelReason.DEADLINE:
-                    raise TimeoutError("the deadline passed within the body")
-                yield block
-                self._call.forwarder.pace_response(len(block), self.body_bytes)
-        except TimeoutError as error:
-            self._raise_truncated(OutcomeKind.TIMEOUT, error)
-        except (HTTPError, http.client.HTTPException, OSError, ValueError) as error:
-            timed_out = isinstance(error.__cause__, TimeoutError)
-            kind = OutcomeKind.TIMEOUT if timed_out else OutcomeKind.CUT
-            self._raise_truncated(kind, error)
-        self._finish_body()
-
-    def close(self) -> None:
-        """Finish the attempt; a response that was not read to its end is cancelled."""
-        self._call.finish(OutcomeKind.CANCELLED, self._latency_s)
-        self._call.close()
-
-    def _finish_body(self) -> None:
-        close_delimited = self._raw.will_close and self._raw.length is None
-        if not (self._raw.complete or close_delimited or self._received_full_length()):
-            self._raise_truncated(OutcomeKind.CUT, None)
-        if self._call.exchange.cancel_reason is not None:
-            self._raise_truncated(OutcomeKind.CANCELLED, None)
-        # The caller may take its time to read the rest.
-        self._call.exchange.deadline_s = None
-        kind = OutcomeKind.ERROR if self.is_server_error else OutcomeKind.SUCCESS
-        self._call.finish(kind, self._latency_s, self.body_bytes)
-        self._call.release(self._raw, self.upload_finished)
-
-    def _received_full_length(self) -> bool:
-        if self._raw.chunked or self._response.length_remaining != 0:
-            return False
-        self._raw.complete = True
-        return True
-
-    def _raise_truncated(self, kind: OutcomeKind, error: Exception | None) -> None:
-        reason = self._call.exchange.cancel_reason
-        if reason is CancelReason.DEADLINE:
-            kind = self._call.timeout_kind()
-        elif reason is not None:
-            kind = OutcomeKind.CANCELLED
-        self._call.finish(kind, self._latency_s)
-        self._call.close()
-        raise TruncatedResponseError(
-            f"the response was truncated ({kind.value})"
-        ) from error
-
-
-def _declared_length(response: HTTPResponse, raw: TargetResponse) -> int | None:
-    lengths = response.headers.getlist("content-length")
-    if raw.chunked or not lengths:
-        return None
-    return int(lengths[0])
-
-
 def _parse_number(text: str) -> float | None:
     """Return a finite number that is not negative; None if it cannot be read."""
     try:
@@ -377,6 +164,15 @@
         self.reused = self.connection.sock is not None
         """Whether the connection has carried an earlier request."""
 
+    @property
+    def target_name(self) -> str:
+        """Return the name of the target."""
+        return self.attempt.target.name
+
+    def pace_response(self, size: int, received: int) -> None:
+        """Wait until a further block of the response may be read."""
+        self.forwarder.pace_response(size, received)
+
     def elapsed_s(self) -> float:
         return self.timers.now() - self.started_s
 
--- a/src/lacewinglift/request_handler.py
+++ b/src/lacewinglift/request_handler.py
@@ -26,12 +26,11 @@
 from lacewinglift.configuration import Configuration, Workspace
 from lacewinglift.dialects import DEFAULT_DIALECT, Dialect
 from lacewinglift.exchanges import CancelReason, Exchange, ExchangeMonitor
+from lacewinglift.forwarded_response import ForwardedResponse, TruncatedResponseError
 from lacewinglift.forwarder import (
     ExchangeCancelledError,
-    ForwardedResponse,
     Forwarder,
     ForwardRequest,
-    TruncatedResponseError,
 )
 from lacewinglift.headers import (
     BadRequestError,
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -452,6 +452,46 @@
         "            if False:\n",
         "testing/mesh/test_stated_by_targets.py",
     ),
+    Mutation(
+        "late-request-taken-in-stop",
+        "graceful",
+        "shutdown.py",
+        "return left_s >= min(duration_s, MIN_FRACTION_LEFT * self.stop_bound_s)",
+        "return True",
+        "testing/test_shutdown.py -k late_in_a_stop",
+    ),
+    Mutation(
+        "pipelined-time-from-turn",
+        "pipelined requests",
+        "request_handler.py",
+        "deadline_s = self.stream.arrived_s + self._timeout_s(access)",
+        "deadline_s = started_s + self._timeout_s(access)",
+        "testing/test_pipelining.py",
+    ),
+    Mutation(
+        "all-targets-compared",
+        "choice of a target",
+        "mesh/target_table.py",
+        "        sampled = self._sample_groups(candidates)\n",
+        "        sampled = candidates\n",
+        "testing/mesh/test_target_table.py -k old_loads",
+    ),
+    Mutation(
+        "abandoned-without-retry",
+        "retry budget",
+        "forwarder.py",
+        "            if self.retry_reserved or self.budget.try_acquire():\n",
+        "            if True:\n",
+        "testing/test_forwarder.py -k without_retry_budget",
+    ),
+    Mutation(
+        "heartbeats-to-all",
+        "bounded traffic",
+        "mesh/heartbeat_rounds.py",
+        "        if to_all or len(addresses) <= MAX_PERIODIC_RECIPIENTS:\n",
+        "        if True:\n",
+        "testing/mesh/test_heartbeat_rounds.py",
+    ),
 )
 
 
