Keep a worker whose connection cannot be closed, and name losses in large fleets only

An error while a connection was closed would have ended its thread, which then still counted as one of the pool: two of them stop an endpoint. The new test timed out before. Lost instances are named only where heartbeats come in turns; elsewhere all miss an instance at the same time.

--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -495,10 +495,11 @@
             loads=loads,
             active=is_active,
             history_ms=self.history.own_ms(),
-            lost=self.members.lost_active(),
         )
         if interval_s > HEARTBEAT_INTERVAL_S:
             heartbeat.interval_ms = int(interval_s * 1000)
+            # In a small fleet, all miss an instance at the same time.
+            heartbeat.lost.extend(self.members.lost_active())
         if loads:
             self._schedule_active_heartbeat()
         heartbeat.usages.extend(self.quota.usages(full=False, repeat_s=repeat_s))
--- a/src/lacewinglift/worker_pool.py
+++ b/src/lacewinglift/worker_pool.py
@@ -131,13 +131,19 @@
         try:
             keep_open = connection.communicate()
         except Exception as error:
-            message = f"connection failed: {error!r}"
-            self.server.error_log(message, logging.ERROR, traceback=True)
-        finally:
+            self._log_failure("request", error)
+        try:
             if keep_open:
                 self.server.put_conn(connection)
             else:
                 connection.close()
+        except Exception as error:
+            # Without this, the thread would end and still count as one of the pool.
+            self._log_failure("end of a connection", error)
+
+    def _log_failure(self, what: str, error: Exception) -> None:
+        message = f"{what} failed: {error!r}"
+        self.server.error_log(message, logging.ERROR, traceback=True)
 
     def next_connection(self, worker: _Worker) -> Connection | None:
         """Return the next connection for a thread; None if the thread must end."""
--- a/testing/test_worker_pool.py
+++ b/testing/test_worker_pool.py
@@ -153,6 +153,23 @@
     assert wait_until(lambda: len(server.returned) == 1)
 
 
+def test_connection_that_cannot_be_closed_costs_no_thread(server, gate, monkeypatch):
+    """Guards against a pool that loses a thread for each error of a socket."""
+    gate.set()
+    pool = WorkerPool(server, 1, "test", IDLE_TIMEOUT_S)
+
+    def fail(connection):
+        raise OSError("cannot be closed")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(GatedConnection, "close", fail)
+        put_all(pool, [GatedConnection(gate, keep_open=False)])
+        assert wait_until(lambda: server.errors)
+    put_all(pool, [GatedConnection(gate)])
+    assert wait_until(lambda: len(server.returned) == 1)
+    pool.stop(0.1)
+
+
 def test_system_without_room_for_threads_loses_no_request(
     pool, server, gate, monkeypatch
 ):
