Send what can be sent at once also when a deadline has just passed

The monitor cancels an exchange at its deadline; if that fell between the read of a block and its sending, the send was refused as if the caller had left, and the target, which had not ended its response in time, was not held to have failed. Under load the window is wide enough to be met.

A send now looks at the cancellation only when the caller does not take the data. test_data_that_can_be_sent_at_once_is_sent_after_a_deadline failed before.

--- a/src/lacewinglift/callers.py
+++ b/src/lacewinglift/callers.py
@@ -153,13 +153,16 @@
         progress_s = self.timers.now()
         try:
             self.socket.settimeout(SEND_POLL_INTERVAL_S)
-            while left:
-                if self.cancelled():
-                    raise CallerGoneError
+            while True:
                 with contextlib.suppress(TimeoutError):
                     left = left[self.socket.send(left) :]
                     progress_s = self.timers.now()
-                    continue
+                if not left:
+                    return
+                # What can be sent at once is sent. A passed deadline is then found at
+                # the next read, and held against the target and not the caller.
+                if self.cancelled():
+                    raise CallerGoneError
                 if self.timers.now() - progress_s > CALLER_IDLE_TIMEOUT_S:
                     raise CallerGoneError
         except OSError as error:
