--- a/testing/test_forwarder.py
+++ b/testing/test_forwarder.py
@@ -475,6 +475,17 @@
         assert_that(proxy.selector.kinds(), Equals(kinds))
 
 
+def respond_late(gate):
+    """Return a script that responds to one request when a gate opens."""
+
+    def script(target, sock, stream):
+        target.received.append(read_head(stream))
+        gate.wait(5.0)
+        sock.sendall(make_response(200, b"sold"))
+
+    return script
+
+
 def test_last_attempt_is_not_abandoned_when_its_target_is_ejected():
     """Guards against giving up a request at which its target works.
 
@@ -482,14 +493,8 @@
     """
     lost = [send_and_close(b"")] * (DEFAULT_MAX_ATTEMPTS - 1)
     gate = threading.Event()
-
-    def respond_late(target, sock, stream):
-        target.received.append(read_head(stream))
-        gate.wait(5.0)
-        sock.sendall(make_response(200, b"sold"))
-
     with (
-        proxy_with_targets(*lost, respond_late, SOLD) as (proxy, *targets),
+        proxy_with_targets(*lost, respond_late(gate), SOLD) as (proxy, *targets),
         ThreadPoolExecutor() as pool,
     ):
         reply = pool.submit(call, proxy, "GET")
@@ -509,14 +514,8 @@
     into a 502.
     """
     gate = threading.Event()
-
-    def respond_late(target, sock, stream):
-        target.received.append(read_head(stream))
-        gate.wait(5.0)
-        sock.sendall(make_response(200, b"sold"))
-
     with (
-        proxy_with_targets(respond_late, SOLD) as (proxy, first, second),
+        proxy_with_targets(respond_late(gate), SOLD) as (proxy, first, second),
         ThreadPoolExecutor() as pool,
     ):
         budget = proxy.components.forwarder.retry_budget("cassa")
