--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""CONFIG: a key that was taken away still works after the loss of the observers."""
+"""DRAIN: a backend that is gone after an outage gets requests for too long."""
 
 import pathlib
 import sys
@@ -10,49 +10,32 @@
 
 import harness  # noqa: E402
 
-PROPAGATION_S = harness.BOUNDS["config_propagation_ms"] / 1000
-ZONES = ("milano", "torino", "verona") * 2
-# Machines that lose power stay dark for this long.
-DARK_S = 2.0
-RATE_PER_S = 60
-LAST_S = 4.0
-
-
-def observers(instances):
-    """Return the instances that read the store for the others."""
-    found = []
-    for each in instances:
-        duties = [
-            line
-            for line in each.log_path.read_text().splitlines()
-            if "event=observer_duty" in line
-        ]
-        if duties and "on=True" in duties[-1]:
-            found.append(each)
-    return found
+DRAIN_S = harness.BOUNDS["drain_ms"] / 1000
+STABLE_S = harness.BOUNDS["stable_window_ms"] / 1000
+OUTAGE_S = 4.5
+# Times after the store is stable again at which one backend each leaves.
+REMOVALS_S = (0.05, 0.35, 0.65, 0.95)
+# A backend that leaves serves for `drain_ms` and a little longer, then it exits.
+EXIT_S = DRAIN_S + 1.0
+RATE_PER_S = 160
 
 
 def main(record, scratch, trouble, instances):
     store = harness.Store(record)
-    store.put("op/config", harness.make_configuration(1, keys=("kept", "taken")))
+    store.put("op/config", harness.make_configuration(1))
     backends = [
-        harness.Backend(f"i-{number}", store, record, slots=8, zone=ZONES[number])
-        for number in range(6)
+        harness.Backend(f"i-{number}", store, record, slots=4, work_s=0.1)
+        for number in range(10)
     ]
-    instances += harness.start_fleet(scratch, store, ZONES)
-    time.sleep(5)
-    lost = observers(instances)
-    if not 0 < len(lost) <= len(instances) / 2:
-        raise harness.CannotRunError(f"{len(lost)} instances read the store")
-    left = [each for each in instances if each not in lost]
+    instances += harness.start_fleet(scratch, store, ["milano", "milano"])
     stopping = threading.Event()
     sent = {}
 
     def send_one(number):
         identity = f"r-{number}"
         sent[identity] = time.monotonic()
-        address = left[number % len(left)].address("frontend")
-        harness.send(record, address, identity, key="taken")
+        address = instances[number % 2].address("frontend")
+        harness.send(record, address, identity)
 
     def send_all():
         number = 0
@@ -61,36 +44,45 @@
             threading.Thread(target=send_one, args=(number,), daemon=True).start()
 
     threading.Thread(target=send_all, daemon=True).start()
-    time.sleep(1)
-    # A change that all machines have before the trouble.
-    store.put("op/config", harness.make_configuration(2, keys=("kept", "taken")))
-    time.sleep(0.3)
-    if trouble:
-        for each in lost:
-            each.process.kill()
-            record("lost", instance=each.name)
-    taken_at = store.put("op/config", harness.make_configuration(3, keys=("kept",)))
-    record("key_taken", acknowledged=True)
-    time.sleep(DARK_S)
-    if trouble:
-        for each in lost:
-            each.start()
-            record("started", instance=each.name)
-    time.sleep(LAST_S - DARK_S)
-    stopping.set()
+    time.sleep(6)
+    record("store", silent=trouble)
+    store.silent = trouble
+    time.sleep(OUTAGE_S)
+    store.silent = False
+    back = time.monotonic()
+    record("store", silent=False)
+    left = []
+
+    def leave(backend, at):
+        time.sleep(max(at - time.monotonic(), 0))
+        removed = backend.remove_entry()
+        record("removed", backend=backend.name)
+        left.append((backend, removed))
+        time.sleep(EXIT_S)
+        backend.exit()
+        record("exited", backend=backend.name)
+
+    leavers = [
+        threading.Thread(target=leave, args=(backend, back + STABLE_S + delay))
+        for backend, delay in zip(backends, REMOVALS_S, strict=False)
+    ]
+    for each in leavers:
+        each.start()
+    for each in leavers:
+        each.join()
     time.sleep(2)
-    late = sorted(
-        sent[identity] - taken_at
-        for backend in backends
-        for _, identity, _ in backend.runs
-        if sent[identity] - taken_at > PROPAGATION_S
-    )
-    for after in late:
-        record("ran_with_key_taken_away", sent_after_s=f"{after:.3f}")
-    last = late[-1] if late else 0.0
-    print(
-        f"{len(late)} runs with the key, the last sent {last:.3f} s after it was taken"
-    )
+    stopping.set()
+    time.sleep(4)
+    late = [
+        (backend.name, identity, arrived - removed)
+        for backend, removed in left
+        for arrived, identity in backend.arrivals
+        if arrived - removed > DRAIN_S and sent[identity] - removed > DRAIN_S
+    ]
+    for name, identity, after in late:
+        record("late", backend=name, id=identity, after_s=f"{after:.3f}")
+    worst = max((after for _, _, after in late), default=0.0)
+    print(f"{len(late)} late requests, the last {worst:.3f} s after the removal")
     return bool(late)
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,6 @@
-"""Fault: a process that gets SIGHUP while it starts ends instead of starting."""
+"""CONFIG: a key that was taken away still works after the loss of the observers."""
 
 import pathlib
-import signal
 import sys
 import threading
 import time
@@ -11,80 +10,88 @@
 
 import harness  # noqa: E402
 
-MACHINES = 2
-# The platform starts a process that ended again after a short delay.
-RESTART_DELAY_S = 0.5
-# Settings change in series; one SIGHUP comes this long after each start.
-HUP_AFTER_START_S = 0.2
-CHANGES = 3
-# Ends of one machine's processes, on this many machines, that make a fault.
-ENDS_MAX = 3
-ENDED_MACHINES_MAX = 2
+PROPAGATION_S = harness.BOUNDS["config_propagation_ms"] / 1000
+ZONES = ("milano", "torino", "verona") * 2
+# Machines that lose power stay dark for this long.
+DARK_S = 2.0
+RATE_PER_S = 60
+LAST_S = 4.0
 
 
-class Platform:
-    """Starts the process of one machine, and again whenever it ends."""
-
-    def __init__(self, record, instance):
-        self.record = record
-        self.instance = instance
-        self.ends = 0
-        self.started = threading.Semaphore(0)
-        self.stopping = False
-
-    def run(self):
-        while not self.stopping:
-            self.instance.start()
-            self.record("started", instance=self.instance.name)
-            self.started.release()
-            code = self.instance.process.wait()
-            if self.stopping:
-                return
-            self.ends += 1
-            self.record("ended_by_itself", instance=self.instance.name, code=code)
-            time.sleep(RESTART_DELAY_S)
-
-    def change_settings(self, trouble):
-        """Announce changed settings soon after each of the next starts."""
-        for _ in range(CHANGES):
-            if not self.started.acquire(timeout=5):
-                # The process runs, as it should.
-                self.started.release()
-            time.sleep(HUP_AFTER_START_S)
-            if trouble and self.instance.process.poll() is None:
-                self.instance.process.send_signal(signal.SIGHUP)
-                self.record("hup", instance=self.instance.name)
+def observers(instances):
+    """Return the instances that read the store for the others."""
+    found = []
+    for each in instances:
+        duties = [
+            line
+            for line in each.log_path.read_text().splitlines()
+            if "event=observer_duty" in line
+        ]
+        if duties and "on=True" in duties[-1]:
+            found.append(each)
+    return found
 
 
 def main(record, scratch, trouble, instances):
     store = harness.Store(record)
-    store.put("op/config", harness.make_configuration(1))
-    harness.Backend("i-0", store, record)
-    network = "127.31.7"
-    hosts = [f"{network}.{number}" for number in range(1, MACHINES + 1)]
-    ports = harness.free_ports(hosts)
-    instances += [
-        harness.Instance(host, number, scratch, store, "milano", [], ports=ports)
-        for number, host in enumerate(hosts, 1)
-    ]
-    platforms = [Platform(record, each) for each in instances]
-    for each in platforms:
-        threading.Thread(target=each.run, daemon=True).start()
-    changes = [
-        threading.Thread(target=each.change_settings, args=(trouble,))
-        for each in platforms
+    store.put("op/config", harness.make_configuration(1, keys=("kept", "taken")))
+    backends = [
+        harness.Backend(f"i-{number}", store, record, slots=8, zone=ZONES[number])
+        for number in range(6)
     ]
-    for each in changes:
-        each.start()
-    for each in changes:
-        each.join()
-    ready = harness.wait_until(lambda: all(each.is_ready() for each in instances))
-    for each in platforms:
-        each.stopping = True
-    ends = [each.ends for each in platforms]
-    record("summary", ends=ends, ready=ready)
-    print(f"processes that ended by themselves, by machine: {ends}; ready: {ready}")
-    return sum(each >= ENDS_MAX for each in ends) >= ENDED_MACHINES_MAX
+    instances += harness.start_fleet(scratch, store, ZONES)
+    time.sleep(5)
+    lost = observers(instances)
+    if not 0 < len(lost) <= len(instances) / 2:
+        raise harness.CannotRunError(f"{len(lost)} instances read the store")
+    left = [each for each in instances if each not in lost]
+    stopping = threading.Event()
+    sent = {}
+
+    def send_one(number):
+        identity = f"r-{number}"
+        sent[identity] = time.monotonic()
+        address = left[number % len(left)].address("frontend")
+        harness.send(record, address, identity, key="taken")
+
+    def send_all():
+        number = 0
+        while not stopping.wait(1 / RATE_PER_S):
+            number += 1
+            threading.Thread(target=send_one, args=(number,), daemon=True).start()
+
+    threading.Thread(target=send_all, daemon=True).start()
+    time.sleep(1)
+    # A change that all machines have before the trouble.
+    store.put("op/config", harness.make_configuration(2, keys=("kept", "taken")))
+    time.sleep(0.3)
+    if trouble:
+        for each in lost:
+            each.process.kill()
+            record("lost", instance=each.name)
+    taken_at = store.put("op/config", harness.make_configuration(3, keys=("kept",)))
+    record("key_taken", acknowledged=True)
+    time.sleep(DARK_S)
+    if trouble:
+        for each in lost:
+            each.start()
+            record("started", instance=each.name)
+    time.sleep(LAST_S - DARK_S)
+    stopping.set()
+    time.sleep(2)
+    late = sorted(
+        sent[identity] - taken_at
+        for backend in backends
+        for _, identity, _ in backend.runs
+        if sent[identity] - taken_at > PROPAGATION_S
+    )
+    for after in late:
+        record("ran_with_key_taken_away", sent_after_s=f"{after:.3f}")
+    last = late[-1] if late else 0.0
+    print(
+        f"{len(late)} runs with the key, the last sent {last:.3f} s after it was taken"
+    )
+    return bool(late)
 
 
 harness.run_case(main, FOLDER)
