--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -634,6 +634,8 @@
     for each in fleet:
         each.start()
     if not wait_until(lambda: all(each.is_ready() for each in fleet)):
+        for each in fleet:
+            each.stop()
         raise CannotRunError("the instances did not get ready")
     return fleet
 
