--- a/src/lacewinglift/forwarded_response.py
+++ b/src/lacewinglift/forwarded_response.py
@@ -31,6 +31,10 @@
     finished: bool
     target_name: str
 
+    def in_haste(self) -> bool:
+        """Return whether the response must be passed on as it arrives."""
+        ...
+
     def timeout_kind(self) -> OutcomeKind:
         """Return the outcome of a timeout; CANCELLED if it is no evidence."""
         ...
@@ -99,6 +103,9 @@
     def preload(self) -> None:
         """Read the body to its end unless it is larger than `MAX_PRELOAD_BYTES`.
 
+        An instance that stops reads no more than the first block: on a slow link, it
+        has no time to read the whole body before it sends the first byte.
+
         Raises
         ------
         TruncatedResponseError
@@ -110,7 +117,7 @@
         for block in source:
             blocks.append(block)
             size += len(block)
-            if size > MAX_PRELOAD_BYTES:
+            if size > MAX_PRELOAD_BYTES or self._call.in_haste():
                 break
         self._preloaded = itertools.chain(blocks, source)
 
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -96,6 +96,11 @@
     """Request ID that the target echoes in its response."""
     logged_id: str = "-"
     """Request ID in log lines."""
+    in_haste: Callable[[], bool] = lambda: False
+    """Returns whether this instance stops, so that little time is left.
+
+    The response is then passed on as it arrives, at the full speed of the link.
+    """
 
     @property
     def repeatable(self) -> bool:
@@ -148,12 +153,13 @@
         forwarder: "Forwarder",
         attempt: Attempt,
         service: Service,
-        exchange: Exchange,
+        request: ForwardRequest,
     ) -> None:
         self.forwarder = forwarder
         self.attempt = attempt
         self.service = service
-        self.exchange = exchange
+        self.exchange = request.exchange
+        self.in_haste = request.in_haste
         self.timers = forwarder.timers
         self.started_s = self.timers.now()
         self.finished = False
@@ -171,7 +177,8 @@
 
     def pace_response(self, size: int, received: int) -> None:
         """Wait until a further block of the response may be read."""
-        self.forwarder.pace_response(size, received)
+        if not self.in_haste():
+            self.forwarder.pace_response(size, received)
 
     def elapsed_s(self) -> float:
         return self.timers.now() - self.started_s
@@ -532,9 +539,7 @@
 
     def _call_target(self, attempt: Attempt) -> ForwardedResponse:
         try:
-            self.call = _TargetCall(
-                self.forwarder, attempt, self.service, self.exchange
-            )
+            self.call = _TargetCall(self.forwarder, attempt, self.service, self.request)
         except Exception:
             attempt.finish(Outcome(OutcomeKind.CONNECT_FAILED, 0.0))
             raise
--- a/src/lacewinglift/shutdown.py
+++ b/src/lacewinglift/shutdown.py
@@ -91,6 +91,10 @@
         """Time at which requests in progress are cut; None before the shutdown."""
         self._forced = threading.Event()
 
+    def in_progress(self) -> bool:
+        """Return whether the shutdown has begun."""
+        return self.state is not ShutdownState.SERVING
+
     def closes_connections(self) -> bool:
         """Return whether responses close their connections."""
         if self.state is ShutdownState.LEAVING:
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -460,6 +460,22 @@
         "return True",
         "testing/test_shutdown.py -k late_in_a_stop",
     ),
+    Mutation(
+        "response-held-back-in-stop",
+        "graceful",
+        "forwarded_response.py",
+        "if size > MAX_PRELOAD_BYTES or self._call.in_haste():",
+        "if size > MAX_PRELOAD_BYTES:",
+        "testing/test_downloads_in_a_stop.py",
+    ),
+    Mutation(
+        "response-paced-in-stop",
+        "graceful",
+        "forwarder.py",
+        "if not self.in_haste():",
+        "if True:",
+        "testing/test_downloads_in_a_stop.py",
+    ),
     Mutation(
         "pipelined-time-from-turn",
         "pipelined requests",
