Do not keep targets that leave after an outage of the store (DRAIN)

Cause: an entry that disappears within 3 s after a failed call may have expired in an outage and is kept for 2 s. The time of the failure counted, though a call that was sent before the store's return fails by its timeout 1.5 s later; the 2 s began when the entry disappeared; and it did not matter that the target had reported since.

Ruled out: late watches; the removal was noticed within 0.1 s.

Change: a failed call is an outage only if no other call was answered since it was sent; the effects of an outage end 3 s after it; a target that a watch has reported since the outage is removed at once.

--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -1,5 +1,6 @@
 """Observers: the few instances that watch the store on behalf of all instances."""
 
+import contextlib
 import math
 import threading
 import time
@@ -250,9 +251,7 @@
             try:
                 self._list_configuration()
                 self._list_targets()
-            except StoreError as error:
-                self.contact.record_failure(error)
-                self.registry.record_outage()
+            except StoreError:
                 time.sleep(RETRY_INITIAL_DELAY_S)
 
     def _run_while_watching(self, loop: Callable[[], None]) -> None:
@@ -263,14 +262,12 @@
             self.watching.wait()
             try:
                 loop()
-            except StoreError as error:
+            except StoreError:
                 if self.stopped:
                     return
                 if self.contact.last_answer_at_s > failed_at_s:
                     failures = 0
                 failed_at_s = self.timers.now()
-                self.contact.record_failure(error)
-                self.registry.record_outage()
                 time.sleep(min(RETRY_INITIAL_DELAY_S * 2**failures, RETRY_MAX_DELAY_S))
                 # Without this limit, the power would exceed the range of a float after
                 # about a thousand failures.
@@ -284,13 +281,36 @@
         self._list_configuration()
         self._list_targets()
 
+    @contextlib.contextmanager
+    def _recorded_call(self) -> Iterator[None]:
+        """Record a failed call, and an outage unless the store has answered since.
+
+        A call that an outage swallowed fails by its timeout, when the store may have
+        been back for seconds.
+        """
+        sent_at_s = self.timers.now()
+        try:
+            yield
+        except HistoryLostError:
+            raise
+        except StoreError as error:
+            self.contact.record_failure(error)
+            if self.contact.last_answer_at_s <= sent_at_s:
+                self.registry.record_outage()
+            raise
+
+    def _list(self, prefix: str, stale: bool = False) -> Listing:
+        with self._recorded_call():
+            listing = self.store.list(prefix, stale=stale)
+        self.contact.record_answer(listing.era)
+        return listing
+
     def _is_watching(self) -> bool:
         return self.watching.is_set() and not self.stopped
 
     def _list_targets(self) -> Listing:
         """Read all targets; a watch starts from the listing."""
-        listing = self.store.list(self.codec.targets_prefix)
-        self.contact.record_answer(listing.era)
+        listing = self._list(self.codec.targets_prefix)
         targets = [self._read_target(item.key, item.value) for item in listing.items]
         readable = [target for target in targets if target is not None]
         self.registry.replace_all(readable, listing.revision, listing.era)
@@ -299,8 +319,7 @@
     def _list_configuration(self) -> Listing:
         """Read the configuration; a watch starts from the listing."""
         key = self.codec.configuration_key
-        listing = self.store.list(key)
-        self.contact.record_answer(listing.era)
+        listing = self._list(key)
         for item in listing.items:
             if item.key == key:
                 self.apply_configuration(item.value)
@@ -317,7 +336,8 @@
         revision = listing.revision
         while self._is_watching():
             try:
-                result = self.store.watch(prefix, revision, timeout_s)
+                with self._recorded_call():
+                    result = self.store.watch(prefix, revision, timeout_s)
             except HistoryLostError as error:
                 log_info("store_history_lost", prefix=prefix, reason=error)
                 return
@@ -354,14 +374,14 @@
             # A restored store may have given the lease's ID to somebody else.
             self.lease = None
             self.lease_era = era
-        if self.lease is None or not self.store.renew_lease(self.lease):
-            self.lease = self.store.put_with_lease(
-                prefix + self.members.own_name,
-                self.heartbeat_address.encode(),
-                ANNOUNCEMENT_TTL_S,
-            )
-        listing = self.store.list(prefix, stale=True)
-        self.contact.record_answer(listing.era)
+        with self._recorded_call():
+            if self.lease is None or not self.store.renew_lease(self.lease):
+                self.lease = self.store.put_with_lease(
+                    prefix + self.members.own_name,
+                    self.heartbeat_address.encode(),
+                    ANNOUNCEMENT_TTL_S,
+                )
+        listing = self._list(prefix, stale=True)
         self.add_addresses(
             [item.value.decode(errors="replace") for item in listing.items]
         )
--- a/src/lacewinglift/mesh/registry.py
+++ b/src/lacewinglift/mesh/registry.py
@@ -97,6 +97,8 @@
     tombstones: dict[str, _Tombstone] = field(factory=dict)
     missing_since_s: dict[str, float] = field(factory=dict)
     """Targets whose entry disappeared around an outage of the store, and since when."""
+    reported_at_s: dict[str, float] = field(factory=dict)
+    """Last time at which a watch brought a report of a target."""
     last_outage_at_s: float = float("-inf")
     last_changed_at_s: float = float("-inf")
     last_confirmed_at_s: float = float("-inf")
@@ -104,7 +106,7 @@
     lock: threading.RLock = field(factory=threading.RLock)
 
     def record_outage(self) -> None:
-        """Record that a call to the store failed now."""
+        """Record that a call to the store failed, and none was answered meanwhile."""
         self.last_outage_at_s = self.timers.now()
 
     def position(self) -> tuple[int, int]:
@@ -149,6 +151,8 @@
                 return
             for target in written:
                 self._upsert(target)
+                if target.name in self.targets:
+                    self.reported_at_s[target.name] = self.timers.now()
             for name in removed:
                 if name in self.targets:
                     self._remove_or_mark_missing(name)
@@ -196,7 +200,7 @@
             due = [
                 name
                 for name, since_s in self.missing_since_s.items()
-                if now - max(since_s, self.last_outage_at_s) >= EXPIRED_ENTRY_GRACE_S
+                if now >= self._kept_until_s(since_s)
             ]
             for name in due:
                 self._remove_with_tombstone(name)
@@ -237,16 +241,32 @@
 
     def _remove_or_mark_missing(self, name: str) -> None:
         now = self.timers.now()
-        if (
-            now - self.last_outage_at_s
-            <= OUTAGE_EXPIRY_WINDOW_S + EXPIRED_ENTRY_GRACE_S
+        if now <= self._outage_effects_end_s() and not self._reported_since_outage(
+            name
         ):
             self.missing_since_s.setdefault(name, now)
             return
         self._remove_with_tombstone(name)
 
+    def _outage_effects_end_s(self) -> float:
+        """Return the time from which no entry is missing because of an outage."""
+        window_s = OUTAGE_EXPIRY_WINDOW_S + EXPIRED_ENTRY_GRACE_S
+        return self.last_outage_at_s + window_s
+
+    def _reported_since_outage(self, name: str) -> bool:
+        """Return whether a target has written its entry since the last outage.
+
+        If such an entry disappears, the target has left.
+        """
+        return self.reported_at_s.get(name, float("-inf")) > self.last_outage_at_s
+
+    def _kept_until_s(self, missing_since_s: float) -> float:
+        since_s = max(missing_since_s, self.last_outage_at_s)
+        return min(since_s + EXPIRED_ENTRY_GRACE_S, self._outage_effects_end_s())
+
     def _remove_with_tombstone(self, name: str) -> None:
         self.missing_since_s.pop(name, None)
+        self.reported_at_s.pop(name, None)
         target = self.targets.pop(name, None)
         if target is None:
             return
--- a/testing/mesh/test_observers.py
+++ b/testing/mesh/test_observers.py
@@ -17,7 +17,7 @@
 from testing.mesh.test_directory import build_heartbeat
 
 
-@define
+@define(slots=False)
 class EmptyStore:
     """Store without keys that records the listed prefixes; fails if `down`."""
 
@@ -199,7 +199,15 @@
     """Guards against reading from the store what peers have already sent."""
     store = EmptyStore(down=True)
     started = iter([False, True])
-    observer = Observer(
+    observer = observe(store, timers)
+    observer.is_started = lambda: next(started)
+    observer._read_initial_state()
+    assert_that(store.calls, Equals(["config"]))
+
+
+def observe(store, timers):
+    """Return an observer of a store that hears no other instance."""
+    return Observer(
         store,
         EmptyCodec(),
         TargetRegistry(timers),
@@ -209,11 +217,33 @@
         "f0:81",
         "milano",
         timers,
-        lambda: next(started),
-        read_immediately=True,
+        lambda: True,
+        read_immediately=False,
     )
-    observer._read_initial_state()
-    assert_that(store.calls, Equals(["config"]))
+
+
+@pytest.mark.parametrize("answered_meanwhile", [True, False])
+def test_call_that_an_outage_swallowed_is_no_later_outage(timers, answered_meanwhile):
+    """Guards against targets that are kept for seconds although they have left.
+
+    A call that was sent before the store returned fails by its timeout, when the
+    store has long answered others.
+    """
+    observer = observe(EmptyStore(), timers)
+
+    def fail_late(prefix, stale=False):
+        timers.advance(1.0)
+        if answered_meanwhile:
+            observer.contact.record_answer(0)
+        timers.advance(0.5)
+        raise StoreUnavailableError("timed out")
+
+    observer.store.list = fail_late
+    with pytest.raises(StoreUnavailableError):
+        observer._list_targets()
+    assert_that(observer.contact.failing, Equals(True))
+    expected = float("-inf") if answered_meanwhile else timers.now()
+    assert_that(observer.registry.last_outage_at_s, Equals(expected))
 
 
 @pytest.fixture
--- a/testing/mesh/test_registry.py
+++ b/testing/mesh/test_registry.py
@@ -110,3 +110,42 @@
     assert_that(registry.digest, Equals(before))
     registry.apply_changes([evolve(TARGET, sequence=10, leaving=True)], [], 12)
     assert_that(registry.digest, Not(Equals(before)))
+
+
+def test_target_that_leaves_after_an_outage_is_removed_at_once(registry, timers):
+    """Guards against requests to a target that has left for as long as an outage lasts.
+
+    It has reported since the outage, so its entry has not expired in it.
+    """
+    registry.record_outage()
+    timers.advance(OUTAGE_EXPIRY_WINDOW_S)
+    registry.apply_changes([evolve(TARGET, sequence=6)], [], 11)
+    timers.advance(0.1)
+    registry.apply_changes([], ["i-1"], 12)
+    assert_that(registry.targets, Not(Contains("i-1")))
+
+
+def test_report_before_an_outage_does_not_make_its_removal_final(registry, timers):
+    """Guards against losing targets whose entries expire right after an outage."""
+    registry.apply_changes([evolve(TARGET, sequence=6)], [], 11)
+    timers.advance(1.0)
+    registry.record_outage()
+    timers.advance(0.5)
+    registry.apply_changes([], ["i-1"], 12)
+    assert_that(registry.targets, Contains("i-1"))
+
+
+def test_missing_target_is_gone_once_the_effects_of_an_outage_are_over(
+    registry, timers
+):
+    """Guards against a grace period that begins when the removal is noticed.
+
+    The period counts from the end of the outage, whenever an entry disappears.
+    """
+    registry.record_outage()
+    timers.advance(OUTAGE_EXPIRY_WINDOW_S + EXPIRED_ENTRY_GRACE_S - 0.1)
+    registry.apply_changes([], ["i-1"], 11)
+    assert_that(registry.targets, Contains("i-1"))
+    timers.advance(0.1)
+    registry.remove_expired()
+    assert_that(registry.targets, Not(Contains("i-1")))
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -460,6 +460,22 @@
         "return True",
         "testing/test_shutdown.py -k late_in_a_stop",
     ),
+    Mutation(
+        "late-failure-is-an-outage",
+        "draining targets",
+        "mesh/observers.py",
+        "if self.contact.last_answer_at_s <= sent_at_s:",
+        "if True:",
+        "testing/mesh/test_observers.py",
+    ),
+    Mutation(
+        "reported-target-kept-after-outage",
+        "draining targets",
+        "mesh/registry.py",
+        'return self.reported_at_s.get(name, float("-inf")) > self.last_outage_at_s',
+        "return False",
+        "testing/mesh/test_registry.py",
+    ),
     Mutation(
         "response-held-back-in-stop",
         "graceful",
