Notice lost observers within a second (CONFIG)

Cause: the loss of an observer was noticed by the timeout of any member, 2.5 s, which is longer than the users' bound of 2.0 s, and lost instances of a better rank stood in the way as long.

Ruled out: that the new observers read late; the case holds with the takeover alone changed.

Change: an observer sends a short heartbeat to its data centre every 0.4 s; who hears none of any observer for 0.9 s takes over, later by its rank. An observer that stops ranks last, so that it is replaced before it ends (related path). The decision is now a module of its own.

--- a/src/lacewinglift/mesh/heartbeats.py
+++ b/src/lacewinglift/mesh/heartbeats.py
@@ -47,6 +47,8 @@
     """Instances that recently had a share of the callers' requests."""
     NEWCOMERS = "newcomers"
     """Instances that have just joined."""
+    DATA_CENTRE = "data centre"
+    """Instances of the own data centre, for which this one watches the store."""
 
 
 @frozen
@@ -167,6 +169,10 @@
         """Send a heartbeat to the instances that have joined, several at once."""
         self._schedule(Recipients.NEWCOMERS, JOIN_BATCH_DELAY_S)
 
+    def send_to_data_centre(self) -> None:
+        """Send a heartbeat to the instances of the own data centre."""
+        self._schedule(Recipients.DATA_CENTRE, 0.0)
+
     def _schedule(self, recipients: Recipients, delay_s: float) -> None:
         now = self.timers.now()
         due_s = now + delay_s
@@ -204,8 +210,13 @@
             if self.stopped or now >= self.due_s[Recipients.ALL]:
                 self.due_s[Recipients.ALL] = now + HEARTBEAT_INTERVAL_S
                 self.due_s[Recipients.ACTIVE] = math.inf
+                self.due_s[Recipients.DATA_CENTRE] = math.inf
                 return Recipients.ALL
-            for recipients in (Recipients.ACTIVE, Recipients.NEWCOMERS):
+            for recipients in (
+                Recipients.DATA_CENTRE,
+                Recipients.ACTIVE,
+                Recipients.NEWCOMERS,
+            ):
                 if now >= self.due_s[recipients]:
                     self.due_s[recipients] = math.inf
                     return recipients
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -32,6 +32,10 @@
     Recipients,
 )
 from lacewinglift.mesh.members import MemberTable, PeerAddresses
+from lacewinglift.mesh.observer_election import (
+    OBSERVER_HEARTBEAT_INTERVAL_S,
+    ObserverElection,
+)
 from lacewinglift.mesh.observers import Codec, Observer, try_read_configuration
 from lacewinglift.mesh.peer_counters import COUNT_REPEAT_S
 from lacewinglift.mesh.rate_shares import RateShares
@@ -225,15 +229,20 @@
 
     def _build_observer(self) -> Observer:
         settings = self.settings
+        election = ObserverElection(
+            self.members,
+            settings.data_centre,
+            self.timers,
+            lambda: self.shutdown.in_progress(),
+        )
         return Observer(
             self.store,
             self.codec,
             self.registry,
-            self.members,
+            election,
             self.apply_configuration,
             self.peer_addresses.add,
             settings.heartbeat_address,
-            settings.data_centre,
             self.timers,
             self.is_started,
             read_immediately=not settings.first_start,
@@ -276,6 +285,9 @@
         self.frontend.start()
         self.observer.start()
         self.timers.subscribe(HOUSEKEEPING_INTERVAL_S, self._run_housekeeping)
+        self.timers.subscribe(
+            OBSERVER_HEARTBEAT_INTERVAL_S, self._send_observer_heartbeat
+        )
         self.timers.subscribe(LEFT_OUT_REPORT_INTERVAL_S, report_left_out)
         log_info(
             "instance_started",
@@ -411,6 +423,9 @@
         if recipients is Recipients.ACTIVE:
             active = [each.description.beat_address for each in self.members.active()]
             return [OutgoingHeartbeat(self._build_brief_heartbeat(), active)]
+        if recipients is Recipients.DATA_CENTRE:
+            near = self._addresses_in_data_centre()
+            return [OutgoingHeartbeat(self._build_minimal_heartbeat(), near)]
         newcomers = self.full_heartbeats.take_newcomers()
         outgoing = []
         if newcomers:
@@ -468,18 +483,15 @@
             return HEARTBEAT_INTERVAL_S
         return round_duration_s(len(self._known_addresses()))
 
-    def _build_brief_heartbeat(self, in_turn: bool = False) -> beats_pb2.Beat:
-        """Build a heartbeat; one to instances in turn covers the time of a round."""
+    def _build_minimal_heartbeat(self, with_loads: bool = True) -> beats_pb2.Beat:
+        """Build a heartbeat that tells the state of this instance and no events.
+
+        Receivers take loads that are left out as zero.
+        """
         self.sequence += 1
         is_active = self.is_active()
         self.members.record_own_activity(is_active)
-        interval_s = self._heartbeat_interval_s()
-        repeat_s = COUNT_REPEAT_S
-        if in_turn:
-            repeat_s = max(COUNT_REPEAT_S, interval_s + HEARTBEAT_INTERVAL_S)
         store_age_s = self.observer.contact.age_s()
-        # Loads are of no use to instances that hear of them only in their turn.
-        loads = [] if in_turn else self.targets.loads()
         heartbeat = beats_pb2.Beat(
             instance=self.settings.instance,
             incarnation=self.incarnation,
@@ -491,16 +503,28 @@
             store_era=self.registry.era,
             store_age_ms=min(int(min(store_age_s, 1e6) * 1000), MAX_STORE_AGE_MS),
             observer=self.observer.watching.is_set(),
-            evidence=self.targets.evidence(),
-            loads=loads,
+            loads=self.targets.loads() if with_loads else [],
             active=is_active,
             history_ms=self.history.own_ms(),
         )
+        interval_s = self._heartbeat_interval_s()
         if interval_s > HEARTBEAT_INTERVAL_S:
             heartbeat.interval_ms = int(interval_s * 1000)
+        return heartbeat
+
+    def _build_brief_heartbeat(self, in_turn: bool = False) -> beats_pb2.Beat:
+        """Build a heartbeat; one to instances in turn covers the time of a round."""
+        # Loads are of no use to instances that hear of them only in their turn.
+        heartbeat = self._build_minimal_heartbeat(with_loads=not in_turn)
+        repeat_s = COUNT_REPEAT_S
+        if in_turn:
+            round_s = self._heartbeat_interval_s() + HEARTBEAT_INTERVAL_S
+            repeat_s = max(COUNT_REPEAT_S, round_s)
+        heartbeat.evidence.extend(self.targets.evidence())
+        if heartbeat.interval_ms:
             # In a small fleet, all miss an instance at the same time.
             heartbeat.lost.extend(self.members.lost_active())
-        if loads:
+        if heartbeat.loads:
             self._schedule_active_heartbeat()
         heartbeat.usages.extend(self.quota.usages(full=False, repeat_s=repeat_s))
         heartbeat.resends.extend(
@@ -538,6 +562,19 @@
             return beats_pb2.DRAINING
         return beats_pb2.SERVING if self.is_ready() else beats_pb2.BOOTING
 
+    def _addresses_in_data_centre(self) -> list[str]:
+        descriptions = [member.description for member in self.members.known()]
+        return [
+            each.beat_address
+            for each in descriptions
+            if each.data_centre == self.settings.data_centre
+        ]
+
+    def _send_observer_heartbeat(self) -> None:
+        """Let the data centre know that this instance still watches the store."""
+        if self.observer.watching.is_set():
+            self.heartbeats.send_to_data_centre()
+
     def _known_addresses(self) -> set[str]:
         known = {member.description.beat_address for member in self.members.known()}
         return known | self.peer_addresses.known()
--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -13,17 +13,10 @@
 from lacewinglift.errors import ConfigurationError, StoreError
 from lacewinglift.kv import HistoryLostError, KeyValueStore, Listing, WatchResult
 from lacewinglift.logs import log_exception, log_info, log_warning
-from lacewinglift.mesh.members import (
-    STORE_CONTACT_MAX_AGE_S,
-    Member,
-    MemberTable,
-    select_across_data_centres,
-)
+from lacewinglift.mesh.observer_election import ObserverElection
 from lacewinglift.mesh.registry import RegisteredTarget, TargetRegistry
 from lacewinglift.timers import Timers
 
-# Number of observers in each data centre.
-OBSERVERS_PER_DATA_CENTRE = 1
 # Delay after changes of targets, so that the next watch call returns several at once.
 TARGETS_BATCH_DELAY_S = 0.1
 # A watch call returns after this time at the latest, so that one whose connection has
@@ -37,13 +30,7 @@
 RETRY_INITIAL_DELAY_S = 0.1
 RETRY_MAX_DELAY_S = 1.0
 RETRY_MAX_DOUBLINGS = 4
-# Time after its start for which an instance waits for heartbeats of others before it
-# may become an observer.
-INITIAL_LISTEN_S = 1.0
-ROLE_CHECK_INTERVAL_S = 0.2
-# Time without any observer that reaches the store after which an instance becomes one
-# regardless of its rank.
-NO_OBSERVER_TIMEOUT_S = 1.2
+ROLE_CHECK_INTERVAL_S = 0.1
 # TTL of the store entry by which new instances find the address of an observer.
 ANNOUNCEMENT_TTL_S = 60.0
 # An observer announces its address only after it has had the role for this long, since
@@ -118,16 +105,14 @@
         Decodes the values of the store.
     registry : TargetRegistry
         Receives the targets.
-    members : MemberTable
-        The other instances.
+    election : ObserverElection
+        Decides whether this instance has the observer role.
     apply_configuration : callable
         Receives the value of the configuration key.
     add_addresses : callable
         Receives the heartbeat addresses of instances that are listed in the store.
     heartbeat_address : str
         Address that is announced for this instance.
-    data_centre : str
-        Data centre of this instance.
     timers : Timers
         Clock.
     is_started : callable
@@ -145,11 +130,10 @@
         store: KeyValueStore,
         codec: Codec,
         registry: TargetRegistry,
-        members: MemberTable,
+        election: ObserverElection,
         apply_configuration: Callable[[bytes], None],
         add_addresses: Callable[[list[str]], None],
         heartbeat_address: str,
-        data_centre: str,
         timers: Timers,
         is_started: Callable[[], bool],
         read_immediately: bool,
@@ -158,19 +142,17 @@
         self.store = store
         self.codec = codec
         self.registry = registry
-        self.members = members
+        self.election = election
+        self.members = election.members
         self.apply_configuration = apply_configuration
         self.add_addresses = add_addresses
         self.heartbeat_address = heartbeat_address
-        self.data_centre = data_centre
         self.timers = timers
         self.is_started = is_started
         self.read_immediately = read_immediately
         self.on_role_change = on_role_change
         self.contact = StoreContact(timers, on_change=self._announce_contact)
-        self.started_at_s = timers.now()
-        self.last_observer_at_s = self.started_at_s + INITIAL_LISTEN_S
-        """Last time at which an observer that reaches the store was reachable."""
+        election.start()
         self.watching = threading.Event()
         self.stopped = False
         self.lease: str | None = None
@@ -178,8 +160,7 @@
 
     def start(self) -> None:
         """Start the threads and the periodic check of the role."""
-        self.started_at_s = self.timers.now()
-        self.last_observer_at_s = self.started_at_s + INITIAL_LISTEN_S
+        self.election.start()
         self.timers.subscribe(ROLE_CHECK_INTERVAL_S, self.update_role)
         for name, loop in (
             ("watch-targets", self._watch_targets),
@@ -198,8 +179,9 @@
 
     def update_role(self) -> None:
         """Start or stop watching the store if the role of this instance changed."""
-        should_watch = self._should_watch()
-        if should_watch == self.watching.is_set():
+        watches = self.watching.is_set()
+        should_watch = self.election.should_watch(watches, not self.contact.failing)
+        if should_watch == watches:
             return
         log_info("observer_duty", on=should_watch, heard=len(self.members.reachable()))
         if should_watch:
@@ -217,32 +199,6 @@
         """Return whether this instance receives changes from the store itself."""
         return self.watching.is_set() and not self.contact.failing
 
-    def _should_watch(self) -> bool:
-        if self.timers.now() - self.started_at_s < INITIAL_LISTEN_S:
-            return False
-        candidates = {
-            member.name: member.description.data_centre
-            for member in self.members.reachable()
-            if not member.heartbeat.observer or _reaches_store(member)
-        }
-        candidates[self.members.own_name] = self.data_centre
-        count = OBSERVERS_PER_DATA_CENTRE * len(set(candidates.values()))
-        chosen = select_across_data_centres(
-            "observer", list(candidates), candidates.__getitem__, count
-        )
-        if self._has_reachable_observer():
-            self.last_observer_at_s = self.timers.now()
-        if self.members.own_name in chosen:
-            return True
-        # The chosen observers may be unable to reach the store.
-        return self.timers.now() - self.last_observer_at_s >= NO_OBSERVER_TIMEOUT_S
-
-    def _has_reachable_observer(self) -> bool:
-        return any(
-            member.heartbeat.observer and _reaches_store(member)
-            for member in self.members.reachable()
-        )
-
     # ---- threads ----
 
     def _read_initial_state(self) -> None:
@@ -416,10 +372,6 @@
         return self.codec.read_target(self._target_name(key), value)
 
 
-def _reaches_store(member: Member) -> bool:
-    return member.heartbeat.store_age_ms <= STORE_CONTACT_MAX_AGE_S * 1000
-
-
 def _start_thread(name: str, run: Callable[[], None]) -> None:
     threading.Thread(target=run, name=name, daemon=True).start()
 
--- a/testing/adapter/test_restored_store.py
+++ b/testing/adapter/test_restored_store.py
@@ -8,8 +8,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, Not
 
-from lacewinglift.mesh import observers
+from lacewinglift.mesh import observer_election, observers
 from lacewinglift.mesh.members import MemberTable
+from lacewinglift.mesh.observer_election import ObserverElection
 from lacewinglift.mesh.observers import Observer
 from lacewinglift.mesh.registry import TargetRegistry
 from lacewinglift.timers import ThreadTimers
@@ -43,11 +44,10 @@
             PlatformStoreClient(self.store.address),
             PlatformCodec(),
             self.registry,
-            MemberTable("self", self.timers),
+            ObserverElection(MemberTable("self", self.timers), "milano", self.timers),
             self.configurations.append,
             lambda addresses: None,
             "127.0.0.1:81",
-            "milano",
             self.timers,
             is_started=lambda: True,
             read_immediately=False,
@@ -72,7 +72,7 @@
 @pytest.fixture
 def watching(monkeypatch):
     # There are no other instances to listen for.
-    monkeypatch.setattr(observers, "INITIAL_LISTEN_S", 0.0)
+    monkeypatch.setattr(observer_election, "INITIAL_LISTEN_S", 0.0)
     watching = Watching()
     yield watching
     watching.close()
--- a/testing/mesh/test_fleet_traffic.py
+++ b/testing/mesh/test_fleet_traffic.py
@@ -1,10 +1,13 @@
 """Traffic between the instances of a large fleet, on slow links."""
 
+import math
+
 import pytest
 from attrs import evolve
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, LessThan
 
+from lacewinglift.mesh.heartbeats import Recipients
 from testing.mesh.simulated_fleet import STEP_S, SimulatedFleet
 
 SLOW_LINK_BYTES_PER_S = 5_000_000 / 8
@@ -148,3 +151,27 @@
     run(fleet, 2.0)
     known = [len(each.members.reachable()) for each in fleet.instances]
     assert_that(min(known), Equals(93))
+
+
+def test_heartbeats_of_an_observer_between_the_periodic_ones_stay_near():
+    """Guards against traffic between data centres that observers cause.
+
+    Only the instances of an observer's own data centre have to miss it that soon.
+    """
+    fleet = SimulatedFleet(12, SLOW_LINK_BYTES_PER_S)
+    observer = fleet.instances[0]
+    assert_that(observer.heartbeats.take_due(), Equals(Recipients.ALL))
+    observer._send_observer_heartbeat()
+    assert_that(observer.heartbeats.due_s[Recipients.DATA_CENTRE], Equals(math.inf))
+    observer.observer.watching.set()
+    observer._send_observer_heartbeat()
+    assert_that(observer.heartbeats.take_due(), Equals(Recipients.DATA_CENTRE))
+    (outgoing,) = observer.build_heartbeats(Recipients.DATA_CENTRE)
+    near = [
+        each.settings.heartbeat_address
+        for each in fleet.instances[1:]
+        if each.settings.data_centre == observer.settings.data_centre
+    ]
+    assert_that(sorted(outgoing.addresses), Equals(sorted(near)))
+    assert outgoing.heartbeat.observer
+    assert_that(len(outgoing.heartbeat.evidence), Equals(0))
--- a/testing/mesh/test_heartbeats.py
+++ b/testing/mesh/test_heartbeats.py
@@ -96,3 +96,14 @@
     assert_that(
         len(peers.sent), LessThan(5.0 * MAX_ACTIVE_DATAGRAMS_PER_S / 2 + first + 1)
     )
+
+
+def test_heartbeat_to_all_replaces_one_to_the_data_centre(timers):
+    """Guards against an observer that sends the same news twice to its neighbours."""
+    exchange, _ = make_exchange(timers, active=0)
+    exchange.send_to_data_centre()
+    assert_that(exchange.take_due(), Equals(Recipients.DATA_CENTRE))
+    exchange.send_to_data_centre()
+    exchange.send_soon(delay_s=0.0)
+    assert_that(exchange.take_due(), Equals(Recipients.ALL))
+    assert_that(exchange.take_due(), Equals(None))
--- a/testing/mesh/test_observers.py
+++ b/testing/mesh/test_observers.py
@@ -1,18 +1,21 @@
 import pytest
 from attrs import define, field
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, HasLength
+from testtools.matchers import Equals, HasLength, LessThan
 
 from lacewinglift.errors import StoreUnavailableError
 from lacewinglift.generated import beats_pb2
 from lacewinglift.kv import Listing
 from lacewinglift.mesh.members import MEMBER_TIMEOUT_S, MemberTable
-from lacewinglift.mesh.observers import (
+from lacewinglift.mesh.observer_election import (
     INITIAL_LISTEN_S,
-    NO_OBSERVER_TIMEOUT_S,
-    Observer,
+    OBSERVER_HEARTBEAT_INTERVAL_S,
+    OBSERVER_TIMEOUT_S,
+    ObserverElection,
 )
+from lacewinglift.mesh.observers import ROLE_CHECK_INTERVAL_S, Observer
 from lacewinglift.mesh.registry import TargetRegistry
+from lacewinglift.rendezvous import rank_candidates
 from lacewinglift.timers import ManualTimers
 from testing.mesh.test_directory import build_heartbeat
 
@@ -45,26 +48,30 @@
     return ManualTimers()
 
 
+def observe(store, timers, name="f0"):
+    """Return the observer of one instance."""
+    members = MemberTable(name, timers)
+    return Observer(
+        store,
+        EmptyCodec(),
+        TargetRegistry(timers),
+        ObserverElection(members, data_centre_of(name), timers),
+        lambda value: None,
+        lambda addresses: None,
+        f"{name}:81",
+        timers,
+        lambda: True,
+        read_immediately=False,
+    )
+
+
 @pytest.fixture
 def fleet(timers):
     """Observers of nine instances that exchanged heartbeats."""
     observers = {}
     for number in range(9):
         name = f"f{number}"
-        members = MemberTable(name, timers)
-        observers[name] = Observer(
-            EmptyStore(),
-            EmptyCodec(),
-            TargetRegistry(timers),
-            members,
-            lambda value: None,
-            lambda addresses: None,
-            f"{name}:81",
-            data_centre_of(name),
-            timers,
-            lambda: True,
-            read_immediately=False,
-        )
+        observers[name] = observe(EmptyStore(), timers, name)
     send_heartbeats(observers, observers)
     timers.advance(INITIAL_LISTEN_S)
     return observers
@@ -74,12 +81,10 @@
     return ("milano", "torino", "verona")[int(name[1:]) % 3]
 
 
-def send_heartbeats(senders, observers, sequence=1):
+def send_heartbeats(senders, observers, sequence=1, state=beats_pb2.SERVING):
     for name in senders:
         observer = observers[name]
-        heartbeat = build_heartbeat(
-            name, data_centre_of(name), sequence, state=beats_pb2.SERVING
-        )
+        heartbeat = build_heartbeat(name, data_centre_of(name), sequence, state=state)
         heartbeat.observer = observer.watching.is_set()
         heartbeat.store_age_ms = min(
             int(min(observer.contact.age_s(), 1e6) * 1000), 2**31
@@ -182,7 +187,7 @@
     for name in chosen:
         fleet[name].contact.record_failure(StoreUnavailableError("refused"))
     for step in range(2, 9):
-        timers.advance(NO_OBSERVER_TIMEOUT_S / 4)
+        timers.advance(OBSERVER_TIMEOUT_S / 4)
         send_heartbeats(fleet, fleet, step)
         update_roles(fleet)
     assert_that(update_roles(fleet), Equals(set(fleet)))
@@ -205,23 +210,6 @@
     assert_that(store.calls, Equals(["config"]))
 
 
-def observe(store, timers):
-    """Return an observer of a store that hears no other instance."""
-    return Observer(
-        store,
-        EmptyCodec(),
-        TargetRegistry(timers),
-        MemberTable("f0", timers),
-        lambda value: None,
-        lambda addresses: None,
-        "f0:81",
-        "milano",
-        timers,
-        lambda: True,
-        read_immediately=False,
-    )
-
-
 @pytest.mark.parametrize("answered_meanwhile", [True, False])
 def test_call_that_an_outage_swallowed_is_no_later_outage(timers, answered_meanwhile):
     """Guards against targets that are kept for seconds although they have left.
@@ -246,6 +234,92 @@
     assert_that(observer.registry.last_outage_at_s, Equals(expected))
 
 
+# Time in which another instance watches the store after the last heartbeat of an
+# observer: of the users' 2 s, 0.5 s are left to spread a change.
+MAX_UNWATCHED_S = 1.5
+FLEETS = {"nine": 9, "hundred": 100}
+
+
+def start_fleet(timers, size):
+    """Return a fleet whose observers reach the store and have sent heartbeats."""
+    fleet = {f"f{n}": observe(EmptyStore(), timers, f"f{n}") for n in range(size)}
+    send_heartbeats(fleet, fleet)
+    timers.advance(INITIAL_LISTEN_S)
+    for name in update_roles(fleet):
+        fleet[name].contact.record_answer(0)
+    send_heartbeats(fleet, fleet, 2)
+    return fleet
+
+
+def time_until_watched(timers, alive):
+    """Return the time until one of the instances that are alive watches the store."""
+    started_s = timers.now()
+    while not update_roles(alive):
+        timers.advance(ROLE_CHECK_INTERVAL_S)
+        assert timers.now() - started_s < 10 * MAX_UNWATCHED_S
+    return timers.now() - started_s
+
+
+@pytest.mark.parametrize("size", FLEETS.values(), ids=FLEETS)
+@pytest.mark.parametrize("lost_share", [0.0, 0.5, 0.8])
+def test_store_is_watched_soon_after_all_observers_are_lost(timers, size, lost_share):
+    """Guards against a key that works on for seconds after it was taken away.
+
+    The observers lose power at the same moment, and with them a share of the others,
+    in the order in which they would take over.
+    """
+    fleet = start_fleet(timers, size)
+    observers = update_roles(fleet)
+    assert_that(observers, HasLength(3))
+    others = rank_candidates("observer", set(fleet) - observers)
+    lost = observers | set(others[: int(lost_share * len(others))])
+    alive = {name: each for name, each in fleet.items() if name not in lost}
+    assert_that(time_until_watched(timers, alive), LessThan(MAX_UNWATCHED_S))
+
+
+def test_few_instances_take_over_from_lost_observers(timers):
+    """Guards against a whole fleet that reads the store when its observers are lost."""
+    fleet = start_fleet(timers, 100)
+    observers = update_roles(fleet)
+    alive = {name: each for name, each in fleet.items() if name not in observers}
+    time_until_watched(timers, alive)
+    watching = update_roles(alive)
+    for name in watching:
+        alive[name].contact.record_answer(0)
+    for sequence in range(3, 8):
+        send_heartbeats(alive, alive, sequence)
+        watching = update_roles(alive)
+        timers.advance(OBSERVER_HEARTBEAT_INTERVAL_S)
+    assert_that({data_centre_of(name) for name in watching}, HasLength(3))
+    assert_that(watching, HasLength(3))
+
+
+def test_observer_whose_heartbeat_is_lost_keeps_its_duty(timers):
+    """Guards against a change of observers for each lost datagram."""
+    fleet = start_fleet(timers, 9)
+    observers = update_roles(fleet)
+    timers.advance(2 * OBSERVER_HEARTBEAT_INTERVAL_S)
+    assert_that(update_roles(fleet), Equals(observers))
+
+
+def test_observer_that_stops_is_replaced_before_it_ends(timers):
+    """Guards against a data centre that misses changes after a planned stop.
+
+    The next instance watches the store while the one that stops still does.
+    """
+    fleet = start_fleet(timers, 9)
+    leaving = sorted(update_roles(fleet))[0]
+    fleet[leaving].election.is_leaving = lambda: True
+    send_heartbeats([leaving], fleet, 3, state=beats_pb2.DRAINING)
+    watching = update_roles(fleet)
+    near = {n for n in watching if data_centre_of(n) == data_centre_of(leaving)}
+    assert_that(near, HasLength(2))
+    for name in near:
+        fleet[name].contact.record_answer(0)
+    send_heartbeats(near - {leaving}, fleet, 4)
+    assert_that(update_roles(fleet), Equals(watching - {leaving}))
+
+
 @pytest.fixture
 def delays(monkeypatch):
     """Delays between the iterations of an observer's loop; sleeping is replaced."""
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -460,6 +460,22 @@
         "return True",
         "testing/test_shutdown.py -k late_in_a_stop",
     ),
+    Mutation(
+        "lost-observers-missed-late",
+        "configuration",
+        "mesh/observer_election.py",
+        "OBSERVER_TIMEOUT_S = 0.9",
+        "OBSERVER_TIMEOUT_S = 2.5",
+        "testing/mesh/test_observers.py",
+    ),
+    Mutation(
+        "observer-kept-until-its-end",
+        "configuration",
+        "mesh/observer_election.py",
+        "leaving[member.name] = member.heartbeat.state == beats_pb2.DRAINING",
+        "leaving[member.name] = False",
+        "testing/mesh/test_observers.py",
+    ),
     Mutation(
         "late-failure-is-an-outage",
         "draining targets",
