Hold bodies of small chunks in one buffer each (memory)

Other operators saw a machine that kept the endless bytes of a faulty backend, ran out of memory and lost the requests of other clients.

Cause here: the response to an idempotent request is held back for a retry up to 1 MiB, as a list with an object for each chunk.

Change: both buffers are one array of bytes.

--- a/src/lacewinglift/bodies.py
+++ b/src/lacewinglift/bodies.py
@@ -97,6 +97,12 @@
     raise BadRequestError(f"there are over {MAX_HEADERS} trailers")
 
 
+def iter_blocks(data: bytes | bytearray) -> Iterator[bytes]:
+    """Yield data in blocks of the size of a read."""
+    for start in range(0, len(data), MAX_READ_BYTES):
+        yield bytes(data[start : start + MAX_READ_BYTES])
+
+
 class RequestBody:
     """The body of one request.
 
@@ -134,8 +140,7 @@
         self._send_continue = send_continue
         self._socket = sock
         self._idle_timeout_s = idle_timeout_s
-        self._replay_buffer: list[bytes] = []
-        self._replay_bytes = 0
+        self._replay_buffer = bytearray()
         self._replay_overflowed = False
         self._read_failed = False
         if head.chunked:
@@ -176,7 +181,7 @@
         """Yield the whole body from its start, in blocks."""
         if self._replay_overflowed:
             raise RuntimeError("the start of the body is no longer buffered")
-        yield from list(self._replay_buffer)
+        yield from iter_blocks(bytes(self._replay_buffer))
         while not self.finished:
             block = self._read_next(self._idle_timeout_s)
             if block:
@@ -184,8 +189,8 @@
 
     def discard_replay_buffer(self) -> None:
         """Discard the buffered data; the body cannot be sent again."""
+        self._replay_overflowed = self._replay_overflowed or bool(self._replay_buffer)
         self._replay_buffer.clear()
-        self._replay_overflowed = self._replay_overflowed or self._replay_bytes > 0
 
     def _read_next(self, timeout_s: float) -> bytes:
         self.started = True
@@ -212,9 +217,7 @@
         return block
 
     def _add_to_replay_buffer(self, block: bytes) -> None:
-        self._replay_bytes += len(block)
-        if self._replay_bytes > MAX_REPLAY_BYTES:
+        self._replay_buffer += block
+        if len(self._replay_buffer) > MAX_REPLAY_BYTES:
             self._replay_overflowed = True
             self._replay_buffer.clear()
-        else:
-            self._replay_buffer.append(block)
--- a/src/lacewinglift/forwarded_response.py
+++ b/src/lacewinglift/forwarded_response.py
@@ -8,7 +8,7 @@
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
 
-from lacewinglift.bodies import MAX_READ_BYTES
+from lacewinglift.bodies import MAX_READ_BYTES, iter_blocks
 from lacewinglift.exchanges import CancelReason, Exchange
 from lacewinglift.headers import headers_to_caller
 from lacewinglift.outcomes import OutcomeKind
@@ -112,14 +112,14 @@
             If the body is truncated.
         """
         source = self.iter_content()
-        blocks = []
-        size = 0
+        # One buffer: an object for each block would take many times the memory of a
+        # body in chunks of a few bytes.
+        held = bytearray()
         for block in source:
-            blocks.append(block)
-            size += len(block)
-            if size > MAX_PRELOAD_BYTES or self._call.in_haste():
+            held += block
+            if len(held) > MAX_PRELOAD_BYTES or self._call.in_haste():
                 break
-        self._preloaded = itertools.chain(blocks, source)
+        self._preloaded = itertools.chain(iter_blocks(held), source)
 
     def iter_content(self) -> Iterator[bytes]:
         """Yield the body in blocks; raise TruncatedResponseError if it is truncated."""
--- a/testing/test_bodies.py
+++ b/testing/test_bodies.py
@@ -1,11 +1,12 @@
 import io
 import socket
+import tracemalloc
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, LessThan
 
 from lacewinglift.bodies import (
     MAX_REPLAY_BYTES,
@@ -70,10 +71,12 @@
         list(iter_chunked(io.BufferedReader(io.BytesIO(data))))
 
 
-def make_body(content, length):
-    head = parse_head(
-        f"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n".encode()
-    )
+def make_body(content, length=None):
+    """Return a body of `content`; of chunks if its length is not stated."""
+    framing = "Transfer-Encoding: chunked"
+    if length is not None:
+        framing = f"Content-Length: {length}"
+    head = parse_head(f"POST /a HTTP/1.1\r\nHost: h\r\n{framing}\r\n\r\n".encode())
     reader = io.BufferedReader(io.BytesIO(content), buffer_size=16384)
     return RequestBody(head, reader, socket.socket(), 1.0, lambda: None)
 
@@ -97,3 +100,21 @@
     assert_that(body.replayable, Equals(bytes_read <= MAX_REPLAY_BYTES))
     if body.replayable:
         assert_that(b"".join(body.iter_content()), Equals(content))
+
+
+def test_memory_of_a_buffered_body_of_small_chunks_is_that_of_its_bytes():
+    """Guards against a process that runs out of memory for the bytes of one caller.
+
+    An object for each chunk of a few bytes would take many times the size of the body.
+    """
+    size = MAX_REPLAY_BYTES // 2
+    encoded = encode_chunked([b"xy"] * (size // 2), False, b"", b"")
+    body = make_body(encoded)
+    tracemalloc.start()
+    try:
+        body.preload(lambda: 1.0)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert_that(b"".join(body.iter_content()), Equals(b"xy" * (size // 2)))
+    assert_that(held_bytes, LessThan(3 * size))
--- a/testing/test_endless_responses.py
+++ b/testing/test_endless_responses.py
@@ -6,6 +6,7 @@
 import contextlib
 import threading
 import time
+import tracemalloc
 
 import pytest
 from testtools.assertions import assert_that
@@ -13,6 +14,7 @@
 
 from lacewinglift.configuration import Route
 from lacewinglift.dialects import Dialect
+from lacewinglift.forwarded_response import MAX_PRELOAD_BYTES
 from lacewinglift.outcomes import OutcomeKind
 from lacewinglift.pools import PRUNE_INTERVAL_S
 from testing.standins.proxy_harness import call, request_bytes, wait_until
@@ -141,6 +143,40 @@
         assert wait_until(lambda: proxy.components.concurrency_limiter.in_progress == 0)
 
 
+SMALL_CHUNK = b"8\r\nabcdefgh\r\n"
+# What is held back of each response, with its copies on the way to the caller.
+MAX_HELD_BYTES = 3 * MAX_PRELOAD_BYTES
+
+
+def test_memory_of_a_body_of_small_chunks_is_that_of_its_bytes():
+    """Guards against a process that runs out of memory for the bytes of one target.
+
+    A body without end in chunks of a few bytes is held back for a retry; an object for
+    each chunk would take many times its size.
+    """
+    script = EndlessTarget(CHUNKED, SMALL_CHUNK)
+    fields = {"request_timeout_s": 60.0, "dialect": DIALECT}
+    with proxy_with_targets(script, **fields) as (proxy, _):
+        route = Route("/cassa", "cassa", idempotent=True)
+        proxy.publish(routes=(route,))
+        with proxy.connect() as sock, traced_memory() as peak_bytes:
+            sock.sendall(request_bytes("GET", "/cassa", "Request-Id: own"))
+            sock.settimeout(60.0)
+            assert_that(sock.recv(65536), StartsWith(b"HTTP/1.1 200"))
+            assert_that(peak_bytes(), LessThan(MAX_HELD_BYTES))
+
+
+@contextlib.contextmanager
+def traced_memory():
+    """Yield a function that returns the most memory that was allocated since."""
+    tracemalloc.start()
+    try:
+        before_bytes, _ = tracemalloc.get_traced_memory()
+        yield lambda: tracemalloc.get_traced_memory()[1] - before_bytes
+    finally:
+        tracemalloc.stop()
+
+
 def read_end(proxy, limit_s):
     """Send a request and read for `limit_s` at most.
 
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -492,6 +492,14 @@
         "return False",
         "testing/mesh/test_registry.py",
     ),
+    Mutation(
+        "object-for-each-chunk",
+        "memory",
+        "forwarded_response.py",
+        "self._preloaded = itertools.chain(iter_blocks(held), source)",
+        "self._preloaded = itertools.chain([bytes([b]) * 9 for b in held], source)",
+        "testing/test_endless_responses.py -k small_chunks",
+    ),
     Mutation(
         "response-held-back-in-stop",
         "graceful",
