Keep heartbeats going after a failure to build one (QUOTA)

Cause: evidence was aged by a clock that was read before the lock was taken; a failure that another thread recorded meanwhile got a negative age, the message raised ValueError, and the sending thread ended for good.

Change: the clock is read under the lock, for stated rates as well; the threads that send and receive heartbeats log an unexpected exception and go on.

--- a/src/lacewinglift/mesh/heartbeats.py
+++ b/src/lacewinglift/mesh/heartbeats.py
@@ -15,7 +15,7 @@
 from google.protobuf.message import DecodeError
 
 from lacewinglift.generated import beats_pb2
-from lacewinglift.logs import log_info, log_warning
+from lacewinglift.logs import log_exception, log_info, log_warning
 from lacewinglift.mesh.heartbeat_rounds import HEARTBEAT_INTERVAL_S
 from lacewinglift.mesh.traffic import Direction, MeshTraffic, MessageKind
 from lacewinglift.socket_addresses import split_address
@@ -188,7 +188,11 @@
             with self.condition:
                 recipients = self._wait_for_due()
                 stopped = self.stopped
-            self.send(recipients)
+            try:
+                self.send(recipients)
+            except Exception:
+                # The thread goes on: the others would take this instance for lost.
+                log_exception("beat_not_built")
             if stopped:
                 return
 
@@ -263,7 +267,10 @@
                 self.traffic.record(
                     MessageKind.HEARTBEAT, Direction.RECEIVED, len(data)
                 )
-                self.dispatch(data)
+                try:
+                    self.dispatch(data)
+                except Exception:
+                    log_exception("beat_not_processed")
         self.socket.close()
 
     def _receive(self) -> bytes | None:
--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -631,8 +631,9 @@
 
     def evidence(self) -> list[beats_pb2.Evidence]:
         """Return the recent events to send to other instances."""
-        now = self.timers.now()
         with self.lock:
+            # An event that another thread records meanwhile must not be later than now.
+            now = self.timers.now()
             while self.events and now - self.events[0].at_s > EVENT_REPEAT_S:
                 self.events.popleft()
             return [
@@ -653,8 +654,8 @@
         full : bool
             Whether to include what targets stated to other instances, and earlier.
         """
-        now = self.timers.now()
         with self.lock:
+            now = self.timers.now()
             return [
                 beats_pb2.TargetRateLimit(
                     target=state.target.name,
--- a/testing/mesh/test_heartbeats.py
+++ b/testing/mesh/test_heartbeats.py
@@ -1,5 +1,7 @@
 """Rate of the heartbeats of one instance."""
 
+import socket
+
 import pytest
 from attrs import define, field
 from testtools.assertions import assert_that
@@ -15,7 +17,8 @@
     Recipients,
 )
 from lacewinglift.mesh.traffic import MeshTraffic
-from lacewinglift.timers import ManualTimers
+from lacewinglift.timers import ManualTimers, ThreadTimers
+from testing.standins.proxy_harness import wait_until
 
 STEP_S = 0.005
 
@@ -107,3 +110,44 @@
     exchange.send_soon(delay_s=0.0)
     assert_that(exchange.take_due(), Equals(Recipients.ALL))
     assert_that(exchange.take_due(), Equals(None))
+
+
+@define
+class FailingOnce:
+    """Handler that fails the first time it builds and processes a heartbeat."""
+
+    address: str = ""
+    built: int = 0
+    received: int = 0
+
+    def build_heartbeats(self, recipients):
+        self.built += 1
+        if self.built == 1:
+            raise ValueError("out of range")
+        heartbeat = beats_pb2.Beat(instance="f1", sequence=self.built)
+        return [OutgoingHeartbeat(heartbeat, [self.address])]
+
+    def receive_heartbeat(self, heartbeat):
+        self.received += 1
+        if self.received == 1:
+            raise ValueError("out of range")
+
+
+def test_heartbeats_go_on_after_one_that_could_not_be_built_or_processed():
+    """Guards against an instance that no other hears again, and that hears no other.
+
+    Both would grant the whole rate of a workspace.
+    """
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+        free.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{free.getsockname()[1]}"
+    handler = FailingOnce(address)
+    exchange = HeartbeatExchange(address, handler, ThreadTimers(), MeshTraffic())
+    exchange.start()
+    try:
+        for count in (2, 3, 4):
+            exchange.send_soon()
+            assert wait_until(lambda count=count: handler.built >= count)
+        assert wait_until(lambda: handler.received >= 2)
+    finally:
+        exchange.stop()
--- a/testing/mesh/test_target_table.py
+++ b/testing/mesh/test_target_table.py
@@ -8,9 +8,11 @@
 from lacewinglift.generated import beats_pb2
 from lacewinglift.mesh.registry import RegisteredTarget
 from lacewinglift.mesh.target_table import (
+    FAILED,
     PATH_HOLD_OFF_S,
     SUSPECT_HOLD_OFF_S,
     TRIAL_INTERVAL_S,
+    EvidenceEvent,
     MeshTargetTable,
 )
 from lacewinglift.outcomes import Outcome, OutcomeKind
@@ -317,3 +319,25 @@
     attempt.finish(SUCCESS)
     timers.advance(3.0)
     assert_that(table.acquire("cassa").target.name, Equals("t0"))
+
+
+class LateLock:
+    """Lock that another thread held meanwhile, to record a failure."""
+
+    def __init__(self, table):
+        self.table = table
+
+    def __enter__(self):
+        self.table.timers.advance(0.01)
+        at_s = self.table.timers.now()
+        self.table.events.append(EvidenceEvent("t1", FAILED, at_s, 1))
+
+    def __exit__(self, *error):
+        pass
+
+
+def test_failure_that_is_recorded_while_a_heartbeat_is_built_has_no_negative_age(pair):
+    """Guards against a heartbeat that cannot be built, after which none is sent."""
+    pair[0].lock = LateLock(pair[0])
+    (evidence,) = pair[0].evidence()
+    assert_that(evidence.age_ms, Equals(0))
