--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -184,6 +184,10 @@
     eligible: bool
     """Whether any request may be sent to it; others get one only as a last resort."""
 
+    def room(self) -> int:
+        """Return the number of requests that the target may get until `MAX_LOAD`."""
+        return math.ceil((MAX_LOAD - self.load) * max(self.state.registered.slots, 1))
+
 
 def _choice_log_fields(
     chosen: _Candidate, candidates: list[_Candidate], now_s: float
@@ -260,7 +264,9 @@
                 self.states[registered.name] = state
                 self.by_service.setdefault(registered.service, []).append(state)
             for name, state in previous.items():
-                if self.states.get(name) is not state:
+                # A target whose entry is gone still serves what it has begun; that of
+                # a restarted one is lost.
+                if self.states.get(name, state) is not state:
                     self._notify_ejected(state)
 
     def _reuse_or_create_state(
@@ -617,10 +623,21 @@
             self._notify_ejected(state)
 
     def _notify_ejected(self, state: _TargetState) -> None:
-        """Notify the pending attempts, so that repeatable ones go to another target."""
+        """Notify pending attempts, so that repeatable ones go to another target.
+
+        No more than other targets may take: the others wait on, since a late response
+        is better than none.
+        """
+        others = self._candidates(
+            state.registered.service, (state.target.name,), self.timers.now()
+        )
+        room = sum(each.room() for each in others)
         for attempt in list(state.pending_attempts):
+            if room < 1:
+                return
             if attempt.on_ejected is not None:
                 attempt.on_ejected()
+                room -= 1
 
     # ---- other instances ----
 
--- a/testing/mesh/test_target_table.py
+++ b/testing/mesh/test_target_table.py
@@ -3,15 +3,17 @@
 import pytest
 from attrs import evolve
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, LessThan, Not
+from testtools.matchers import Contains, Equals, HasLength, LessThan, Not
 
 from lacewinglift.generated import beats_pb2
 from lacewinglift.mesh.registry import RegisteredTarget
 from lacewinglift.mesh.target_table import (
     FAILED,
+    MAX_LOAD,
     PATH_HOLD_OFF_S,
     SUSPECT_HOLD_OFF_S,
     TRIAL_INTERVAL_S,
+    UNREACHED,
     EvidenceEvent,
     MeshTargetTable,
 )
@@ -321,6 +323,54 @@
     assert_that(table.acquire("cassa").target.name, Equals("t0"))
 
 
+def start_at(table, name, count=1):
+    """Start requests at one target; return the numbers of those that it loses."""
+    abandoned = []
+    others = {each for each in table.states if each != name}
+    for number in range(count):
+        attempt = table.acquire("cassa", others)
+        attempt.on_ejected = lambda number=number: abandoned.append(number)
+    return abandoned
+
+
+def eject(table, name):
+    """Let another instance report a broken path, and find one too."""
+    event = EvidenceEvent(name, UNREACHED, table.timers.now(), 1)
+    table._apply_evidence("b", event, event.at_s)
+    table._record_unreached(table.states[name], "a", event.at_s)
+
+
+def test_request_at_a_target_whose_entry_is_removed_is_not_abandoned(pair):
+    """Guards against breaking off requests that a leaving target still serves."""
+    table = pair[0]
+    abandoned = start_at(table, "t1")
+    table.apply([make_target(number) for number in (0, 2, 3)])
+    assert_that(abandoned, Equals([]))
+
+
+def test_request_at_a_target_that_has_restarted_is_abandoned(pair):
+    """Guards against waiting for a process that has ended."""
+    table = pair[0]
+    abandoned = start_at(table, "t1")
+    restarted = evolve(make_target(1), born_ms=2)
+    table.apply([make_target(0), restarted, make_target(2), make_target(3)])
+    assert_that(abandoned, Equals([0]))
+
+
+@pytest.mark.parametrize("free", [0, 1, 4])
+def test_requests_at_an_ejected_target_are_abandoned_as_far_as_others_have_room(
+    pair, free
+):
+    """Guards against requests that are broken off and then find no target."""
+    table = pair[0]
+    abandoned = start_at(table, "t1", count=3)
+    full = int(MAX_LOAD) * 2
+    for name in ("t0", "t2", "t3"):
+        start_at(table, name, full - (free if name == "t0" else 0))
+    eject(table, "t1")
+    assert_that(abandoned, HasLength(min(free, 3)))
+
+
 class LateLock:
     """Lock that another thread held meanwhile, to record a failure."""
 
