--- a/src/lacewinglift/pools.py
+++ b/src/lacewinglift/pools.py
@@ -22,12 +22,12 @@
 # The margin avoids requests that are sent while the target closes the connection.
 KEEP_ALIVE_FRACTION = 0.7
 # TCP keepalive: the kernel sends the first probe after the idle time and further ones
-# at the interval, and closes the connection after this number of unanswered probes.
+# at the interval.
 TCP_KEEPALIVE_IDLE_S = 1
 TCP_KEEPALIVE_INTERVAL_S = 1
-TCP_KEEPALIVE_PROBES = 2
-# Time that sent data may stay unacknowledged before the connection is closed.
-TCP_USER_TIMEOUT_MS = 3000
+# Time without an acknowledgement, of data or of a probe, after which the kernel closes
+# a connection to a target.
+TARGET_UNACKNOWLEDGED_S = 3
 # A late response to an earlier request is discarded if its body is not larger than
 # this; otherwise the attempt fails.
 MAX_MISMATCHED_BODY_BYTES = 256 * 1024
@@ -50,16 +50,24 @@
 _CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\r\n]*)?\r?\n")
 
 
-# Except for TCP_NODELAY, these options make the kernel close connections, idle or not,
-# whose peer has disappeared or is unreachable.
-SOCKET_OPTIONS = [
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBES),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-]
+def socket_options(unacknowledged_s: int) -> list[tuple[int, int, int]]:
+    """Return options for connections that close if their peer does not acknowledge.
+
+    Parameters
+    ----------
+    unacknowledged_s : int
+        Seconds after which the kernel closes a connection, idle or not, whose peer
+        has disappeared or is unreachable.
+    """
+    probes = (unacknowledged_s - TCP_KEEPALIVE_IDLE_S) // TCP_KEEPALIVE_INTERVAL_S
+    return [
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_s * 1000),
+    ]
 
 
 class InvalidResponseError(http.client.HTTPException):
@@ -264,7 +272,7 @@
             maxsize=MAX_IDLE_CONNECTIONS_PER_TARGET,
             block=False,
             retries=False,
-            socket_options=SOCKET_OPTIONS,
+            socket_options=socket_options(TARGET_UNACKNOWLEDGED_S),
         )
         self.timers = timers
         self.last_used_at_s = timers.now()
--- a/testing/adapter/test_store_client.py
+++ b/testing/adapter/test_store_client.py
@@ -1,15 +1,20 @@
+import socket
 import threading
 import time
 
 import pytest
 from adapter.store_client import PlatformStoreClient
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, GreaterThan, HasLength
+from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan
 
 from lacewinglift.errors import StoreRefusedError, StoreUnavailableError
 from lacewinglift.kv import Change, HistoryLostError
 from testing.standins.platform_store import PlatformStoreStandIn
 
+# The users count an instance as in touch again 3 s after its connections went silent;
+# one second is left to read the store and to spread a change.
+MAX_SILENT_S = 2.0
+
 
 @pytest.fixture
 def store():
@@ -54,6 +59,24 @@
     assert_that(time.monotonic() - started_s, GreaterThan(1.4))
 
 
+def test_silent_watch_is_closed_while_it_waits(store, client):
+    """Guards against changes that an observer misses on a connection gone silent.
+
+    Such a connection is not reset, and new ones work. The kernel closes it when its
+    probes are not acknowledged, long before the watch call ends.
+    """
+    client.list("servers/")
+    connection = client.pool.pool.get(timeout=1.0)
+    options = {
+        name: connection.sock.getsockopt(socket.IPPROTO_TCP, getattr(socket, name))
+        for name in ("TCP_KEEPIDLE", "TCP_KEEPINTVL", "TCP_KEEPCNT", "TCP_USER_TIMEOUT")
+    }
+    probes_s = options["TCP_KEEPINTVL"] * options["TCP_KEEPCNT"]
+    assert connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+    assert_that(options["TCP_KEEPIDLE"] + probes_s, LessThan(MAX_SILENT_S + 0.1))
+    assert_that(options["TCP_USER_TIMEOUT"], LessThan(MAX_SILENT_S * 1000 + 1))
+
+
 def test_lost_history_raises_its_own_error(store, client):
     """Guards against a watch that continues although it has missed changes."""
     store.put("servers/a", b"x")
