Do not shorten the time of an incomplete head twice

Seen: testing/test_pipelining.py::test_head_that_is_cut_between_two_reads failed under load, 26 of 36 runs at twelve at once; the connection was closed while a pipelined head was incomplete.

Cause, now shown: put_conn lowered last_used after the connection was back in the selector. Another thread could take it, put it back and lower it again, so that it expired at once.

Change: the time that cheroot sees is computed from the state of the connection; nothing is changed after it is put back.

Result: the new test, which plays the order of the two threads, failed before (50 s unused in place of 25 s) and passes; 24 of 24 runs of the old one at twelve at once beside plays pass.

--- a/src/lacewinglift/frontend.py
+++ b/src/lacewinglift/frontend.py
@@ -93,11 +93,28 @@
         super().__init__(server, sock, _make_file)
         self.idle = False
         self.closed = False
+        self.used_at_s: float | None = None
+        """Time of the last use, in seconds since the epoch; None before the first."""
         self.stream = CallerStream(
             self.rfile, sock, "", server.handler.components.timers
         )
         server.add_connection(self)
 
+    @property
+    def last_used(self) -> float | None:
+        """Return the time of the last use, as cheroot is to see it.
+
+        cheroot closes connections that are unused for `timeout`. An incomplete head
+        must time out after HEAD_TIMEOUT_S instead.
+        """
+        if self.used_at_s is None or not self.rfile.head_incomplete:
+            return self.used_at_s
+        return self.used_at_s - max(self.server.timeout - HEAD_TIMEOUT_S, 0.0)
+
+    @last_used.setter
+    def last_used(self, time_s: float) -> None:
+        self.used_at_s = time_s
+
     def communicate(self) -> bool:
         """Process one request; return whether to keep the connection open.
 
@@ -184,11 +201,9 @@
         """Return a connection to the selector until its next request arrives."""
         try:
             conn.idle = True
+            # Another thread may take the connection as soon as it is put back, so
+            # nothing of it may be changed afterwards.
             super().put_conn(conn)
-            if conn.rfile.head_incomplete:
-                # cheroot closes connections that are unused for `timeout`. An
-                # incomplete head must time out after HEAD_TIMEOUT_S instead.
-                conn.last_used -= max(self.timeout - HEAD_TIMEOUT_S, 0.0)
         except (OSError, ValueError, KeyError):
             conn.idle = False
             conn.close()
--- a/testing/test_pipelining.py
+++ b/testing/test_pipelining.py
@@ -15,6 +15,7 @@
     StartsWith,
 )
 
+from lacewinglift.callers import HEAD_TIMEOUT_S
 from lacewinglift.headers import MAX_HEAD_BYTES
 from lacewinglift.shutdown import ShutdownState
 from testing.standins.proxy_harness import (
@@ -200,6 +201,37 @@
         assert_that(bodies(receive_all(sock)), Equals(["slow1", "second"]))
 
 
+def test_incomplete_head_is_not_shortened_twice(proxy):
+    """Guards against closing a connection while the rest of its head is on the way.
+
+    Another thread may take the connection, read more and put it back before the first
+    one has returned from doing so.
+    """
+    server = proxy.frontend.server
+    put = server._connections.put
+
+    def put_again(connection):
+        server._connections.put = put
+        put(connection)
+        server._connections._selector.unregister(connection.socket.fileno())
+        server.put_conn(connection)
+
+    head = last("head")
+    with proxy.connect() as sock:
+        sock.sendall(head[:10])
+        assert wait_until(
+            lambda: any(c.rfile.head_incomplete for c in server.connections)
+        )
+        time.sleep(0.05)
+        server._connections.put = put_again
+        sock.sendall(head[10:20])
+        assert wait_until(lambda: server._connections.put == put)
+        time.sleep(0.05)
+        (connection,) = server.connections
+        unused_s = time.time() - connection.last_used
+        assert_that(unused_s, LessThan(server.timeout - HEAD_TIMEOUT_S + 1.0))
+
+
 def test_invalid_request_behind_others_ends_the_connection(proxy, target):
     """Guards against bytes of unclear meaning that are taken for a request."""
     with proxy.connect() as sock:
