--- a/testing/adapter/test_process.py
+++ b/testing/adapter/test_process.py
@@ -148,3 +148,21 @@
         assert_that(fleet.read_log(HOSTS[0]), Contains("event=instance_stopped"))
     finally:
         fleet.close()
+
+
+def test_changed_settings_do_not_end_a_process_that_starts(tmp_path):
+    """Guards against a SIGHUP that comes before the process has set its handlers."""
+    fleet = PlatformFleet(tmp_path)
+    script = (
+        "import os, runpy, signal, sys, types;"
+        "process = types.ModuleType('adapter.process');"
+        "process.main = lambda: os.kill(os.getpid(), signal.SIGHUP);"
+        "sys.modules['adapter'] = types.ModuleType('adapter');"
+        "sys.modules['adapter.process'] = process;"
+        "runpy.run_path('platform/serve.py', run_name='__main__')"
+    )
+    try:
+        process = fleet.start(HOSTS[0], "-c", script)
+        assert_that(process.wait(20), Equals(0))
+    finally:
+        fleet.close()
