--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -13,14 +13,19 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 from random import Random
 
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve
 
 from lacewinglift.configuration import Target
 from lacewinglift.generated import beats_pb2
 from lacewinglift.generated.beats_pb2 import FAILED, SERVED, UNREACHED
 from lacewinglift.logs import log_info
 from lacewinglift.mesh.registry import RegisteredTarget
-from lacewinglift.mesh.stated_limits import StatedLimit
+from lacewinglift.mesh.target_state import (
+    MAX_LOAD,
+    Candidate,
+    TargetState,
+    choice_log_fields,
+)
 from lacewinglift.outcomes import Outcome, OutcomeKind
 from lacewinglift.timers import Timers
 
@@ -46,10 +51,6 @@
 # Backoff after a target shed a request; it doubles with each consecutive one.
 SHED_BACKOFF_INITIAL_S = 0.05
 SHED_BACKOFF_MAX_S = 1.0
-# Load that another instance reported is counted for this long.
-PEER_LOAD_MAX_AGE_S = 1.5
-# A target with this many requests in flight for each slot gets no more.
-MAX_LOAD = 3.0
 # Penalties are added to the load of a target when targets are compared. The one for a
 # target in another data centre grows with the mean response size of the service.
 REMOTE_PENALTY_MIN = 0.25
@@ -80,7 +81,7 @@
 
     target: Target
     started_s: float
-    state: "_TargetState"
+    state: "TargetState"
     table: "MeshTargetTable"
     repeatable: bool
     choice_log_fields: Mapping[str, object]
@@ -122,91 +123,6 @@
     number: int
 
 
-@define(eq=False)
-class _TargetState:
-    """State of one incarnation of a target."""
-
-    registered: RegisteredTarget
-    target: Target
-    near: bool
-    slow_start_until_s: float
-    first_seen_at_s: float = 0.0
-    """Time at which this incarnation was first seen."""
-    in_flight: int = 0
-    peer_loads: dict[str, tuple[int, float]] = field(factory=dict)
-    last_failure_at_s: float | None = None
-    """Time of the last failure; None unless the target is suspected."""
-    last_success_at_s: float = -math.inf
-    """Last time at which the target served a request of this instance."""
-    successes_since_failure: int = 0
-    """Requests served since the last failure, over all instances."""
-    next_trial_at_s: float = 0.0
-    path_hold_off_until_s: float = 0.0
-    unreached_at_s: dict[str, float] = field(factory=dict)
-    shed_until_s: float = 0.0
-    paused_until_s: float = 0.0
-    """Time until which the target wants no request of this instance."""
-    consecutive_sheds: int = 0
-    pending_attempts: set = field(factory=set)
-    limit: StatedLimit = field(factory=StatedLimit)
-
-    def load(self, now_s: float) -> float:
-        """Return the requests in flight for each slot, over all instances."""
-        total = self.in_flight
-        for count, received_at_s in self.peer_loads.values():
-            if now_s - received_at_s <= PEER_LOAD_MAX_AGE_S:
-                total += count
-        return total / max(self.registered.slots, 1)
-
-    def condition(self, now_s: float) -> str:
-        """Return the state that is exported as metric label."""
-        if self.registered.leaving:
-            return "leaving"
-        if self.is_suspected():
-            return "doubted"
-        if now_s < self.path_hold_off_until_s:
-            return "unreachable"
-        shedding = now_s < max(self.shed_until_s, self.paused_until_s)
-        return "shedding" if shedding else "usable"
-
-    def is_suspected(self) -> bool:
-        """Return whether the target failed and has not recovered yet."""
-        return self.last_failure_at_s is not None
-
-
-@frozen
-class _Candidate:
-    """Target below `MAX_LOAD` that is considered for a request."""
-
-    state: _TargetState
-    load: float
-    """Requests in flight for each slot, over all instances."""
-    eligible: bool
-    """Whether any request may be sent to it; others get one only as a last resort."""
-
-    def room(self) -> int:
-        """Return the number of requests that the target may get until `MAX_LOAD`."""
-        return math.ceil((MAX_LOAD - self.load) * max(self.state.registered.slots, 1))
-
-
-def _choice_log_fields(
-    chosen: _Candidate, candidates: list[_Candidate], now_s: float
-) -> dict[str, object]:
-    """Return the inputs of a choice, as fields of a log line."""
-    state = chosen.state
-    log_fields: dict[str, object] = {
-        "load": chosen.load,
-        "near": state.near,
-        "usable": len(candidates),
-        "trusted": sum(each.eligible for each in candidates),
-        "known_s": now_s - state.first_seen_at_s,
-    }
-    if state.last_failure_at_s is not None:
-        log_fields["since_failure_s"] = now_s - state.last_failure_at_s
-        log_fields["served_since_failure"] = state.successes_since_failure
-    return log_fields
-
-
 class MeshTargetTable:
     """Registered targets with shared evidence; the `TargetSelector` of a forwarder.
 
@@ -243,8 +159,8 @@
         self.on_leaving: Callable[[str, int], None] = lambda name, born_ms: None
         """Called with name and start of a target that states that it leaves."""
         self.random = random or Random()
-        self.states: dict[str, _TargetState] = {}
-        self.by_service: dict[str, list[_TargetState]] = {}
+        self.states: dict[str, TargetState] = {}
+        self.by_service: dict[str, list[TargetState]] = {}
         self.mean_response_bytes: dict[str, float] = {}
         """Moving average of the response size of each service."""
         self.events: deque[EvidenceEvent] = deque()
@@ -270,8 +186,8 @@
                     self._notify_ejected(state)
 
     def _reuse_or_create_state(
-        self, known: _TargetState | None, registered: RegisteredTarget
-    ) -> _TargetState:
+        self, known: TargetState | None, registered: RegisteredTarget
+    ) -> TargetState:
         target = Target(
             registered.name,
             registered.address,
@@ -287,7 +203,7 @@
             known.target = target
             return known
         near = registered.data_centre == self.data_centre
-        return _TargetState(
+        return TargetState(
             registered, target, near, slow_start_until_s, self.timers.now()
         )
 
@@ -317,7 +233,7 @@
                 return None
             state = chosen.state
             state.limit.take_token()
-            log_fields = _choice_log_fields(chosen, candidates, now)
+            log_fields = choice_log_fields(chosen, candidates, now)
             attempt = MeshAttempt(
                 state.target, now, state, self, repeatable, log_fields
             )
@@ -327,7 +243,7 @@
 
     def _candidates(
         self, service_name: str, exclude: Collection[str], now_s: float
-    ) -> list[_Candidate]:
+    ) -> list[Candidate]:
         """Return the targets that are considered for a request."""
         candidates = []
         for state in self.by_service.get(service_name, []):
@@ -340,10 +256,10 @@
             load = state.load(now_s)
             if load < MAX_LOAD:
                 eligible = self._is_eligible(state, now_s, SUSPECT_HOLD_OFF_S)
-                candidates.append(_Candidate(state, load, eligible))
+                candidates.append(Candidate(state, load, eligible))
         return candidates
 
-    def _within_rate_limit(self, state: _TargetState, now_s: float) -> bool:
+    def _within_rate_limit(self, state: TargetState, now_s: float) -> bool:
         """Return whether this instance may send the target a request now."""
         limit_per_s = state.limit.limit_per_s
         if limit_per_s is None:
@@ -352,8 +268,8 @@
         return state.limit.has_token(now_s, rate_per_s)
 
     def _choose(
-        self, candidates: list[_Candidate], repeatable: bool, now_s: float
-    ) -> _Candidate | None:
+        self, candidates: list[Candidate], repeatable: bool, now_s: float
+    ) -> Candidate | None:
         if not candidates:
             return None
         trial = self._due_trial(candidates, now_s) if repeatable else None
@@ -372,9 +288,7 @@
         # have recovered.
         return min(candidates, key=lambda each: self._fallback_rank(each.state, now_s))
 
-    def _due_trial(
-        self, candidates: list[_Candidate], now_s: float
-    ) -> _Candidate | None:
+    def _due_trial(self, candidates: list[Candidate], now_s: float) -> Candidate | None:
         """Return the suspected target whose trial is due first; schedule the next."""
         due = [
             each
@@ -387,9 +301,7 @@
         chosen.state.next_trial_at_s = now_s + TRIAL_INTERVAL_S
         return chosen
 
-    def _is_eligible(
-        self, state: _TargetState, now_s: float, hold_off_s: float
-    ) -> bool:
+    def _is_eligible(self, state: TargetState, now_s: float, hold_off_s: float) -> bool:
         if now_s < state.path_hold_off_until_s or now_s < state.shed_until_s:
             return False
         return (
@@ -397,15 +309,15 @@
             or now_s - state.last_failure_at_s >= hold_off_s
         )
 
-    def _fallback_rank(self, state: _TargetState, now_s: float) -> tuple[bool, float]:
+    def _fallback_rank(self, state: TargetState, now_s: float) -> tuple[bool, float]:
         last_failure_at_s = state.last_failure_at_s or 0.0
         last_problem_s = max(
             last_failure_at_s, state.path_hold_off_until_s - PATH_HOLD_OFF_S
         )
         return state.shed_until_s > now_s, last_problem_s
 
-    def _least_loaded(self, candidates: list[_Candidate], now_s: float) -> _Candidate:
-        def cost(candidate: _Candidate) -> tuple[float, float]:
+    def _least_loaded(self, candidates: list[Candidate], now_s: float) -> Candidate:
+        def cost(candidate: Candidate) -> tuple[float, float]:
             state, load = candidate.state, candidate.load
             if not state.near:
                 load += self._remote_penalty(state.registered.service)
@@ -417,7 +329,7 @@
 
         return min(self._sample(candidates), key=cost)
 
-    def _sample(self, candidates: list[_Candidate]) -> list[_Candidate]:
+    def _sample(self, candidates: list[Candidate]) -> list[Candidate]:
         """Return the targets to compare: those to be asked again, or a random few.
 
         Only a response shows that the need of a target has ended.
@@ -431,8 +343,8 @@
             sampled = self._sample_groups(free) or sampled
         return sampled
 
-    def _sample_groups(self, candidates: list[_Candidate]) -> list[_Candidate]:
-        groups: dict[tuple[bool, bool], list[_Candidate]] = {}
+    def _sample_groups(self, candidates: list[Candidate]) -> list[Candidate]:
+        groups: dict[tuple[bool, bool], list[Candidate]] = {}
         for each in candidates:
             connected = self.has_connection(each.state.target.address)
             groups.setdefault((each.state.near, connected), []).append(each)
@@ -487,7 +399,7 @@
 
     def _set_rate_limit(
         self,
-        state: _TargetState,
+        state: TargetState,
         limit_per_s: float | None,
         stated_at_s: float,
         instance: str,
@@ -525,7 +437,7 @@
             self._apply_outcome(attempt, state, outcome)
 
     def _apply_outcome(
-        self, attempt: MeshAttempt, state: _TargetState, outcome: Outcome
+        self, attempt: MeshAttempt, state: TargetState, outcome: Outcome
     ) -> None:
         now = self.timers.now()
         if outcome.kind is OutcomeKind.SHED:
@@ -547,7 +459,7 @@
             )
 
     def _log_failure(
-        self, attempt: MeshAttempt, state: _TargetState, now_s: float
+        self, attempt: MeshAttempt, state: TargetState, now_s: float
     ) -> None:
         since_failure_s = now_s - (state.last_failure_at_s or -math.inf)
         log_info(
@@ -566,7 +478,7 @@
         mean += (response_bytes - mean) * RESPONSE_BYTES_EWMA_WEIGHT
         self.mean_response_bytes[service] = mean
 
-    def _record_shed(self, state: _TargetState, now_s: float) -> None:
+    def _record_shed(self, state: TargetState, now_s: float) -> None:
         wait_s = min(
             SHED_BACKOFF_MAX_S,
             SHED_BACKOFF_INITIAL_S * 2.0 ** min(state.consecutive_sheds, 8),
@@ -575,7 +487,7 @@
         state.shed_until_s = now_s + wait_s * self.random.uniform(0.5, 1.5)
 
     def _record_success(
-        self, attempt: MeshAttempt, state: _TargetState, now_s: float
+        self, attempt: MeshAttempt, state: TargetState, now_s: float
     ) -> None:
         state.consecutive_sheds = 0
         state.path_hold_off_until_s = 0.0
@@ -584,21 +496,21 @@
             self._count_success(state, self.instance)
             self._publish_event(state, SERVED, now_s)
 
-    def _suspect(self, state: _TargetState, instance: str, at_s: float) -> None:
+    def _suspect(self, state: TargetState, instance: str, at_s: float) -> None:
         if state.last_failure_at_s is None:
             log_info("target_doubted", target=state.target.name, by=instance)
         state.last_failure_at_s = max(at_s, state.last_failure_at_s or 0.0)
         state.successes_since_failure = 0
         state.next_trial_at_s = state.last_failure_at_s + TRIAL_INTERVAL_S
 
-    def _count_success(self, state: _TargetState, instance: str) -> None:
+    def _count_success(self, state: TargetState, instance: str) -> None:
         state.successes_since_failure += 1
         # The next trial may follow at once, since this one succeeded.
         state.next_trial_at_s = 0.0
         if state.successes_since_failure >= SUCCESSES_TO_RECOVER:
             self._clear_suspicion(state, instance)
 
-    def _clear_suspicion(self, state: _TargetState, instance: str) -> None:
+    def _clear_suspicion(self, state: TargetState, instance: str) -> None:
         suspected_s = self.timers.now() - (state.last_failure_at_s or 0.0)
         log_info(
             "target_trusted",
@@ -609,9 +521,7 @@
         state.last_failure_at_s = None
         state.unreached_at_s.clear()
 
-    def _record_unreached(
-        self, state: _TargetState, instance: str, at_s: float
-    ) -> None:
+    def _record_unreached(self, state: TargetState, instance: str, at_s: float) -> None:
         state.unreached_at_s[instance] = at_s
         recent = [
             name
@@ -622,7 +532,7 @@
             self._suspect(state, instance, at_s)
             self._notify_ejected(state)
 
-    def _notify_ejected(self, state: _TargetState) -> None:
+    def _notify_ejected(self, state: TargetState) -> None:
         """Notify pending attempts, so that repeatable ones go to another target.
 
         No more than other targets may take: the others wait on, since a late response
@@ -641,7 +551,7 @@
 
     # ---- other instances ----
 
-    def _publish_event(self, state: _TargetState, kind: int, at_s: float) -> None:
+    def _publish_event(self, state: TargetState, kind: int, at_s: float) -> None:
         number = next(self.event_numbers)
         self.events.append(EvidenceEvent(state.target.name, kind, at_s, number))
         self.on_event()
--- a/testing/mesh/test_target_table.py
+++ b/testing/mesh/test_target_table.py
@@ -7,9 +7,9 @@
 
 from lacewinglift.generated import beats_pb2
 from lacewinglift.mesh.registry import RegisteredTarget
+from lacewinglift.mesh.target_state import MAX_LOAD
 from lacewinglift.mesh.target_table import (
     FAILED,
-    MAX_LOAD,
     PATH_HOLD_OFF_S,
     SUSPECT_HOLD_OFF_S,
     TRIAL_INTERVAL_S,
