--- a/src/lacewinglift/mesh/observer_election.py
+++ b/src/lacewinglift/mesh/observer_election.py
@@ -16,9 +16,8 @@
 # Interval of the heartbeats of an observer to its data centre.
 OBSERVER_HEARTBEAT_INTERVAL_S = 0.4
 # Time without a heartbeat of any observer that reaches the store after which other
-# instances take over, whatever their rank. Two lost datagrams in a row are borne. A
-# change has to be in force everywhere within 2 s, also if all observers are lost just
-# before it.
+# instances take over, whatever their rank. One lost datagram is borne. A change has to
+# be in force everywhere within 2 s, also if all observers are lost just before it.
 OBSERVER_TIMEOUT_S = 0.9
 # Further delay for each candidate of a better rank, and its bound. Those may be lost as
 # well, which shows only by their member timeout.
