--- a/testing/adapter/test_process.py
+++ b/testing/adapter/test_process.py
@@ -127,13 +127,22 @@
     assert_that(log, Contains("event=stop_ends"))
 
 
+def run_script(tmp_path, script):
+    """Run Python code in place of the entry point; return exit code and log."""
+    fleet = PlatformFleet(tmp_path)
+    try:
+        process = fleet.start(HOSTS[0], "-c", script)
+        return process.wait(20), fleet.read_log(HOSTS[0])
+    finally:
+        fleet.close()
+
+
 def test_signal_to_stop_during_the_start_stops_gracefully(tmp_path):
     """Guards against a SIGTERM after readiness that ends the process at once.
 
     The platform may stop a process as soon as it is ready; its default action would
     end it without a word to the other instances, and cut its requests.
     """
-    fleet = PlatformFleet(tmp_path)
     script = (
         "import os, signal, sys; sys.path.insert(0, 'platform');"
         "from adapter import process, endpoints;"
@@ -142,17 +151,13 @@
         "start(self), os.kill(os.getpid(), signal.SIGTERM));"
         "sys.exit(process.main())"
     )
-    try:
-        process = fleet.start(HOSTS[0], "-c", script)
-        assert_that(process.wait(20), Equals(0))
-        assert_that(fleet.read_log(HOSTS[0]), Contains("event=instance_stopped"))
-    finally:
-        fleet.close()
+    code, log = run_script(tmp_path, script)
+    assert_that(code, Equals(0))
+    assert_that(log, Contains("event=instance_stopped"))
 
 
 def test_changed_settings_do_not_end_a_process_that_starts(tmp_path):
     """Guards against a SIGHUP that comes before the process has set its handlers."""
-    fleet = PlatformFleet(tmp_path)
     script = (
         "import os, runpy, signal, sys, types;"
         "process = types.ModuleType('adapter.process');"
@@ -161,8 +166,5 @@
         "sys.modules['adapter.process'] = process;"
         "runpy.run_path('platform/serve.py', run_name='__main__')"
     )
-    try:
-        process = fleet.start(HOSTS[0], "-c", script)
-        assert_that(process.wait(20), Equals(0))
-    finally:
-        fleet.close()
+    code, _ = run_script(tmp_path, script)
+    assert_that(code, Equals(0))
