--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -504,8 +504,8 @@
         "response-held-back-in-stop",
         "graceful",
         "forwarded_response.py",
-        "if size > MAX_PRELOAD_BYTES or self._call.in_haste():",
-        "if size > MAX_PRELOAD_BYTES:",
+        "if len(held) > MAX_PRELOAD_BYTES or self._call.in_haste():",
+        "if len(held) > MAX_PRELOAD_BYTES:",
         "testing/test_downloads_in_a_stop.py",
     ),
     Mutation(
