--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -343,8 +343,8 @@
         "levels-not-adopted",
         "quota",
         "mesh/fleet_limits.py",
-        "                if adopts_levels:\n",
-        "                if False:\n",
+        'if adopts_levels and usage.HasField("tokens"):',
+        "if False:",
         "testing/mesh/test_fleet_limits.py -k present_level",
     ),
     Mutation(
