Split the forwarder and the choice of targets before they grow

No behaviour changes: testing/mesh, test_forwarder, test_retries, test_request_handler and test_known_red pass as before. Mutations name the new files.

--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -261,7 +261,7 @@
             make_retry_budget=self.retry_budgets.budget_for,
             pacer=ResponsePacer(self.timers, settings.link_bytes_per_s),
         )
-        self.targets.has_connection = forwarder.pools.has_idle
+        self.targets.choice.has_connection = forwarder.pools.has_idle
         return RequestComponents(
             timers=self.timers,
             distribution=self.configuration_holder,
--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -20,6 +20,12 @@
 from lacewinglift.generated.beats_pb2 import FAILED, SERVED, UNREACHED
 from lacewinglift.logs import log_info
 from lacewinglift.mesh.registry import RegisteredTarget
+from lacewinglift.mesh.target_choice import (
+    PATH_HOLD_OFF_S,
+    SUSPECT_HOLD_OFF_S,
+    TRIAL_INTERVAL_S,
+    TargetChoice,
+)
 from lacewinglift.mesh.target_state import (
     MAX_LOAD,
     Candidate,
@@ -29,21 +35,9 @@
 from lacewinglift.outcomes import Outcome, OutcomeKind
 from lacewinglift.timers import Timers
 
-# Time after a failure during which a target gets only trials, which are requests that
-# can be repeated, unless the other targets are full or cannot be used either.
-SUSPECT_HOLD_OFF_S = 6.0
-# The same while the other targets are full.
-SUSPECT_HOLD_OFF_FULL_S = 2.0
-# Requests in flight for each slot at which a target counts as full.
-FULL_LOAD = 1.0
 # Number of served requests after a failure that clear the suspicion. One is not enough,
 # because a failing target still serves some requests.
 SUCCESSES_TO_RECOVER = 2
-# Time after a failure, or after the last trial, until a suspected target is tried with
-# a request that can be repeated.
-TRIAL_INTERVAL_S = 1.0
-# Time for which an instance avoids a target after a connection to it broke.
-PATH_HOLD_OFF_S = 3.0
 # Reports of broken connections within this time are counted together; with reports from
 # this many instances, the target is suspected.
 UNREACHED_WINDOW_S = 2.0
@@ -51,21 +45,6 @@
 # Backoff after a target shed a request; it doubles with each consecutive one.
 SHED_BACKOFF_INITIAL_S = 0.05
 SHED_BACKOFF_MAX_S = 1.0
-# Penalties are added to the load of a target when targets are compared. The one for a
-# target in another data centre grows with the mean response size of the service.
-REMOTE_PENALTY_MIN = 0.25
-REMOTE_PENALTY_PER_BYTE = 1 / 100_000
-REMOTE_PENALTY_MAX = 0.9
-# Targets of the same distance, with or without an open connection, that are compared
-# for one request. If all instances compared all targets, each would choose the same one
-# until it heard of the others' choices.
-SAMPLED_TARGETS = 2
-# Weight of the last response in the moving average of a service's response size.
-RESPONSE_BYTES_EWMA_WEIGHT = 0.1
-# Penalty of a target to which a new connection must be opened.
-NEW_CONNECTION_PENALTY = 0.2
-# Penalty of a target in slow start.
-SLOW_START_PENALTY = 0.5
 # Longest time for which a target is left alone at its own word.
 MAX_PAUSE_S = 600.0
 # Each event is repeated in heartbeats for this long, since datagrams can be lost.
@@ -152,17 +131,14 @@
         self.instance = instance
         self.data_centre = data_centre
         self.on_event = on_event
-        self.has_connection: Callable[[str], bool] = lambda address: True
-        """Returns whether an idle connection to an address is available."""
         self.rate_share: Callable[[str, float], float] = lambda target, limit: limit
         """Returns the share of this instance in the rate that a target takes."""
         self.on_leaving: Callable[[str, int], None] = lambda name, born_ms: None
         """Called with name and start of a target that states that it leaves."""
         self.random = random or Random()
+        self.choice = TargetChoice(self.random)
         self.states: dict[str, TargetState] = {}
         self.by_service: dict[str, list[TargetState]] = {}
-        self.mean_response_bytes: dict[str, float] = {}
-        """Moving average of the response size of each service."""
         self.events: deque[EvidenceEvent] = deque()
         self.event_numbers = itertools.count(1)
         self.lock = threading.RLock()
@@ -228,7 +204,7 @@
         now = self.timers.now()
         with self.lock:
             candidates = self._candidates(service_name, exclude, now)
-            chosen = self._choose(candidates, repeatable, now)
+            chosen = self.choice.choose(candidates, repeatable, now)
             if chosen is None:
                 return None
             state = chosen.state
@@ -255,7 +231,7 @@
                 continue
             load = state.load(now_s)
             if load < MAX_LOAD:
-                eligible = self._is_eligible(state, now_s, SUSPECT_HOLD_OFF_S)
+                eligible = self.choice.is_eligible(state, now_s, SUSPECT_HOLD_OFF_S)
                 candidates.append(Candidate(state, load, eligible))
         return candidates
 
@@ -267,99 +243,6 @@
         rate_per_s = self.rate_share(state.target.name, limit_per_s)
         return state.limit.has_token(now_s, rate_per_s)
 
-    def _choose(
-        self, candidates: list[Candidate], repeatable: bool, now_s: float
-    ) -> Candidate | None:
-        if not candidates:
-            return None
-        trial = self._due_trial(candidates, now_s) if repeatable else None
-        if trial is not None:
-            return trial
-        eligible = [each for each in candidates if each.eligible]
-        if all(each.load >= FULL_LOAD for each in eligible):
-            eligible = [
-                each
-                for each in candidates
-                if self._is_eligible(each.state, now_s, SUSPECT_HOLD_OFF_FULL_S)
-            ]
-        if eligible:
-            return self._least_loaded(eligible, now_s)
-        # No target is eligible: the one that failed longest ago is the most likely to
-        # have recovered.
-        return min(candidates, key=lambda each: self._fallback_rank(each.state, now_s))
-
-    def _due_trial(self, candidates: list[Candidate], now_s: float) -> Candidate | None:
-        """Return the suspected target whose trial is due first; schedule the next."""
-        due = [
-            each
-            for each in candidates
-            if each.state.is_suspected() and now_s >= each.state.next_trial_at_s
-        ]
-        if not due:
-            return None
-        chosen = min(due, key=lambda each: each.state.next_trial_at_s)
-        chosen.state.next_trial_at_s = now_s + TRIAL_INTERVAL_S
-        return chosen
-
-    def _is_eligible(self, state: TargetState, now_s: float, hold_off_s: float) -> bool:
-        if now_s < state.path_hold_off_until_s or now_s < state.shed_until_s:
-            return False
-        return (
-            state.last_failure_at_s is None
-            or now_s - state.last_failure_at_s >= hold_off_s
-        )
-
-    def _fallback_rank(self, state: TargetState, now_s: float) -> tuple[bool, float]:
-        last_failure_at_s = state.last_failure_at_s or 0.0
-        last_problem_s = max(
-            last_failure_at_s, state.path_hold_off_until_s - PATH_HOLD_OFF_S
-        )
-        return state.shed_until_s > now_s, last_problem_s
-
-    def _least_loaded(self, candidates: list[Candidate], now_s: float) -> Candidate:
-        def cost(candidate: Candidate) -> tuple[float, float]:
-            state, load = candidate.state, candidate.load
-            if not state.near:
-                load += self._remote_penalty(state.registered.service)
-            if now_s < state.slow_start_until_s:
-                load += SLOW_START_PENALTY
-            if not self.has_connection(state.target.address):
-                load += NEW_CONNECTION_PENALTY
-            return load, self.random.random()
-
-        return min(self._sample(candidates), key=cost)
-
-    def _sample(self, candidates: list[Candidate]) -> list[Candidate]:
-        """Return the targets to compare: those to be asked again, or a random few.
-
-        Only a response shows that the need of a target has ended.
-        """
-        due = [each for each in candidates if each.state.limit.is_share_unused()]
-        if due:
-            return due
-        sampled = self._sample_groups(candidates)
-        if all(each.load >= FULL_LOAD for each in sampled):
-            free = [each for each in candidates if each.load < FULL_LOAD]
-            sampled = self._sample_groups(free) or sampled
-        return sampled
-
-    def _sample_groups(self, candidates: list[Candidate]) -> list[Candidate]:
-        groups: dict[tuple[bool, bool], list[Candidate]] = {}
-        for each in candidates:
-            connected = self.has_connection(each.state.target.address)
-            groups.setdefault((each.state.near, connected), []).append(each)
-        sampled = []
-        for group in groups.values():
-            sampled += self.random.sample(group, min(len(group), SAMPLED_TARGETS))
-        return sampled
-
-    def _remote_penalty(self, service: str) -> float:
-        response_bytes = self.mean_response_bytes.get(service, 0.0)
-        return min(
-            REMOTE_PENALTY_MIN + response_bytes * REMOTE_PENALTY_PER_BYTE,
-            REMOTE_PENALTY_MAX,
-        )
-
     # ---- outcomes ----
 
     def record_leaving(self, attempt: MeshAttempt) -> None:
@@ -454,7 +337,7 @@
             state.path_hold_off_until_s = now + PATH_HOLD_OFF_S
         elif outcome.kind is OutcomeKind.SUCCESS:
             self._record_success(attempt, state, now)
-            self._record_response_bytes(
+            self.choice.record_response_bytes(
                 state.registered.service, outcome.response_bytes
             )
 
@@ -473,11 +356,6 @@
             load=state.load(now_s),
         )
 
-    def _record_response_bytes(self, service: str, response_bytes: int) -> None:
-        mean = self.mean_response_bytes.get(service, float(response_bytes))
-        mean += (response_bytes - mean) * RESPONSE_BYTES_EWMA_WEIGHT
-        self.mean_response_bytes[service] = mean
-
     def _record_shed(self, state: TargetState, now_s: float) -> None:
         wait_s = min(
             SHED_BACKOFF_MAX_S,
--- a/src/lacewinglift/request_handler.py
+++ b/src/lacewinglift/request_handler.py
@@ -26,12 +26,9 @@
 from lacewinglift.configuration import Configuration, Workspace
 from lacewinglift.dialects import DEFAULT_DIALECT, Dialect
 from lacewinglift.exchanges import CancelReason, Exchange, ExchangeMonitor
+from lacewinglift.forward_requests import ExchangeCancelledError, ForwardRequest
 from lacewinglift.forwarded_response import ForwardedResponse, TruncatedResponseError
-from lacewinglift.forwarder import (
-    ExchangeCancelledError,
-    Forwarder,
-    ForwardRequest,
-)
+from lacewinglift.forwarder import Forwarder
 from lacewinglift.headers import (
     BadRequestError,
     Headers,
--- a/testing/mesh/test_target_table.py
+++ b/testing/mesh/test_target_table.py
@@ -226,7 +226,7 @@
     """Guards against a new connection for each request when an instance gets few."""
     table = MeshTargetTable(timers, "a", "milano", random=Random(1))
     table.apply([make_target(number) for number in range(4)])
-    table.has_connection = lambda address: address.startswith("10.0.0.2:")
+    table.choice.has_connection = lambda address: address.startswith("10.0.0.2:")
     assert_that(chosen_names(table), Equals({"t2"}))
 
 
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -122,7 +122,7 @@
     Mutation(
         "not-run-forgotten-by-later-attempt",
         "not-run",
-        "forwarder.py",
+        "attempt_loop.py",
         "        if (\n            self.reported_failure is None\n"
         "            or self.reported_failure.verdict is Verdict.NOT_RUN\n        ):\n",
         "        if True:\n",
@@ -139,7 +139,7 @@
     Mutation(
         "untrusted-503-taken-for-not-run",
         "not-run",
-        "forwarder.py",
+        "attempt_loop.py",
         'response.headers.get(self.dialect.not_run_header) == "1"',
         "True",
         "testing/test_forwarder.py -k untrusted_503",
@@ -180,7 +180,7 @@
     Mutation(
         "cut-upload-keeps-connection",
         "own-answer",
-        "forwarder.py",
+        "attempt_calls.py",
         "if raw.reusable and upload_finished and",
         "if raw.reusable and",
         "testing/test_forwarder.py -k early_response",
@@ -302,7 +302,7 @@
     Mutation(
         "resend-when-ejected",
         "at-most-once",
-        "forwarder.py",
+        "attempt_loop.py",
         "        return self.request.repeatable and attempts_left\n",
         "        return attempts_left\n",
         "testing/test_forwarder.py -k post_is_not_retried",
@@ -431,7 +431,7 @@
     Mutation(
         "unnamed-refusal-believed",
         "not-run-is-true",
-        "forwarder.py",
+        "attempt_loop.py",
         "(wrong_target or marked_not_run) and self._may_be_earlier(response)",
         "False",
         "testing/test_repeated_refusals.py",
@@ -511,7 +511,7 @@
     Mutation(
         "response-paced-in-stop",
         "graceful",
-        "forwarder.py",
+        "attempt_calls.py",
         "if not self.in_haste():",
         "if True:",
         "testing/test_downloads_in_a_stop.py",
@@ -527,7 +527,7 @@
     Mutation(
         "all-targets-compared",
         "choice of a target",
-        "mesh/target_table.py",
+        "mesh/target_choice.py",
         "        sampled = self._sample_groups(candidates)\n",
         "        sampled = candidates\n",
         "testing/mesh/test_target_table.py -k old_loads",
@@ -535,7 +535,7 @@
     Mutation(
         "abandoned-without-retry",
         "retry budget",
-        "forwarder.py",
+        "attempt_loop.py",
         "            if self.retry_reserved or self.budget.try_acquire():\n",
         "            if True:\n",
         "testing/test_forwarder.py -k without_retry_budget",
