Limit the requests that cold targets get, over the whole fleet

A target that has just started, or says that it is cold again, crashes above a few requests a second, and each instance took it for the least loaded one. A service may now state warmup_s and warmup_per_s; the rate is divided among at most four instances by the shares that also divide the rates that targets state.

--- a/src/lacewinglift/configuration.py
+++ b/src/lacewinglift/configuration.py
@@ -41,6 +41,10 @@
     """Maximum number of requests in progress at one instance."""
     health_path: str = "/health"
     slow_start_s: float = 10.0
+    warmup_s: float = 0.0
+    """Time for which a target is cold after its start."""
+    warmup_per_s: float = 0.0
+    """Requests a second that a cold target takes from the whole fleet; 0: any."""
 
 
 @frozen
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -156,6 +156,8 @@
             self.reachable_fraction,
         )
         self.targets.rate_share = self.rate_shares.rate_per_s
+        self.targets.cold_targets.rate_share = self.rate_shares.warming_rate_per_s
+        self.targets.cold_targets.callers_served = self._are_callers_served
         self.peer_addresses = PeerAddresses(
             self.timers, settings.seeds, settings.heartbeat_address
         )
@@ -369,6 +371,7 @@
         ):
             return
         self.quota.apply(configuration)
+        self.targets.cold_targets.apply(configuration.services)
         if configuration.idle_timeout_s is not None:
             self.frontend.server.timeout = configuration.idle_timeout_s
         log_info(
@@ -381,6 +384,12 @@
         self._update_started()
         self.heartbeats.send_soon()
 
+    def _are_callers_served(self) -> bool:
+        """Return whether the fleet serves callers, as far as this instance knows."""
+        if not self.settings.first_start:
+            return True
+        return self.retry_budgets.request_rate().per_s > 0
+
     def _registry_changed(self) -> None:
         self.targets.apply(list(self.registry.targets.values()))
         self.rate_shares.forget_others(set(self.registry.targets))
--- a/src/lacewinglift/mesh/registry.py
+++ b/src/lacewinglift/mesh/registry.py
@@ -16,6 +16,9 @@
 # An entry that disappears within this time after a failed call, plus the grace period,
 # may have expired during the outage.
 OUTAGE_EXPIRY_WINDOW_S = 1.0
+# Time by which the end of a warm-up may move from report to report, as these arrive
+# with different delays. The limit of a cold target holds for this much longer.
+WARMUP_TOLERANCE_S = 0.5
 # A delayed write of a target that ended can arrive for this long after its removal.
 TOMBSTONE_TTL_S = 60.0
 
@@ -34,15 +37,20 @@
     sequence: int
     """Number of the report since the target's start."""
     leaving: bool = False
-    warmup_s: float = 0.0
-    """Remaining time for which the target is slow after its start."""
+    warmup_s: float | None = 0.0
+    """Remaining time for which the target is cold; None if it has not said."""
+    warmup_sequence: int = 0
+    """Number of the report that said that the target is cold again; 0 if none did."""
+    warmup_ends_at_s: float = 0.0
+    """End of the stated warm-up by the own clock; 0 if there was none."""
 
     def report_version(self) -> tuple[int, int]:
         """Return a version that is greater for later reports of the target."""
         return self.born_ms, self.sequence
 
-    def to_message(self) -> beats_pb2.RegisteredTarget:
+    def to_message(self, now_s: float = 0.0) -> beats_pb2.RegisteredTarget:
         """Return the message for other instances."""
+        remaining_s = max(self.warmup_ends_at_s - now_s, 0.0)
         return beats_pb2.RegisteredTarget(
             name=self.name,
             service=self.service,
@@ -52,12 +60,18 @@
             born_ms=self.born_ms,
             sequence=self.sequence,
             leaving=self.leaving,
-            warmup_ms=int(self.warmup_s * 1000),
+            warmup_ms=int((self.warmup_s or 0.0) * 1000),
+            warmup_sequence=self.warmup_sequence,
+            warmup_unstated=self.warmup_s is None,
+            warmup_remaining_ms=int(remaining_s * 1000),
         )
 
 
 def from_message(message: beats_pb2.RegisteredTarget) -> RegisteredTarget:
     """Return the target that a message from another instance describes."""
+    remaining_ms = message.warmup_ms
+    if message.HasField("warmup_remaining_ms"):
+        remaining_ms = message.warmup_remaining_ms
     return RegisteredTarget(
         message.name,
         message.service,
@@ -67,10 +81,54 @@
         message.born_ms,
         message.sequence,
         message.leaving,
-        message.warmup_ms / 1000,
+        None if message.warmup_unstated else remaining_ms / 1000,
+        message.warmup_sequence,
     )
 
 
+def merge_warmup(
+    known: RegisteredTarget | None,
+    incoming: RegisteredTarget,
+    now_s: float,
+    from_store: bool,
+) -> RegisteredTarget:
+    """Return a report with the warm-up that it and the known report tell of.
+
+    Reports come each second and name a little less time. Only a report of the store
+    that names more begins a warm-up, whose number is that of the report. Of two
+    numbers the higher one stays, so that the digests of all instances become equal.
+    """
+    same_process = known is not None and known.born_ms == incoming.born_ms
+    if incoming.warmup_s is None:
+        if not same_process:
+            return incoming
+        return evolve(
+            incoming,
+            warmup_s=known.warmup_s,
+            warmup_ends_at_s=known.warmup_ends_at_s,
+            warmup_sequence=max(known.warmup_sequence, incoming.warmup_sequence),
+        )
+    ends_at_s = now_s + incoming.warmup_s if incoming.warmup_s > 0 else 0.0
+    if not same_process:
+        return evolve(incoming, warmup_ends_at_s=ends_at_s)
+    number = max(known.warmup_sequence, incoming.warmup_sequence)
+    begins = ends_at_s > max(known.warmup_ends_at_s, now_s) + WARMUP_TOLERANCE_S
+    if from_store and begins:
+        number = incoming.sequence
+    elif not (from_store or begins or number > known.warmup_sequence):
+        ends_at_s = known.warmup_ends_at_s
+    return evolve(incoming, warmup_sequence=number, warmup_ends_at_s=ends_at_s)
+
+
+def adopt_warmup_number(
+    known: RegisteredTarget, older: RegisteredTarget
+) -> RegisteredTarget:
+    """Return the known report with the warm-up number of an older one, if higher."""
+    if older.born_ms != known.born_ms or older.warmup_sequence <= known.warmup_sequence:
+        return known
+    return evolve(known, warmup_sequence=older.warmup_sequence)
+
+
 @define
 class _Tombstone:
     report_version: tuple[int, int]
@@ -132,7 +190,7 @@
                 self.record_outage()
             listed = {target.name: target for target in targets}
             for target in listed.values():
-                self._upsert(target)
+                self._upsert(target, from_store=True)
             for name in [name for name in self.targets if name not in listed]:
                 self._remove_or_mark_missing(name)
             self._advance(revision, era)
@@ -150,7 +208,7 @@
             if era < self.era:
                 return
             for target in written:
-                self._upsert(target)
+                self._upsert(target, from_store=True)
                 if target.name in self.targets:
                     self.reported_at_s[target.name] = self.timers.now()
             for name in removed:
@@ -173,7 +231,7 @@
             for name in [name for name in self.targets if name not in listed]:
                 self._remove_with_tombstone(name)
             for target in listed.values():
-                self._upsert(target)
+                self._upsert(target, from_store=False)
             self._advance(revision, era)
             self._commit_update()
             return True
@@ -213,17 +271,18 @@
     def snapshot(self) -> beats_pb2.Snapshot:
         """Return the registry as a snapshot for another instance."""
         with self.lock:
+            now = self.timers.now()
             return beats_pb2.Snapshot(
                 registry_revision=self.revision,
                 store_era=self.era,
-                targets=[target.to_message() for target in self.targets.values()],
+                targets=[target.to_message(now) for target in self.targets.values()],
             )
 
     def _advance(self, revision: int, era: int) -> None:
         position = self.position_of(revision, era)
         self.era, self.revision = max(self.position(), position)
 
-    def _upsert(self, target: RegisteredTarget) -> None:
+    def _upsert(self, target: RegisteredTarget, from_store: bool) -> None:
         tombstone = self.tombstones.get(target.name)
         if (
             tombstone is not None
@@ -232,12 +291,14 @@
             return
         known = self.targets.get(target.name)
         if known is not None and target.report_version() < known.report_version():
+            self.targets[target.name] = adopt_warmup_number(known, target)
             return
         if known is not None and known.born_ms == target.born_ms and known.leaving:
             target = evolve(target, leaving=True)
         self.tombstones.pop(target.name, None)
         self.missing_since_s.pop(target.name, None)
-        self.targets[target.name] = target
+        now = self.timers.now()
+        self.targets[target.name] = merge_warmup(known, target, now, from_store)
 
     def _remove_or_mark_missing(self, name: str) -> None:
         now = self.timers.now()
@@ -295,6 +356,8 @@
     """Return a digest of the fields that affect how the targets are used."""
     lines = sorted(
         f"{t.name} {t.service} {t.address} {t.born_ms} {t.leaving} {t.slots}"
+        # Absent as long as possible, so that the digest is that of earlier builds.
+        + (f" {t.warmup_sequence}" if t.warmup_sequence else "")
         for t in targets
     )
     text = "\n".join(lines).encode()
--- a/src/lacewinglift/mesh/target_state.py
+++ b/src/lacewinglift/mesh/target_state.py
@@ -7,6 +7,7 @@
 from lacewinglift.configuration import Target
 from lacewinglift.mesh.registry import RegisteredTarget
 from lacewinglift.mesh.stated_limits import StatedLimit
+from lacewinglift.mesh.warmup_records import WarmupRecord
 
 # Load that another instance reported is counted for this long.
 PEER_LOAD_MAX_AGE_S = 1.5
@@ -41,6 +42,7 @@
     consecutive_sheds: int = 0
     pending_attempts: set = field(factory=set)
     limit: StatedLimit = field(factory=StatedLimit)
+    warmup: WarmupRecord = field(factory=WarmupRecord)
 
     def load(self, now_s: float) -> float:
         """Return the requests in flight for each slot, over all instances."""
@@ -75,9 +77,13 @@
     """Requests in flight for each slot, over all instances."""
     eligible: bool
     """Whether any request may be sent to it; others get one only as a last resort."""
+    cold: bool = False
+    """Whether it is cold, so that a share of this instance limits its requests."""
 
     def room(self) -> int:
         """Return the number of requests that the target may get until `MAX_LOAD`."""
+        if self.cold:
+            return 1
         return math.ceil((MAX_LOAD - self.load) * max(self.state.registered.slots, 1))
 
 
--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -19,6 +19,7 @@
 from lacewinglift.generated import beats_pb2
 from lacewinglift.generated.beats_pb2 import FAILED, SERVED, UNREACHED
 from lacewinglift.logs import log_info
+from lacewinglift.mesh.cold_targets import ColdTargets, prefer_warm
 from lacewinglift.mesh.registry import RegisteredTarget
 from lacewinglift.mesh.target_choice import (
     PATH_HOLD_OFF_S,
@@ -135,6 +136,7 @@
         """Returns the share of this instance in the rate that a target takes."""
         self.on_leaving: Callable[[str, int], None] = lambda name, born_ms: None
         """Called with name and start of a target that states that it leaves."""
+        self.cold_targets = ColdTargets(timers)
         self.random = random or Random()
         self.choice = TargetChoice(self.random)
         self.states: dict[str, TargetState] = {}
@@ -172,16 +174,19 @@
             connections=0,
             leaving=registered.leaving,
         )
-        slow_start_until_s = self.timers.now() + registered.warmup_s
+        slow_start_until_s = self.timers.now() + (registered.warmup_s or 0.0)
         same = known is not None and known.registered.born_ms == registered.born_ms
         if same and known.registered.address == registered.address:
             known.registered = registered
             known.target = target
+            self.cold_targets.apply_report(known)
             return known
         near = registered.data_centre == self.data_centre
-        return TargetState(
+        state = TargetState(
             registered, target, near, slow_start_until_s, self.timers.now()
         )
+        self.cold_targets.record_new(state)
+        return state
 
     def count_by_state(self) -> dict[tuple[str, str], int]:
         """Return the number of targets of each service in each state."""
@@ -203,7 +208,7 @@
         """Choose a target that is not in `exclude`; return None if there is none."""
         now = self.timers.now()
         with self.lock:
-            candidates = self._candidates(service_name, exclude, now)
+            candidates = prefer_warm(self._candidates(service_name, exclude, now))
             chosen = self.choice.choose(candidates, repeatable, now)
             if chosen is None:
                 return None
@@ -232,12 +237,15 @@
             load = state.load(now_s)
             if load < MAX_LOAD:
                 eligible = self.choice.is_eligible(state, now_s, SUSPECT_HOLD_OFF_S)
-                candidates.append(Candidate(state, load, eligible))
+                cold = state.limit.warming
+                candidates.append(Candidate(state, load, eligible, cold))
         return candidates
 
     def _within_rate_limit(self, state: TargetState, now_s: float) -> bool:
         """Return whether this instance may send the target a request now."""
         limit_per_s = state.limit.limit_per_s
+        if self.cold_targets.is_cold(state, now_s):
+            return self.cold_targets.has_token(state, now_s)
         if limit_per_s is None:
             return True
         rate_per_s = self.rate_share(state.target.name, limit_per_s)
@@ -308,6 +316,11 @@
                 if state.limit.limit_per_s is not None
             )
 
+    def count_cold(self) -> dict[str, int]:
+        """Return the number of cold targets of each service that limits them."""
+        with self.lock:
+            return self.cold_targets.count(self.states.values())
+
     def finish(self, attempt: MeshAttempt, outcome: Outcome) -> None:
         """Record the end of an attempt."""
         with self.lock:
--- a/src/lacewinglift/mesh/telemetry.py
+++ b/src/lacewinglift/mesh/telemetry.py
@@ -115,6 +115,7 @@
         yield self._members()
         yield self._targets()
         yield self._rate_limited_targets()
+        yield self._cold_targets()
         yield self._tokens()
         yield self._resends()
         yield from self._store_calls()
@@ -181,6 +182,16 @@
             targets.add_metric([service], count)
         return targets
 
+    def _cold_targets(self) -> Metric:
+        targets = GaugeMetricFamily(
+            "lacewinglift_targets_cold",
+            "Cold targets of each service that limits their requests.",
+            labels=["service"],
+        )
+        for service, count in sorted(self.targets.count_cold().items()):
+            targets.add_metric([service], count)
+        return targets
+
     def _tokens(self) -> Metric:
         tokens = GaugeMetricFamily(
             "lacewinglift_quota_tokens",
--- a/testing/mesh/simulated_fleet.py
+++ b/testing/mesh/simulated_fleet.py
@@ -66,10 +66,11 @@
 
     def __init__(self, workspaces):
         self.workspaces = workspaces
+        self.services = {}
 
     def read_configuration(self, value):
         generation = int(value.split(b" ", 1)[0])
-        return Configuration(generation, Fleet("f"), {}, (), self.workspaces)
+        return Configuration(generation, Fleet("f"), self.services, (), self.workspaces)
 
 
 @define
