Tell refused callers when cold targets take a request, and describe cold targets

All targets of a service may be cold at once; refused requests then returned together after 0.5 s. Each now gets a time of its own at the rate of the instance's shares.

--- a/src/lacewinglift/attempt_loop.py
+++ b/src/lacewinglift/attempt_loop.py
@@ -239,7 +239,9 @@
     def _make_refusal(self, failure: AttemptFailedError | None) -> RefusalError:
         if failure is None:
             message = f"{self.service.name} has no usable target"
-            return refuse("no_target", message, retry_after_s=NO_TARGET_RETRY_AFTER_S)
+            wait_s = self.forwarder.no_target_wait_s(self.service.name)
+            retry_after_s = NO_TARGET_RETRY_AFTER_S if wait_s is None else wait_s
+            return refuse("no_target", message, retry_after_s=retry_after_s)
         if failure.kind in (OutcomeKind.SHED, OutcomeKind.WRONG_TARGET):
             code = "no_target"
         elif failure.kind is OutcomeKind.TIMEOUT:
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -63,6 +63,8 @@
         )
         self.pacer = pacer or ResponsePacer(timers)
         self.pools = TargetPools(timers)
+        self.no_target_wait_s: Callable[[str], float | None] = lambda service: None
+        """Returns when a service without a usable target takes a request again."""
         self.retry_budgets: dict[str, RetryBudgetProtocol] = {}
         self._lock = threading.Lock()
 
--- a/src/lacewinglift/mesh/cold_targets.py
+++ b/src/lacewinglift/mesh/cold_targets.py
@@ -21,6 +21,9 @@
 from lacewinglift.mesh.warmup_records import WarmupRecord
 from lacewinglift.timers import Timers
 
+# Shortest time after which a refused request may return.
+MIN_WAIT_S = 0.1
+
 
 @frozen
 class Warmup:
@@ -50,6 +53,8 @@
     callers_served: Callable[[], bool] = lambda: False
     warmups: dict[str, Warmup] = field(factory=dict)
     """Warm-ups of the services that limit their cold targets."""
+    promised_s: dict[str, float] = field(factory=dict)
+    """Time at which the last refused request of each service may return."""
 
     def apply(self, services: Mapping[str, Service]) -> None:
         """Apply the services of a configuration."""
@@ -83,14 +88,40 @@
 
     def has_token(self, state: TargetState, now_s: float) -> bool:
         """Return whether this instance may send a cold target a request now."""
-        limit_per_s = self.warmups[state.registered.service].rate_per_s
-        if state.limit.limit_per_s is not None:
-            limit_per_s = min(limit_per_s, state.limit.limit_per_s)
-        rate_per_s = self.rate_share(state.target.name, limit_per_s)
+        rate_per_s = self._share(state)
         has_token = state.limit.has_token(now_s, rate_per_s)
         # What was saved under a share that is now another instance's is not used.
         return has_token and rate_per_s > 0
 
+    def wait_s(self, service: str, states: Iterable[TargetState]) -> float | None:
+        """Return the time after which a request that was refused may return.
+
+        Each refused request gets a time of its own, at the rate of the shares, until
+        the first target is warm. None if some target is not cold, so that another
+        reason than the warm-up decides.
+        """
+        now = self.timers.now()
+        usable = [each for each in states if not each.registered.leaving]
+        if not usable or not all(each.limit.warming for each in usable):
+            return None
+        left_s = max(min(map(self._ends_at_s, usable)) - now, MIN_WAIT_S)
+        rate_per_s = sum(self._share(each) for each in usable)
+        if rate_per_s <= 0:
+            return left_s
+        promised_s = max(self.promised_s.get(service, now), now) + 1 / rate_per_s
+        self.promised_s[service] = min(promised_s, now + left_s)
+        return max(self.promised_s[service] - now, MIN_WAIT_S)
+
+    def _share(self, state: TargetState) -> float:
+        """Return the rate at which this instance may send to a cold target."""
+        warmup = self.warmups.get(state.registered.service)
+        if warmup is None:
+            return 0.0
+        limit_per_s = warmup.rate_per_s
+        if state.limit.limit_per_s is not None:
+            limit_per_s = min(limit_per_s, state.limit.limit_per_s)
+        return self.rate_share(state.target.name, limit_per_s)
+
     def count(self, states: Iterable[TargetState]) -> dict[str, int]:
         """Return the number of cold targets of each service."""
         now = self.timers.now()
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -264,6 +264,7 @@
             pacer=ResponsePacer(self.timers, settings.link_bytes_per_s),
         )
         self.targets.choice.has_connection = forwarder.pools.has_idle
+        forwarder.no_target_wait_s = self.targets.wait_s
         return RequestComponents(
             timers=self.timers,
             distribution=self.configuration_holder,
--- a/src/lacewinglift/mesh/registry.py
+++ b/src/lacewinglift/mesh/registry.py
@@ -94,8 +94,8 @@
 ) -> RegisteredTarget:
     """Return a report with the warm-up that it and the known report tell of.
 
-    Reports come each second and name a little less time. Only a report of the store
-    that names more begins a warm-up, whose number is that of the report. Of two
+    Later reports of the same warm-up name less time. Only a report of the store that
+    names more begins a warm-up, whose number is that of the report. Of two
     numbers the higher one stays, so that the digests of all instances become equal.
     """
     same_process = known is not None and known.born_ms == incoming.born_ms
--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -316,6 +316,12 @@
                 if state.limit.limit_per_s is not None
             )
 
+    def wait_s(self, service_name: str) -> float | None:
+        """Return when a refused request may return; None if no cold target tells."""
+        with self.lock:
+            states = self.by_service.get(service_name, [])
+            return self.cold_targets.wait_s(service_name, states)
+
     def count_cold(self) -> dict[str, int]:
         """Return the number of cold targets of each service that limits them."""
         with self.lock:
--- a/testing/mesh/test_cold_targets.py
+++ b/testing/mesh/test_cold_targets.py
@@ -5,7 +5,7 @@
 import pytest
 from attrs import evolve
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan, LessThan, Not
+from testtools.matchers import Equals, GreaterThan, Is, LessThan, Not
 
 from lacewinglift.configuration import Service
 from lacewinglift.generated import beats_pb2
@@ -172,6 +172,15 @@
     assert_that(busy.count("t9"), Equals(1))
 
 
+def test_refused_requests_return_at_the_rate_that_the_targets_take(table):
+    """Guards against refused requests that return together and are refused again."""
+    table.apply([evolve(make_target(9), warmup_s=None)])
+    table.cold_targets.rate_share = lambda name, limit: 2.0
+    assert_that(table.acquire("cassa"), Is(None))
+    waits_s = [table.wait_s("cassa") for _ in range(9)]
+    assert_that(waits_s, Equals([0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 3.5, 3.5, 3.5]))
+
+
 def test_hour_of_warmup_ends_as_the_service_states(table):
     """Guards against a target that is lost for an hour by its own odd word."""
     add_cold(table, warmup_s=3600.0, warmup_ends_at_s=table.timers.now() + 3600.0)
