--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -18,6 +18,7 @@
 from lacewinglift.mesh.configuration_holder import ConfigurationHolder
 from lacewinglift.mesh.configuration_lag import ConfigurationLag
 from lacewinglift.mesh.directory import Directory
+from lacewinglift.mesh.evacuations import Evacuations
 from lacewinglift.mesh.fleet_history import FleetHistory
 from lacewinglift.mesh.fleet_limits import FleetQuota
 from lacewinglift.mesh.full_heartbeats import FullHeartbeatSchedule
@@ -161,6 +162,7 @@
         self.peer_addresses = PeerAddresses(
             self.timers, settings.seeds, settings.heartbeat_address
         )
+        self.evacuations = Evacuations(self.timers, self._evacuations_changed)
         self.store = self._open_store()
         self.observer = self._build_observer()
         self.fetch_policy = SnapshotFetchPolicy(
@@ -168,6 +170,7 @@
             self.registry,
             self.configuration_holder.generation,
             self.observer.has_working_watch,
+            self.evacuations,
         )
         self.snapshots = SnapshotExchange(
             settings.fetch_address,
@@ -249,6 +252,7 @@
             self.is_started,
             read_immediately=not settings.first_start,
             on_role_change=self.heartbeats.send_soon,
+            evacuations=self.evacuations,
         )
 
     def _build_request_components(self, dialect: Dialect) -> RequestComponents:
@@ -397,6 +401,10 @@
         self._update_started()
         self.heartbeats.send_soon()
 
+    def _evacuations_changed(self) -> None:
+        self.targets.evacuated = self.evacuations.data_centres
+        self.heartbeats.send_soon()
+
     def build_snapshot(self, request: beats_pb2.SnapshotRequest) -> beats_pb2.Snapshot:
         """Return those of the configuration and the registry that are newer here."""
         snapshot = beats_pb2.Snapshot()
@@ -404,6 +412,7 @@
             snapshot = self.registry.snapshot()
         if request.configuration_version < self.configuration_holder.generation():
             snapshot.configuration = self.configuration_holder.serialized
+        self.evacuations.write_snapshot(snapshot)
         return compress_snapshot(snapshot) if request.accepts_compressed else snapshot
 
     def _has_newer_registry(self, request: beats_pb2.SnapshotRequest) -> bool:
@@ -418,6 +427,8 @@
         """Apply a snapshot that was fetched from another instance."""
         if snapshot.compressed:
             snapshot = decompress_snapshot(snapshot)
+        # Before the configuration, with which this instance begins to serve.
+        self.evacuations.apply_snapshot(snapshot)
         if snapshot.configuration:
             self.apply_configuration(snapshot.configuration)
         if snapshot.registry_revision:
@@ -520,6 +531,7 @@
         interval_s = self._heartbeat_interval_s()
         if interval_s > HEARTBEAT_INTERVAL_S:
             heartbeat.interval_ms = int(interval_s * 1000)
+        self.evacuations.write_heartbeat(heartbeat)
         return heartbeat
 
     def _build_brief_heartbeat(self, in_turn: bool = False) -> beats_pb2.Beat:
@@ -625,6 +637,8 @@
         if self.members.reachable():
             self.peer_addresses.expire()
         self.registry.remove_expired()
+        if self.registry.ready:
+            self.evacuations.report_unknown(self.targets.count_by_data_centre())
         self.configuration_lag.report(
             self.snapshots.failed_fetches, len(self.members.reachable())
         )
--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -13,6 +13,7 @@
 from lacewinglift.errors import ConfigurationError, StoreError
 from lacewinglift.kv import HistoryLostError, KeyValueStore, Listing, WatchResult
 from lacewinglift.logs import log_exception, log_info, log_warning
+from lacewinglift.mesh.evacuations import Evacuations
 from lacewinglift.mesh.observer_election import ObserverElection
 from lacewinglift.mesh.registry import RegisteredTarget, TargetRegistry
 from lacewinglift.timers import Timers
@@ -43,6 +44,8 @@
 class Codec(Protocol):
     """Decodes the values that operators and targets write to the store."""
 
+    operator_prefix: str
+    """Prefix of the configuration and of the operator's other keys."""
     configuration_key: str
     targets_prefix: str
     instances_prefix: str
@@ -51,6 +54,10 @@
         """Decode a configuration; raises ConfigurationError."""
         ...
 
+    def read_evacuation(self, key: str) -> str | None:
+        """Return the data centre that a key evacuates; None if it is another key."""
+        ...
+
     def read_target(self, name: str, value: bytes) -> RegisteredTarget | None:
         """Decode the entry of a target; return None if it is invalid."""
         ...
@@ -123,6 +130,8 @@
     on_role_change : callable, default=None
         Called when the role changes, and when an observer loses or regains the store.
         The others must know soon, since they watch the store instead of it.
+    evacuations : Evacuations, default=None
+        Receives the data centres that the operator evacuates.
     """
 
     def __init__(
@@ -138,6 +147,7 @@
         is_started: Callable[[], bool],
         read_immediately: bool,
         on_role_change: Callable[[], None] | None = None,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self.store = store
         self.codec = codec
@@ -151,6 +161,7 @@
         self.is_started = is_started
         self.read_immediately = read_immediately
         self.on_role_change = on_role_change
+        self.evacuations = evacuations or Evacuations(timers)
         self.contact = StoreContact(timers, on_change=self._announce_contact)
         election.start()
         self.watching = threading.Event()
@@ -273,11 +284,14 @@
         return listing
 
     def _list_configuration(self) -> Listing:
-        """Read the configuration; a watch starts from the listing."""
-        key = self.codec.configuration_key
-        listing = self._list(key)
+        """Read the operator's keys; a watch starts from the listing."""
+        listing = self._list(self.codec.operator_prefix)
+        names = [self.codec.read_evacuation(item.key) for item in listing.items]
+        evacuated = [name for name in names if name is not None]
+        # Before the configuration, with which this instance begins to serve.
+        self.evacuations.replace_all(evacuated, listing.revision, listing.era)
         for item in listing.items:
-            if item.key == key:
+            if item.key == self.codec.configuration_key:
                 self.apply_configuration(item.value)
         return listing
 
@@ -313,13 +327,23 @@
                 time.sleep(TARGETS_BATCH_DELAY_S)
 
     def _watch_configuration(self) -> None:
-        key = self.codec.configuration_key
+        prefix = self.codec.operator_prefix
         listing = self._list_configuration()
-        for result in self._watch(key, CONFIGURATION_WATCH_TIMEOUT_S, listing):
+        for result in self._watch(prefix, CONFIGURATION_WATCH_TIMEOUT_S, listing):
+            self._apply_evacuation_changes(result)
             for change in result.changes:
-                if change.key == key and change.value is not None:
+                is_configuration = change.key == self.codec.configuration_key
+                if is_configuration and change.value is not None:
                     self.apply_configuration(change.value)
 
+    def _apply_evacuation_changes(self, result: WatchResult) -> None:
+        present = {}
+        for change in result.changes:
+            name = self.codec.read_evacuation(change.key)
+            if name is not None:
+                present[name] = change.value is not None
+        self.evacuations.apply_changes(present, result.revision, result.era)
+
     def _announce(self) -> None:
         self._sleep(ANNOUNCEMENT_DELAY_S)
         if not self._is_watching():
--- a/src/lacewinglift/mesh/snapshot_fetch_policy.py
+++ b/src/lacewinglift/mesh/snapshot_fetch_policy.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable
 
-from attrs import define
+from attrs import Factory, define, field
 
 from lacewinglift.generated import beats_pb2
+from lacewinglift.mesh.evacuations import Evacuations
 from lacewinglift.mesh.registry import TargetRegistry
 from lacewinglift.timers import Timers
 
@@ -34,13 +35,19 @@
     registry: TargetRegistry
     generation: Callable[[], int]
     has_working_watch: Callable[[], bool]
+    evacuations: Evacuations = field(
+        default=Factory(lambda self: Evacuations(self.timers), takes_self=True)
+    )
+    """Data centres that the operator evacuates, as known to this instance."""
     behind_since_s: float | None = None
     """Time since which another instance has had newer targets."""
 
     def should_fetch(self, heartbeat: beats_pb2.Beat) -> bool:
         """Return whether the sender of a heartbeat has newer state to fetch."""
         newer_targets = self._should_fetch_targets(heartbeat)
-        return newer_targets or heartbeat.configuration_version > self.generation()
+        newer_evacuations = self.evacuations.compare(heartbeat)
+        newer_version = heartbeat.configuration_version > self.generation()
+        return newer_targets or newer_evacuations or newer_version
 
     def has_newer_state(self, heartbeat: beats_pb2.Beat) -> bool:
         """Return whether the sender of a heartbeat has a newer version or targets."""
@@ -48,7 +55,9 @@
             self._is_not_older(heartbeat)
             and heartbeat.registry_digest != self.registry.digest
         )
-        return newer_targets or heartbeat.configuration_version > self.generation()
+        newer_evacuations = self.evacuations.is_older_than(heartbeat)
+        newer_version = heartbeat.configuration_version > self.generation()
+        return newer_targets or newer_evacuations or newer_version
 
     def _should_fetch_targets(self, heartbeat: beats_pb2.Beat) -> bool:
         """Return whether to fetch targets; confirm the own ones if they are equal."""
--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -137,6 +137,8 @@
         self.on_leaving: Callable[[str, int], None] = lambda name, born_ms: None
         """Called with name and start of a target that states that it leaves."""
         self.cold_targets = ColdTargets(timers)
+        self.evacuated: frozenset[str] = frozenset()
+        """Data centres whose targets get no requests."""
         self.random = random or Random()
         self.choice = TargetChoice(self.random)
         self.states: dict[str, TargetState] = {}
@@ -188,6 +190,13 @@
         self.cold_targets.record_new(state)
         return state
 
+    def count_by_data_centre(self) -> dict[str, int]:
+        """Return the number of targets in each data centre."""
+        with self.lock:
+            return Counter(
+                state.registered.data_centre for state in self.states.values()
+            )
+
     def count_by_state(self) -> dict[tuple[str, str], int]:
         """Return the number of targets of each service in each state."""
         now = self.timers.now()
@@ -232,6 +241,8 @@
                 continue
             if now_s < state.paused_until_s:
                 continue
+            if state.registered.data_centre in self.evacuated:
+                continue
             if not self._within_rate_limit(state, now_s):
                 continue
             load = state.load(now_s)
@@ -319,7 +330,11 @@
     def wait_s(self, service_name: str) -> float | None:
         """Return when a refused request may return; None if no cold target tells."""
         with self.lock:
-            states = self.by_service.get(service_name, [])
+            states = [
+                state
+                for state in self.by_service.get(service_name, [])
+                if state.registered.data_centre not in self.evacuated
+            ]
             return self.cold_targets.wait_s(service_name, states)
 
     def count_cold(self) -> dict[str, int]:
--- a/src/lacewinglift/mesh/telemetry.py
+++ b/src/lacewinglift/mesh/telemetry.py
@@ -116,6 +116,7 @@
         yield self._targets()
         yield self._rate_limited_targets()
         yield self._cold_targets()
+        yield self._evacuated_targets()
         yield self._tokens()
         yield self._resends()
         yield from self._store_calls()
@@ -192,6 +193,17 @@
             targets.add_metric([service], count)
         return targets
 
+    def _evacuated_targets(self) -> Metric:
+        targets = GaugeMetricFamily(
+            "lacewinglift_targets_evacuated",
+            "Targets of each data centre that the operator evacuates.",
+            labels=["data_centre"],
+        )
+        counts = self.targets.count_by_data_centre()
+        for name in sorted(self.targets.evacuated & counts.keys()):
+            targets.add_metric([name], counts[name])
+        return targets
+
     def _tokens(self) -> Metric:
         tokens = GaugeMetricFamily(
             "lacewinglift_quota_tokens",
--- a/testing/adapter/test_restored_store.py
+++ b/testing/adapter/test_restored_store.py
@@ -106,6 +106,27 @@
     assert wait_until(lambda: b'{"later": true}' in watching.configurations)
 
 
+def test_evacuations_come_with_the_watch_of_the_configuration(watching):
+    """Guards against further store calls, and against a key that a restore hides.
+
+    The value of the key is not read.
+    """
+    evacuations = watching.observer.evacuations
+    watching.store.put("op/evacuate/torino", {})
+    watching.store.put("op/evacuate/", {})
+    assert wait_until(lambda: evacuations.data_centres == {"torino"})
+    copy = watching.store.copy()
+    watching.store.put("op/evacuate/milano", [1])
+    assert wait_until(lambda: len(evacuations.data_centres) == 2)
+    watching.store.restore(copy, fill_up(3))
+    watching.store.put("servers/old", make_entry(sequence=2))
+    assert wait_until(lambda: evacuations.data_centres == {"torino"})
+    watching.store.remove("op/evacuate/torino")
+    assert wait_until(lambda: not evacuations.data_centres)
+    watching.store.put("op/config", b"second")
+    assert wait_until(lambda: b"second" in watching.configurations)
+
+
 @pytest.mark.parametrize("following", [0, 2 * LOST_WRITES])
 def test_target_that_the_restored_store_lacks_is_kept_until_it_writes_again(
     watching, following
--- a/testing/mesh/simulated_fleet.py
+++ b/testing/mesh/simulated_fleet.py
@@ -60,6 +60,7 @@
 class VersionCodec:
     """Reads configurations whose value starts with their generation."""
 
+    operator_prefix = "config"
     configuration_key = "config"
     targets_prefix = "targets/"
     instances_prefix = "instances/"
--- a/testing/mesh/test_observers.py
+++ b/testing/mesh/test_observers.py
@@ -38,6 +38,7 @@
 
 
 class EmptyCodec:
+    operator_prefix = "config"
     configuration_key = "config"
     targets_prefix = "targets/"
     instances_prefix = "instances/"
