Keep requests in the regions that their route and workspace allow

Some tenants' requests must not leave a region. Targets elsewhere are left out of each attempt, and callers that name their workspace or path get instances of the regions.

--- a/src/lacewinglift/access.py
+++ b/src/lacewinglift/access.py
@@ -44,6 +44,22 @@
     workspace: Workspace | None
     digest: bytes | None
 
+    def allowed_regions(self) -> frozenset[str] | None:
+        """Return the regions that route and workspace allow; None if all are."""
+        of_workspace = (
+            None if self.workspace is None else self.workspace.allowed_regions
+        )
+        return intersect_regions(self.route.allowed_regions, of_workspace)
+
+
+def intersect_regions(
+    first: frozenset[str] | None, second: frozenset[str] | None
+) -> frozenset[str] | None:
+    """Return the regions that both allow, where None allows all."""
+    if first is None or second is None:
+        return second if first is None else first
+    return first & second
+
 
 def find_workspace(configuration: Configuration, head: RequestHead) -> Workspace | None:
     """Return the workspace that owns the key of a request; None without a key.
--- a/src/lacewinglift/attempt_loop.py
+++ b/src/lacewinglift/attempt_loop.py
@@ -106,7 +106,7 @@
         last_attempt = self.request.max_attempts - 1
         repeatable = self.request.repeatable and self._counted_attempts() < last_attempt
         selector = self.forwarder.target_selector
-        attempt = selector.acquire(self.service.name, self.tried_targets, repeatable)
+        attempt = selector.acquire(self.service.name, self._excluded(), repeatable)
         if attempt is None:
             raise self._give_up("no_target")
         self.tried_targets.add(attempt.target.name)
@@ -115,6 +115,14 @@
             self.forwarder.on_retry(self.service.name)
         return attempt
 
+    def _excluded(self) -> set[str]:
+        """Return the targets that may not get the request, or not again."""
+        regions = self.request.allowed_regions
+        if regions is None:
+            return self.tried_targets
+        outside = self.forwarder.targets_outside(self.service.name, regions)
+        return self.tried_targets | outside
+
     def _try_target(
         self, attempt: Attempt
     ) -> tuple[ForwardedResponse | None, AttemptFailedError | None]:
--- a/src/lacewinglift/configuration.py
+++ b/src/lacewinglift/configuration.py
@@ -85,6 +85,8 @@
     """Response time after which a response is worth less to the caller."""
     priority: int = 0
     """Priority under load; requests with 0 are served first."""
+    allowed_regions: frozenset[str] | None = None
+    """Regions whose targets may get the requests; None allows all."""
     split: tuple[ServiceWeight, ...] = ()
     """Services that share the requests by weight; if not empty, replaces `service`."""
 
@@ -118,6 +120,8 @@
     """Maximum number of requests in progress at one instance."""
     priority: int | None = None
     """Priority that replaces that of the route; None uses the priority of the route."""
+    allowed_regions: frozenset[str] | None = None
+    """Regions whose targets may get the requests; None allows all."""
 
 
 @frozen
--- a/src/lacewinglift/forward_requests.py
+++ b/src/lacewinglift/forward_requests.py
@@ -55,6 +55,8 @@
     """Request ID that the target echoes in its response."""
     logged_id: str = "-"
     """Request ID in log lines."""
+    allowed_regions: frozenset[str] | None = None
+    """Regions whose targets may get the request; None allows all."""
     in_haste: Callable[[], bool] = lambda: False
     """Returns whether this instance stops, so that little time is left.
 
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -65,6 +65,10 @@
         self.pools = TargetPools(timers)
         self.no_target_wait_s: Callable[[str], float | None] = lambda service: None
         """Returns when a service without a usable target takes a request again."""
+        self.targets_outside: Callable[[str, frozenset[str]], set[str]] = (
+            lambda service, regions: set()
+        )
+        """Returns the targets of a service that are in none of some regions."""
         self.retry_budgets: dict[str, RetryBudgetProtocol] = {}
         self._lock = threading.Lock()
 
--- a/src/lacewinglift/mesh/directory.py
+++ b/src/lacewinglift/mesh/directory.py
@@ -81,15 +81,22 @@
         self.own_selected = False
         self.checked_at_s = -math.inf
 
-    def resolve(self, data_centre: str | None) -> Resolution | None:
+    def resolve(
+        self, data_centre: str | None, regions: frozenset[str] | None = None
+    ) -> Resolution | None:
         """Return the addresses for a caller; None while no ready instance is known.
 
         Parameters
         ----------
         data_centre : str or None
             Data centre of the caller, if it named one.
+        regions : frozenset of str, default=None
+            Regions of the instances that the caller may use; all by default.
         """
         chosen = self._select_instances()
+        if regions is not None:
+            region_of = self.settings.regions
+            chosen = [c for c in chosen if region_of.get(c.data_centre) in regions]
         if not chosen:
             return None
         near = [each for each in chosen if each.data_centre == data_centre]
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -15,6 +15,7 @@
 from lacewinglift.generated import beats_pb2
 from lacewinglift.kv import STORE_DRIVERS
 from lacewinglift.logs import LEFT_OUT_REPORT_INTERVAL_S, log_info, report_left_out
+from lacewinglift.mesh.allowed_regions import report_unknown_regions
 from lacewinglift.mesh.configuration_holder import ConfigurationHolder
 from lacewinglift.mesh.configuration_lag import ConfigurationLag
 from lacewinglift.mesh.directory import Directory
@@ -156,6 +157,7 @@
             self._serving_names,
             self.reachable_fraction,
         )
+        self.targets.regions = settings.regions
         self.targets.rate_share = self.rate_shares.rate_per_s
         self.targets.cold_targets.rate_share = self.rate_shares.warming_rate_per_s
         self.targets.cold_targets.callers_served = self._are_callers_served
@@ -269,6 +271,7 @@
         )
         self.targets.choice.has_connection = forwarder.pools.has_idle
         forwarder.no_target_wait_s = self.targets.wait_s
+        forwarder.targets_outside = self.targets.outside
         return RequestComponents(
             timers=self.timers,
             distribution=self.configuration_holder,
@@ -377,6 +380,7 @@
             return
         self.quota.apply(configuration)
         self.targets.cold_targets.apply(configuration.services)
+        report_unknown_regions(configuration, self.settings.regions.values())
         if configuration.idle_timeout_s is not None:
             self.frontend.server.timeout = configuration.idle_timeout_s
         log_info(
--- a/src/lacewinglift/mesh/settings.py
+++ b/src/lacewinglift/mesh/settings.py
@@ -1,6 +1,8 @@
 """Settings of an instance of a mesh."""
 
-from attrs import frozen
+from collections.abc import Mapping
+
+from attrs import field, frozen
 
 from lacewinglift.mesh.retry_budgets import RetryLimits
 
@@ -44,6 +46,8 @@
     """Whether the whole fleet starts for the first time, without callers yet."""
     link_bytes_per_s: float | None = None
     """Speed of the link of the instance; None if it is not known."""
+    regions: Mapping[str, str] = field(factory=dict)
+    """Region of each data centre."""
     worker_threads: int = 96
     max_address_lifetime_s: float = ADDRESS_LIFETIME_S
     """Longest time for which callers may use resolved addresses."""
--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -137,6 +137,8 @@
         self.on_leaving: Callable[[str, int], None] = lambda name, born_ms: None
         """Called with name and start of a target that states that it leaves."""
         self.cold_targets = ColdTargets(timers)
+        self.regions: Mapping[str, str] = {}
+        """Region of each data centre."""
         self.evacuated: frozenset[str] = frozenset()
         """Data centres whose targets get no requests."""
         self.random = random or Random()
@@ -337,6 +339,18 @@
             ]
             return self.cold_targets.wait_s(service_name, states)
 
+    def outside(self, service_name: str, regions: frozenset[str]) -> set[str]:
+        """Return the targets of a service that are in none of some regions.
+
+        The region of a data centre that the settings do not name is in none.
+        """
+        with self.lock:
+            return {
+                state.target.name
+                for state in self.by_service.get(service_name, [])
+                if self.regions.get(state.registered.data_centre) not in regions
+            }
+
     def count_cold(self) -> dict[str, int]:
         """Return the number of cold targets of each service that limits them."""
         with self.lock:
--- a/src/lacewinglift/request_handler.py
+++ b/src/lacewinglift/request_handler.py
@@ -425,6 +425,7 @@
             free_refusals=route.free_refusals,
             request_id=self.head.value(dialect.request_id_header or ""),
             logged_id=self.logged_id,
+            allowed_regions=access.allowed_regions(),
             in_haste=self.components.shutdown.in_progress,
         )
         name = None if access.workspace is None else access.workspace.name
