--- a/src/lacewinglift/attempt_loop.py
+++ b/src/lacewinglift/attempt_loop.py
@@ -106,7 +106,7 @@
         last_attempt = self.request.max_attempts - 1
         repeatable = self.request.repeatable and self._counted_attempts() < last_attempt
         selector = self.forwarder.target_selector
-        attempt = selector.acquire(self.service.name, self.tried_targets, repeatable)
+        attempt = selector.acquire(self.service.name, self._excluded(), repeatable)
         if attempt is None:
             raise self._give_up("no_target")
         self.tried_targets.add(attempt.target.name)
@@ -115,6 +115,14 @@
             self.forwarder.on_retry(self.service.name)
         return attempt
 
+    def _excluded(self) -> set[str]:
+        """Return the targets that may not get the request, or not again."""
+        regions = self.request.allowed_regions
+        if regions is None:
+            return self.tried_targets
+        outside = self.forwarder.targets_outside(self.service.name, regions)
+        return self.tried_targets | outside
+
     def _try_target(
         self, attempt: Attempt
     ) -> tuple[ForwardedResponse | None, AttemptFailedError | None]:
@@ -239,7 +247,9 @@
     def _make_refusal(self, failure: AttemptFailedError | None) -> RefusalError:
         if failure is None:
             message = f"{self.service.name} has no usable target"
-            return refuse("no_target", message, retry_after_s=NO_TARGET_RETRY_AFTER_S)
+            wait_s = self.forwarder.no_target_wait_s(self.service.name)
+            retry_after_s = NO_TARGET_RETRY_AFTER_S if wait_s is None else wait_s
+            return refuse("no_target", message, retry_after_s=retry_after_s)
         if failure.kind in (OutcomeKind.SHED, OutcomeKind.WRONG_TARGET):
             code = "no_target"
         elif failure.kind is OutcomeKind.TIMEOUT:
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -15,9 +15,11 @@
 from lacewinglift.generated import beats_pb2
 from lacewinglift.kv import STORE_DRIVERS
 from lacewinglift.logs import LEFT_OUT_REPORT_INTERVAL_S, log_info, report_left_out
+from lacewinglift.mesh.allowed_regions import report_unknown_regions
 from lacewinglift.mesh.configuration_holder import ConfigurationHolder
 from lacewinglift.mesh.configuration_lag import ConfigurationLag
 from lacewinglift.mesh.directory import Directory
+from lacewinglift.mesh.evacuations import Evacuations
 from lacewinglift.mesh.fleet_history import FleetHistory
 from lacewinglift.mesh.fleet_limits import FleetQuota
 from lacewinglift.mesh.full_heartbeats import FullHeartbeatSchedule
@@ -155,10 +157,14 @@
             self._serving_names,
             self.reachable_fraction,
         )
+        self.targets.regions = settings.regions
         self.targets.rate_share = self.rate_shares.rate_per_s
+        self.targets.cold_targets.rate_share = self.rate_shares.warming_rate_per_s
+        self.targets.cold_targets.callers_served = self._are_callers_served
         self.peer_addresses = PeerAddresses(
             self.timers, settings.seeds, settings.heartbeat_address
         )
+        self.evacuations = Evacuations(self.timers, self._evacuations_changed)
         self.store = self._open_store()
         self.observer = self._build_observer()
         self.fetch_policy = SnapshotFetchPolicy(
@@ -166,6 +172,7 @@
             self.registry,
             self.configuration_holder.generation,
             self.observer.has_working_watch,
+            self.evacuations,
         )
         self.snapshots = SnapshotExchange(
             settings.fetch_address,
@@ -247,6 +254,7 @@
             self.is_started,
             read_immediately=not settings.first_start,
             on_role_change=self.heartbeats.send_soon,
+            evacuations=self.evacuations,
         )
 
     def _build_request_components(self, dialect: Dialect) -> RequestComponents:
@@ -262,6 +270,8 @@
             pacer=ResponsePacer(self.timers, settings.link_bytes_per_s),
         )
         self.targets.choice.has_connection = forwarder.pools.has_idle
+        forwarder.no_target_wait_s = self.targets.wait_s
+        forwarder.targets_outside = self.targets.outside
         return RequestComponents(
             timers=self.timers,
             distribution=self.configuration_holder,
@@ -369,6 +379,8 @@
         ):
             return
         self.quota.apply(configuration)
+        self.targets.cold_targets.apply(configuration.services)
+        report_unknown_regions(configuration, self.settings.regions.values())
         if configuration.idle_timeout_s is not None:
             self.frontend.server.timeout = configuration.idle_timeout_s
         log_info(
@@ -381,12 +393,22 @@
         self._update_started()
         self.heartbeats.send_soon()
 
+    def _are_callers_served(self) -> bool:
+        """Return whether the fleet serves callers, as far as this instance knows."""
+        if not self.settings.first_start:
+            return True
+        return self.retry_budgets.request_rate().per_s > 0
+
     def _registry_changed(self) -> None:
         self.targets.apply(list(self.registry.targets.values()))
         self.rate_shares.forget_others(set(self.registry.targets))
         self._update_started()
         self.heartbeats.send_soon()
 
+    def _evacuations_changed(self) -> None:
+        self.targets.evacuated = self.evacuations.data_centres
+        self.heartbeats.send_soon()
+
     def build_snapshot(self, request: beats_pb2.SnapshotRequest) -> beats_pb2.Snapshot:
         """Return those of the configuration and the registry that are newer here."""
         snapshot = beats_pb2.Snapshot()
@@ -394,6 +416,7 @@
             snapshot = self.registry.snapshot()
         if request.configuration_version < self.configuration_holder.generation():
             snapshot.configuration = self.configuration_holder.serialized
+        self.evacuations.write_snapshot(snapshot)
         return compress_snapshot(snapshot) if request.accepts_compressed else snapshot
 
     def _has_newer_registry(self, request: beats_pb2.SnapshotRequest) -> bool:
@@ -408,6 +431,8 @@
         """Apply a snapshot that was fetched from another instance."""
         if snapshot.compressed:
             snapshot = decompress_snapshot(snapshot)
+        # Before the configuration, with which this instance begins to serve.
+        self.evacuations.apply_snapshot(snapshot)
         if snapshot.configuration:
             self.apply_configuration(snapshot.configuration)
         if snapshot.registry_revision:
@@ -510,6 +535,7 @@
         interval_s = self._heartbeat_interval_s()
         if interval_s > HEARTBEAT_INTERVAL_S:
             heartbeat.interval_ms = int(interval_s * 1000)
+        self.evacuations.write_heartbeat(heartbeat)
         return heartbeat
 
     def _build_brief_heartbeat(self, in_turn: bool = False) -> beats_pb2.Beat:
@@ -615,6 +641,8 @@
         if self.members.reachable():
             self.peer_addresses.expire()
         self.registry.remove_expired()
+        if self.registry.ready:
+            self.evacuations.report_unknown(self.targets.count_by_data_centre())
         self.configuration_lag.report(
             self.snapshots.failed_fetches, len(self.members.reachable())
         )
--- a/testing/mesh/simulated_fleet.py
+++ b/testing/mesh/simulated_fleet.py
@@ -60,16 +60,18 @@
 class VersionCodec:
     """Reads configurations whose value starts with their generation."""
 
+    operator_prefix = "config"
     configuration_key = "config"
     targets_prefix = "targets/"
     instances_prefix = "instances/"
 
     def __init__(self, workspaces):
         self.workspaces = workspaces
+        self.services = {}
 
     def read_configuration(self, value):
         generation = int(value.split(b" ", 1)[0])
-        return Configuration(generation, Fleet("f"), {}, (), self.workspaces)
+        return Configuration(generation, Fleet("f"), self.services, (), self.workspaces)
 
 
 @define
