Try targets that are held off while a service fails

For 2 s, 5 of 12 working targets of a service got no request while 40 of 168 requests were not served: reports of two instances held them off for 6 s, and hold-offs only shrink while every other target counts as full, which targets that shed do not.

--- a/src/lacewinglift/mesh/completion_time_choice.py
+++ b/src/lacewinglift/mesh/completion_time_choice.py
@@ -52,12 +52,15 @@
 # A target that was without a request for a time between these is tried while the
 # service fails. The times differ at random, so that the first instance to try it is
 # seen by the others; the target gets a request within about a second.
-TRY_AFTER_MIN_S = 0.4
-TRY_AFTER_MAX_S = 0.8
+TRY_AFTER_MIN_S = 0.3
+TRY_AFTER_MAX_S = 0.7
 # Additional time for a request that cannot be repeated; one that can goes first.
 TRY_UNREPEATABLE_AFTER_S = 0.1
+# Several targets count as held off at once from this number and this share on.
+HELD_OFF_MIN = 2
+HELD_OFF_SHARE = 0.1
 # Share of the requests of a failing service that may be used to try targets.
-TRY_SHARE = 0.25
+TRY_SHARE = 0.75
 # Reports of broken connections by others do not count against a target that served a
 # request of this instance within this time before.
 OWN_PATH_VALID_S = 1.0
@@ -225,7 +228,9 @@
     ) -> Candidate | None:
         """Return a target that a failing service must try with this request."""
         service = candidates[0].state.registered.service
-        if not self._is_failing(service, now_s):
+        held_off = sum(not each.eligible for each in candidates)
+        several = held_off >= max(HELD_OFF_MIN, HELD_OFF_SHARE * len(candidates))
+        if not self._is_failing(service, several, now_s):
             return None
         due = [
             each
@@ -235,7 +240,8 @@
         if not due or self._try_random.random() >= TRY_SHARE:
             return None
         self.basis = "retried"
-        return min(due, key=lambda each: each.state.last_request_at_s)
+        # At random, since other instances choose among the same targets now.
+        return self._try_random.choice(due)
 
     def _try_at_s(self, state: TargetState, repeatable: bool) -> float:
         last_s = max(state.last_request_at_s, state.first_seen_at_s)
@@ -245,9 +251,9 @@
             state.try_drawn_for_s = last_s
         return state.try_at_s + (0.0 if repeatable else TRY_UNREPEATABLE_AFTER_S)
 
-    def _is_failing(self, service: str, now_s: float) -> bool:
+    def _is_failing(self, service: str, several_held_off: bool, now_s: float) -> bool:
         failures = self.failures.get(service)
-        failing = failures is not None and failures.is_failing(now_s)
+        failing = failures is not None and failures.is_failing(now_s, several_held_off)
         if failing == (service in self.failing):
             return failing
         self.failing ^= {service}
--- a/src/lacewinglift/mesh/service_failures.py
+++ b/src/lacewinglift/mesh/service_failures.py
@@ -41,13 +41,22 @@
         self.ends.append(_End(at_s, failed_at))
         self.failed += failed_at is not None
 
-    def is_failing(self, now_s: float) -> bool:
-        """Return whether the targets in use cannot serve everything."""
+    def is_failing(self, now_s: float, several_held_off: bool = False) -> bool:
+        """Return whether the targets in use cannot serve everything.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time.
+        several_held_off : bool, default=False
+            Whether several targets are not in use at once. One failure at the others
+            is then enough, as an instance sees few requests of its own.
+        """
         while self.ends and now_s - self.ends[0].at_s > FAILURE_WINDOW_S:
             self.failed -= self.ends.popleft().failed_at is not None
-        if self.failed < FAILING_SOURCES_MIN:
-            return False
         if self.failed <= FAILING_SHARE * len(self.ends):
             return False
+        if several_held_off:
+            return True
         sources = {end.failed_at for end in self.ends if end.failed_at is not None}
         return len(sources) >= FAILING_SOURCES_MIN or "" in sources
--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -572,6 +572,7 @@
         state = self.states.get(evidence.target)
         if state is None:
             return
+        state.last_request_at_s = max(state.last_request_at_s, at_s)
         if evidence.kind == FAILED:
             self._suspect(state, instance, at_s)
         elif evidence.kind == UNREACHED:
