Select the instances for callers by what each can carry

Callers got as many addresses of small instances (0.43 cores, 10 Mbit/s) as of large ones (2.15 cores, 200 Mbit/s), and spread their requests evenly over them.

Instances state processor and link in their description. Where the configuration calls for balancing, large ones are selected first, and an answer names each with a chance by its capacity.

--- a/src/lacewinglift/mesh/directory.py
+++ b/src/lacewinglift/mesh/directory.py
@@ -7,10 +7,17 @@
 
 import math
 from collections.abc import Callable
+from random import Random
 
 from attrs import frozen
 
 from lacewinglift.generated import beats_pb2
+from lacewinglift.mesh.instance_capacities import (
+    StatedCapacity,
+    draw_addresses,
+    relative_capacities,
+    select_by_capacity,
+)
 from lacewinglift.mesh.members import MemberTable, select_across_data_centres
 from lacewinglift.mesh.request_rate import RateEstimate
 from lacewinglift.mesh.settings import MeshSettings
@@ -42,6 +49,7 @@
     data_centre: str
     caller_address: str
     observer: bool
+    capacity: StatedCapacity
 
 
 class Directory:
@@ -78,6 +86,9 @@
         self.is_observer = is_observer
         self.request_rate = request_rate
         self.timers = timers
+        self.by_capacity: Callable[[], bool] = bool
+        """Returns whether instances are selected by what each can carry."""
+        self.random = Random()
         self.own_selected = False
         self.checked_at_s = -math.inf
 
@@ -95,6 +106,8 @@
         near = [each for each in chosen if each.data_centre == data_centre]
         if len(near) >= NEAR_INSTANCES_MIN:
             chosen = near
+        if self.by_capacity():
+            chosen = self._draw(chosen)
         addresses = tuple(candidate.caller_address for candidate in chosen)
         return Resolution(addresses, self.settings.address_lifetime_s)
 
@@ -111,6 +124,8 @@
         candidates = {c.name: c for c in self._ready_candidates()}
         if not candidates:
             return []
+        if self.by_capacity():
+            return self._select_by_capacity(candidates)
         data_centres = {c.data_centre for c in candidates.values()}
         minimum = self.settings.min_selected_per_data_centre * len(data_centres)
         needed = self._needed_instances(len(candidates))
@@ -124,7 +139,34 @@
         )
         return [candidates[name] for name in chosen]
 
-    def _needed_instances(self, ready: int) -> float:
+    def _select_by_capacity(
+        self, candidates: dict[str, _Candidate]
+    ) -> list[_Candidate]:
+        capacities = _capacities(candidates)
+        data_centres = sorted({c.data_centre for c in candidates.values()})
+        needed = self._needed_instances(sum(capacities.values()))
+        selected = []
+        for data_centre in data_centres:
+            selected += select_by_capacity(
+                {
+                    name: capacities[name]
+                    for name, candidate in candidates.items()
+                    if candidate.data_centre == data_centre
+                },
+                lambda name: candidates[name].observer,
+                needed / len(data_centres),
+                self.settings.min_selected_per_data_centre,
+                max(MAX_SELECTED_INSTANCES // len(data_centres), 1),
+            )
+        return [candidates[name] for name in selected]
+
+    def _draw(self, chosen: list[_Candidate]) -> list[_Candidate]:
+        """Return the instances that one answer names."""
+        by_name = {candidate.name: candidate for candidate in chosen}
+        drawn = draw_addresses(_capacities(by_name), self.random)
+        return [by_name[name] for name in drawn]
+
+    def _needed_instances(self, ready: float) -> float:
         rate = self.request_rate()
         needed = rate.per_s / self.settings.instance_rate_per_s
         return needed if rate.settled else max(needed, INITIAL_FRACTION * ready)
@@ -136,6 +178,10 @@
                 member.description.data_centre,
                 member.description.caller_address,
                 member.heartbeat.observer,
+                StatedCapacity(
+                    member.description.processor_millicores / 1000,
+                    member.description.link_kbytes_per_s * 1000,
+                ),
             )
             for member in self.members.reachable()
             if member.heartbeat.state == beats_pb2.SERVING
@@ -148,6 +194,15 @@
                     settings.data_centre,
                     settings.caller_address,
                     self.is_observer(),
+                    StatedCapacity(
+                        settings.processor_cores or 0.0,
+                        settings.link_bytes_per_s or 0.0,
+                    ),
                 )
             )
         return candidates
+
+
+def _capacities(candidates: dict[str, _Candidate]) -> dict[str, float]:
+    stated = [candidate.capacity for candidate in candidates.values()]
+    return dict(zip(candidates, relative_capacities(stated), strict=True))
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -15,6 +15,7 @@
 from lacewinglift.generated import beats_pb2
 from lacewinglift.kv import STORE_DRIVERS
 from lacewinglift.logs import LEFT_OUT_REPORT_INTERVAL_S, log_info, report_left_out
+from lacewinglift.mesh.choice_registry import COMPLETION_TIME
 from lacewinglift.mesh.configuration_holder import ConfigurationHolder
 from lacewinglift.mesh.configuration_lag import ConfigurationLag
 from lacewinglift.mesh.directory import Directory
@@ -72,6 +73,8 @@
 MAX_GOSSIPED_PEERS = 6
 MAX_GOSSIPED_PEERS_TO_NEWCOMERS = 48
 MAX_STORE_AGE_MS = 2**31
+# Bound of the limits in a description, whose fields have 32 bits.
+MAX_STATED_LIMIT = 2**31
 # Part of the rate for which callers are sent to one more instance, from which on an
 # instance counts as active although callers are not sent to it, or no longer.
 ACTIVE_RATE_FRACTION = 0.25
@@ -199,6 +202,7 @@
             self.retry_budgets.request_rate,
             self.timers,
         )
+        self.directory.by_capacity = self._balances_load
         collector = MeshCollector(
             self.timers,
             self.members,
@@ -321,6 +325,10 @@
         serving = self.shutdown.state is ShutdownState.SERVING
         return serving and self.is_started()
 
+    def _balances_load(self) -> bool:
+        """Return whether the configuration calls for balancing under load."""
+        return self.targets.choice_name == COMPLETION_TIME
+
     def _update_started(self) -> None:
         if self.is_started() and not self.started.is_set():
             self.started.set()
@@ -555,6 +563,12 @@
         heartbeat.description.caller_address = settings.caller_address
         heartbeat.description.beat_address = settings.heartbeat_address
         heartbeat.description.fetch_address = settings.fetch_address
+        heartbeat.description.processor_millicores = int(
+            min((settings.processor_cores or 0.0) * 1000, MAX_STATED_LIMIT)
+        )
+        heartbeat.description.link_kbytes_per_s = int(
+            min((settings.link_bytes_per_s or 0.0) / 1000, MAX_STATED_LIMIT)
+        )
         reachable = self.members.reachable()
         self.random.shuffle(reachable)
         heartbeat.peers.extend(
--- a/testing/adapter/test_node_file.py
+++ b/testing/adapter/test_node_file.py
@@ -50,6 +50,21 @@
     assert settings.stop_bound_s < 6
 
 
+@pytest.mark.parametrize(
+    ("limits", "expected"),
+    [
+        ({"cpu_share": 0.43, "cpu_cores": 1, "link_mbps": 10}, (0.43, 1_250_000)),
+        ({"cpu_share": "much", "cpu_cores": -1, "link_mbps": True}, (None, None)),
+        ([], (None, None)),
+    ],
+)
+def test_limits_that_are_no_positive_numbers_are_not_known(write, limits, expected):
+    """Guards against an instance that does not start, or states a wrong capacity."""
+    settings = NodeFile(write({**FIELDS, "limits": limits})).build_settings()
+    found = (settings.processor_cores, settings.link_bytes_per_s)
+    assert_that(found, Equals(expected))
+
+
 def test_missing_field_is_reported(write):
     """Guards against an instance that starts without a required setting."""
     fields = {**FIELDS, "platform": {}}
