--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -16,6 +16,7 @@
 from lacewinglift.kv import STORE_DRIVERS
 from lacewinglift.logs import LEFT_OUT_REPORT_INTERVAL_S, log_info, report_left_out
 from lacewinglift.mesh.allowed_regions import report_unknown_regions
+from lacewinglift.mesh.choice_registry import COMPLETION_TIME
 from lacewinglift.mesh.configuration_holder import ConfigurationHolder
 from lacewinglift.mesh.configuration_lag import ConfigurationLag
 from lacewinglift.mesh.directory import Directory
@@ -43,6 +44,7 @@
 from lacewinglift.mesh.rate_shares import RateShares
 from lacewinglift.mesh.registry import TargetRegistry, from_message
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets
+from lacewinglift.mesh.route_priorities import check_choice, choice_for
 from lacewinglift.mesh.settings import MeshSettings
 from lacewinglift.mesh.snapshot_fetch_policy import SnapshotFetchPolicy
 from lacewinglift.mesh.snapshot_fetcher import SnapshotFetcher
@@ -73,6 +75,8 @@
 MAX_GOSSIPED_PEERS = 6
 MAX_GOSSIPED_PEERS_TO_NEWCOMERS = 48
 MAX_STORE_AGE_MS = 2**31
+# Bound of the limits in a description, whose fields have 32 bits.
+MAX_STATED_LIMIT = 2**31
 # Part of the rate for which callers are sent to one more instance, from which on an
 # instance counts as active although callers are not sent to it, or no longer.
 ACTIVE_RATE_FRACTION = 0.25
@@ -113,6 +117,7 @@
         dialect: Dialect,
         timers: Timers | None = None,
     ) -> None:
+        check_choice(settings.target_choice)
         self.settings = settings
         self.codec = codec
         self.timers = timers or ThreadTimers()
@@ -204,6 +209,7 @@
             self.retry_budgets.request_rate,
             self.timers,
         )
+        self.directory.by_capacity = self._balances_load
         collector = MeshCollector(
             self.timers,
             self.members,
@@ -329,6 +335,10 @@
         serving = self.shutdown.state is ShutdownState.SERVING
         return serving and self.is_started()
 
+    def _balances_load(self) -> bool:
+        """Return whether the configuration calls for balancing under load."""
+        return self.targets.choice_name == COMPLETION_TIME
+
     def _update_started(self) -> None:
         if self.is_started() and not self.started.is_set():
             self.started.set()
@@ -381,6 +391,9 @@
         self.quota.apply(configuration)
         self.targets.cold_targets.apply(configuration.services)
         report_unknown_regions(configuration, self.settings.regions.values())
+        self.targets.use_choice(
+            choice_for(configuration.routes, self.settings.target_choice)
+        )
         if configuration.idle_timeout_s is not None:
             self.frontend.server.timeout = configuration.idle_timeout_s
         log_info(
@@ -576,6 +589,12 @@
         heartbeat.description.caller_address = settings.caller_address
         heartbeat.description.beat_address = settings.heartbeat_address
         heartbeat.description.fetch_address = settings.fetch_address
+        heartbeat.description.processor_millicores = int(
+            min((settings.processor_cores or 0.0) * 1000, MAX_STATED_LIMIT)
+        )
+        heartbeat.description.link_kbytes_per_s = int(
+            min((settings.link_bytes_per_s or 0.0) / 1000, MAX_STATED_LIMIT)
+        )
         reachable = self.members.reachable()
         self.random.shuffle(reachable)
         heartbeat.peers.extend(
--- a/src/lacewinglift/mesh/settings.py
+++ b/src/lacewinglift/mesh/settings.py
@@ -48,6 +48,8 @@
     """Speed of the link of the instance; None if it is not known."""
     regions: Mapping[str, str] = field(factory=dict)
     """Region of each data centre."""
+    processor_cores: float | None = None
+    """Processor time that the instance may use, in cores; None if it is not known."""
     worker_threads: int = 96
     max_address_lifetime_s: float = ADDRESS_LIFETIME_S
     """Longest time for which callers may use resolved addresses."""
@@ -59,6 +61,8 @@
     """Request rate of the fleet for which one more instance is selected for callers."""
     min_selected_per_data_centre: int = 3
     """Minimum number of instances in each data centre that callers are sent to."""
+    target_choice: str | None = None
+    """Way of choosing targets; None lets the configuration in force decide."""
 
     @property
     def address_lifetime_s(self) -> float:
