Hold and refuse the less urgent requests of a service first

Priorities of routes and workspaces are decoded but no decision uses them: when all targets reach MAX_LOAD, requests are refused first come, first served.

For services to which routes of different priority lead, each instance now admits requests at its share of the slots, the less urgent ones only with what the others leave. A request waits within its objective for room, and is refused at once otherwise, with a Retry-After from the backlog. Resends are kept for urgent requests when the retry budget runs low.

--- a/src/lacewinglift/attempt_loop.py
+++ b/src/lacewinglift/attempt_loop.py
@@ -27,6 +27,7 @@
 from lacewinglift.headers import BadRequestError
 from lacewinglift.logs import log_info, log_warning
 from lacewinglift.outcomes import Outcome, OutcomeKind
+from lacewinglift.overload.gate import OverloadGate
 from lacewinglift.pools import TargetConnection, TargetResponse
 from lacewinglift.refusals import RefusalError, refuse
 from lacewinglift.retries import may_retry
@@ -71,6 +72,9 @@
         """Failure that the refusal reports if the request is given up."""
         self.call: AttemptCall
         self.budget = forwarder.retry_budget(service.name)
+        self.gate = OverloadGate.for_request(
+            forwarder.overload, request, service, workspace_name, deadline_s
+        )
         self.retry_reserved = False
         """Whether the budget has granted the retry after an abandoned attempt."""
 
@@ -84,7 +88,7 @@
             if failure is None:
                 return response
             self._record_failure(failure)
-            reason = self._no_retry_reason(failure, budget)
+            reason = self._no_retry_reason(failure)
             self._log_failure(attempt.target.name, failure, reason, budget)
             if reason is None:
                 if response is not None:
@@ -105,8 +109,7 @@
             raise self._give_up("time")
         last_attempt = self.request.max_attempts - 1
         repeatable = self.request.repeatable and self._counted_attempts() < last_attempt
-        selector = self.forwarder.target_selector
-        attempt = selector.acquire(self.service.name, self.tried_targets, repeatable)
+        attempt = self._acquire(repeatable)
         if attempt is None:
             raise self._give_up("no_target")
         self.tried_targets.add(attempt.target.name)
@@ -115,6 +118,22 @@
             self.forwarder.on_retry(self.service.name)
         return attempt
 
+    def _acquire(self, repeatable: bool) -> Attempt | None:
+        """Return an attempt; wait for it if the service is under overload control."""
+        if self.gate is not None:
+            attempt = self.gate.acquire(self.tried_targets, repeatable)
+            if attempt is not None:
+                return attempt
+            if self.gate.refusal is not None:
+                raise self._give_up("no_capacity")
+        selector = self.forwarder.target_selector
+        return selector.acquire(self.service.name, self.tried_targets, repeatable)
+
+    def _acquire_resend(self, verdict: Verdict) -> bool:
+        if self.gate is None:
+            return self.budget.try_acquire()
+        return self.gate.acquire_resend(self.budget, verdict is Verdict.NOT_RUN)
+
     def _try_target(
         self, attempt: Attempt
     ) -> tuple[ForwardedResponse | None, AttemptFailedError | None]:
@@ -166,9 +185,7 @@
         message = f"a target failed with status {response.status}"
         return AttemptFailedError(OutcomeKind.ERROR, Verdict.MAY_HAVE_RUN, message)
 
-    def _no_retry_reason(
-        self, failure: AttemptFailedError, budget: RetryBudgetProtocol
-    ) -> str | None:
+    def _no_retry_reason(self, failure: AttemptFailedError) -> str | None:
         """Return the reason not to retry the request; None if it is to be retried."""
         if self._remaining_s() <= 0:
             return "time"
@@ -180,7 +197,7 @@
         if self.retry_reserved:
             self.retry_reserved = False
             return None
-        return None if budget.try_acquire() else "retry_budget"
+        return None if self._acquire_resend(failure.verdict) else "retry_budget"
 
     def _log_choice(self, attempt: Attempt, repeatable: bool) -> None:
         log_info(
@@ -237,6 +254,10 @@
         return self.deadline_s - self.timers.now()
 
     def _make_refusal(self, failure: AttemptFailedError | None) -> RefusalError:
+        refusal = None if self.gate is None else self.gate.refusal
+        not_run = failure is None or failure.verdict is Verdict.NOT_RUN
+        if refusal is not None and not_run:
+            return refusal
         if failure is None:
             message = f"{self.service.name} has no usable target"
             return refuse("no_target", message, retry_after_s=NO_TARGET_RETRY_AFTER_S)
--- a/src/lacewinglift/attempts.py
+++ b/src/lacewinglift/attempts.py
@@ -79,8 +79,14 @@
         """Count the first attempt of a request."""
         ...
 
-    def try_acquire(self) -> bool:
-        """Return whether a request may be retried now; count the retry if so."""
+    def try_acquire(self, kept: float = 0.0) -> bool:
+        """Return whether a request may be retried now; count the retry if so.
+
+        Parameters
+        ----------
+        kept : float, default=0.0
+            Number of retries that are left to more urgent requests.
+        """
         ...
 
     def log_fields(self) -> Mapping[str, object]:
--- a/src/lacewinglift/exchanges.py
+++ b/src/lacewinglift/exchanges.py
@@ -75,6 +75,10 @@
         self.full_access_check_at_s = timers.now()
         self.on_caller_input: Callable[[], None] | None = None
         """Called while the caller has sent more than this request."""
+        self.is_key_revoked: Callable[[], bool] = bool
+        """Returns whether the key was withdrawn, for a request that waits here."""
+        self.on_cancel: Callable[[], None] | None = None
+        """Called when the exchange is cancelled; must not block."""
         self.abandoned = False
         """Whether the current target was abandoned before it responded."""
         self._target_socket: socket.socket | None = None
@@ -135,6 +139,8 @@
             if self._finished or self.cancel_reason is not None:
                 return
             self.cancel_reason = reason
+            if self.on_cancel is not None:
+                self.on_cancel()
             _shut_down(self._target_socket, socket.SHUT_RDWR)
             if reason in (CancelReason.ACCESS_LOST, CancelReason.STOPPED):
                 # Unblocks a read of the body. The write side stays open: closing it
--- a/src/lacewinglift/explaining/causes.py
+++ b/src/lacewinglift/explaining/causes.py
@@ -141,6 +141,22 @@
     return Cause("no_target", refused.fields.get("why", "no usable target"))
 
 
+@rule
+def overloaded(timeline: RequestTimeline) -> Cause | None:
+    """Explain a request that was refused for want of capacity."""
+    refused = _refusal_with_code(timeline, "overloaded")
+    decided = timeline.last_line("capacity_refused")
+    if refused is None or decided is None:
+        return None
+    fields = decided.fields
+    return Cause(
+        "overloaded",
+        f"{fields.get('service', '?')} had {fields.get('in_flight', '?')} requests in "
+        f"flight for {fields.get('slots', '?')} usable slots, too many for priority "
+        f"{fields.get('priority', '?')}: {fields.get('why', '?')}",
+    )
+
+
 @rule
 def attempt_failed(timeline: RequestTimeline) -> Cause | None:
     """Explain a request whose last attempt at a target failed."""
@@ -204,6 +220,7 @@
     "retry_budget": "the fleet's retry budget was used up",
     "time": "its deadline had passed",
     "no_target": "no other target was available",
+    "no_capacity": "its service had no capacity for its priority",
 }
 
 
--- a/src/lacewinglift/forward_requests.py
+++ b/src/lacewinglift/forward_requests.py
@@ -55,6 +55,14 @@
     """Request ID that the target echoes in its response."""
     logged_id: str = "-"
     """Request ID in log lines."""
+    route: str = ""
+    """Host and prefix of the route."""
+    priority: int = 0
+    """Effective priority; 0 is the most urgent."""
+    objective_s: float | None = None
+    """Time from the arrival after which a response is worth less to the caller."""
+    arrived_s: float = 0.0
+    """Time at which the head arrived."""
     in_haste: Callable[[], bool] = lambda: False
     """Returns whether this instance stops, so that little time is left.
 
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -11,6 +11,7 @@
 from lacewinglift.forward_requests import ForwardRequest
 from lacewinglift.forwarded_response import ForwardedResponse
 from lacewinglift.outcomes import OutcomeKind
+from lacewinglift.overload.control import OverloadControl
 from lacewinglift.pools import TargetPools
 from lacewinglift.response_pacing import ResponsePacer
 from lacewinglift.retries import RetryBudget
@@ -39,6 +40,8 @@
         that counts the requests of this instance alone.
     pacer : ResponsePacer, default=None
         Limits the rate of long responses; no limit by default.
+    overload : OverloadControl, default=None
+        Holds or refuses requests of services with priorities; none by default.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         dialect: Dialect = DEFAULT_DIALECT,
         make_retry_budget: Callable[[str], RetryBudgetProtocol] | None = None,
         pacer: ResponsePacer | None = None,
+        overload: OverloadControl | None = None,
     ) -> None:
         self.target_selector = target_selector
         self.timers = timers
@@ -62,6 +66,7 @@
             lambda service: RetryBudget(timers)
         )
         self.pacer = pacer or ResponsePacer(timers)
+        self.overload = overload
         self.pools = TargetPools(timers)
         self.retry_budgets: dict[str, RetryBudgetProtocol] = {}
         self._lock = threading.Lock()
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -54,6 +54,7 @@
 from lacewinglift.mesh.telemetry import InstrumentedStore, MeshCollector
 from lacewinglift.mesh.traffic import MeshTraffic
 from lacewinglift.metrics import Metrics
+from lacewinglift.overload.control import OverloadControl
 from lacewinglift.request_handler import RequestComponents
 from lacewinglift.response_pacing import ResponsePacer
 from lacewinglift.shutdown import Shutdown, ShutdownState, StopReport
@@ -139,6 +140,9 @@
             settings.data_centre,
             on_event=self.heartbeats.send_to_active_soon,
         )
+        self.overload = OverloadControl(self.targets, settings.worker_threads)
+        self.targets.on_end = self.overload.record_end
+        self.targets.on_loads = self.overload.record_loads
         self.registry = TargetRegistry(self.timers, self._registry_changed)
         self.targets.on_leaving = self.registry.mark_leaving
         self.history = FleetHistory(self.timers, self.members, settings.first_start)
@@ -210,6 +214,7 @@
             self.snapshots,
             self.traffic,
             self.configuration_lag,
+            self.overload,
         )
         self.metrics.registry.register(collector)
         self.frontend = Frontend(settings, self._build_request_components(dialect))
@@ -260,6 +265,7 @@
             dialect=dialect,
             make_retry_budget=self.retry_budgets.budget_for,
             pacer=ResponsePacer(self.timers, settings.link_bytes_per_s),
+            overload=self.overload,
         )
         self.targets.choice.has_connection = forwarder.pools.has_idle
         return RequestComponents(
@@ -369,6 +375,7 @@
         ):
             return
         self.quota.apply(configuration)
+        self.overload.apply(configuration)
         if configuration.idle_timeout_s is not None:
             self.frontend.server.timeout = configuration.idle_timeout_s
         log_info(
@@ -611,6 +618,9 @@
         self.snapshots.fetch(source.fetch_address, request)
 
     def _run_housekeeping(self) -> None:
+        if self.overload.services:
+            instances = len(self._serving_names())
+            self.overload.update_fleet(instances, self.reachable_fraction())
         self.members.remove_unreachable()
         if self.members.reachable():
             self.peer_addresses.expire()
--- a/src/lacewinglift/mesh/retry_budgets.py
+++ b/src/lacewinglift/mesh/retry_budgets.py
@@ -147,9 +147,14 @@
             self.reported_slack.add(self.slack_used())
             self.last_request_at_s = self.budgets.timers.now()
 
-    def try_acquire(self) -> bool:
-        """Return whether one more request may be resent now, and count it."""
+    def try_acquire(self, kept: float = 0.0) -> bool:
+        """Return whether one more request may be resent now, and count it.
+
+        `kept` resends are left to more urgent requests.
+        """
         with self.budgets.lock:
+            if kept and self.remaining() < 1.0 + kept:
+                return False
             if not self._may_resend():
                 return False
             self.own_resends += 1
@@ -170,6 +175,13 @@
         with self.budgets.lock:
             return max(self._own_remaining(), 0.0) + max(self._slack_share(), 0.0)
 
+    def gain_per_s(self) -> float:
+        """Return the resends a second that the requests of this instance allow."""
+        with self.budgets.lock:
+            limits = self.budgets.limits
+            rate_per_s = self.own_recent_requests.total() / limits.window_s
+            return rate_per_s * limits.per_request
+
     def slack_used(self) -> float:
         """Return the resends in the window beyond those that own requests allow."""
         with self.budgets.lock:
--- a/src/lacewinglift/mesh/target_state.py
+++ b/src/lacewinglift/mesh/target_state.py
@@ -66,6 +66,19 @@
         return self.last_failure_at_s is not None
 
 
+@frozen
+class LoadLimit:
+    """Limits of the load that one request may add to a target."""
+
+    max_load: float = MAX_LOAD
+    """Load from which on a target gets no more."""
+    eligible_only: bool = False
+    """Whether targets that evidence speaks against are left out, except for a trial."""
+
+
+DEFAULT_LOAD_LIMIT = LoadLimit()
+
+
 @frozen
 class Candidate:
     """Target below `MAX_LOAD` that is considered for a request."""
--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -27,12 +27,15 @@
     TargetChoice,
 )
 from lacewinglift.mesh.target_state import (
+    DEFAULT_LOAD_LIMIT,
     MAX_LOAD,
     Candidate,
+    LoadLimit,
     TargetState,
     choice_log_fields,
 )
 from lacewinglift.outcomes import Outcome, OutcomeKind
+from lacewinglift.overload.capacity import Capacity, measure_capacity
 from lacewinglift.timers import Timers
 
 # Number of served requests after a failure that clear the suspicion. One is not enough,
@@ -66,6 +69,10 @@
     choice_log_fields: Mapping[str, object]
     """Inputs of the choice, as fields of a log line."""
     finished: bool = False
+    load: float = 0.0
+    """Load of the target when it was chosen."""
+    kind: object = None
+    """Kind of the request, under which the time of its response is recorded."""
     on_ejected: Callable[[], None] | None = None
 
     def log_fields(self) -> Mapping[str, object]:
@@ -135,6 +142,10 @@
         """Returns the share of this instance in the rate that a target takes."""
         self.on_leaving: Callable[[str, int], None] = lambda name, born_ms: None
         """Called with name and start of a target that states that it leaves."""
+        self.on_end: Callable[[MeshAttempt, Outcome], None] = lambda attempt, end: None
+        """Called without the lock after the end of an attempt."""
+        self.on_loads: Callable[[], None] = lambda: None
+        """Called without the lock after the loads of another instance are applied."""
         self.random = random or Random()
         self.choice = TargetChoice(self.random)
         self.states: dict[str, TargetState] = {}
@@ -199,11 +210,14 @@
         service_name: str,
         exclude: Collection[str] = (),
         repeatable: bool = False,
+        limit: LoadLimit = DEFAULT_LOAD_LIMIT,
     ) -> MeshAttempt | None:
         """Choose a target that is not in `exclude`; return None if there is none."""
         now = self.timers.now()
         with self.lock:
-            candidates = self._candidates(service_name, exclude, now)
+            candidates = self._candidates(service_name, exclude, now, limit.max_load)
+            if limit.eligible_only:
+                candidates = _without_last_resorts(candidates, repeatable, now)
             chosen = self.choice.choose(candidates, repeatable, now)
             if chosen is None:
                 return None
@@ -213,12 +227,17 @@
             attempt = MeshAttempt(
                 state.target, now, state, self, repeatable, log_fields
             )
+            attempt.load = chosen.load
             state.in_flight += 1
             state.pending_attempts.add(attempt)
             return attempt
 
     def _candidates(
-        self, service_name: str, exclude: Collection[str], now_s: float
+        self,
+        service_name: str,
+        exclude: Collection[str],
+        now_s: float,
+        max_load: float = MAX_LOAD,
     ) -> list[Candidate]:
         """Return the targets that are considered for a request."""
         candidates = []
@@ -230,11 +249,25 @@
             if not self._within_rate_limit(state, now_s):
                 continue
             load = state.load(now_s)
-            if load < MAX_LOAD:
+            if load < max_load:
                 eligible = self.choice.is_eligible(state, now_s, SUSPECT_HOLD_OFF_S)
                 candidates.append(Candidate(state, load, eligible))
         return candidates
 
+    def capacity(
+        self, service_name: str, response_s: float, reporting_fraction: float
+    ) -> Capacity:
+        """Return the estimated capacity of a service over the whole fleet."""
+        now = self.timers.now()
+        with self.lock:
+            return measure_capacity(
+                self.by_service.get(service_name, ()),
+                now,
+                response_s,
+                reporting_fraction,
+                lambda state: self.choice.is_eligible(state, now, SUSPECT_HOLD_OFF_S),
+            )
+
     def _within_rate_limit(self, state: TargetState, now_s: float) -> bool:
         """Return whether this instance may send the target a request now."""
         limit_per_s = state.limit.limit_per_s
@@ -318,6 +351,7 @@
             state.in_flight -= 1
             state.pending_attempts.discard(attempt)
             self._apply_outcome(attempt, state, outcome)
+        self.on_end(attempt, outcome)
 
     def _apply_outcome(
         self, attempt: MeshAttempt, state: TargetState, outcome: Outcome
@@ -528,6 +562,7 @@
                     state.peer_loads[heartbeat.instance] = (count, now)
                 else:
                     state.peer_loads.pop(heartbeat.instance, None)
+        self.on_loads()
         return last_number
 
     def _apply_evidence(
@@ -542,3 +577,20 @@
             self._record_unreached(state, instance, at_s)
         elif state.is_suspected() and at_s > state.last_failure_at_s:
             self._count_success(state, instance)
+
+
+def _without_last_resorts(
+    candidates: list[Candidate], repeatable: bool, now_s: float
+) -> list[Candidate]:
+    """Return the candidates that no evidence speaks against, and those to be tried."""
+    eligible = [each for each in candidates if each.eligible]
+    if not repeatable:
+        return eligible
+    return eligible + [
+        each
+        for each in candidates
+        if not each.eligible
+        and each.state.is_suspected()
+        and each.state.next_trial_at_s <= now_s
+        and each.state.shed_until_s <= now_s
+    ]
--- a/src/lacewinglift/mesh/telemetry.py
+++ b/src/lacewinglift/mesh/telemetry.py
@@ -25,6 +25,7 @@
 from lacewinglift.mesh.snapshots import SnapshotExchange
 from lacewinglift.mesh.target_table import MeshTargetTable
 from lacewinglift.mesh.traffic import MeshTraffic
+from lacewinglift.overload.control import OverloadControl
 from lacewinglift.timers import Timers
 
 
@@ -103,6 +104,7 @@
     snapshots: SnapshotExchange
     traffic: MeshTraffic
     configuration_lag: ConfigurationLag
+    overload: OverloadControl | None = None
 
     def describe(self) -> Iterable[Metric]:
         """Return nothing: metric names are known only once they are collected."""
@@ -123,6 +125,8 @@
         yield self._fetch_times()
         yield self._configuration_lag()
         yield self._timer_delays()
+        if self.overload is not None:
+            yield from self.overload.metrics()
 
     def _ages(self) -> Metric:
         ages = GaugeMetricFamily(
--- a/src/lacewinglift/refusals.py
+++ b/src/lacewinglift/refusals.py
@@ -21,6 +21,7 @@
     "stopping": 503,
     "concurrency": 503,
     "no_target": 503,
+    "overloaded": 503,
     "target_failed": 502,
     "target_timeout": 504,
 }
--- a/src/lacewinglift/request_handler.py
+++ b/src/lacewinglift/request_handler.py
@@ -37,6 +37,7 @@
 )
 from lacewinglift.logs import log_exception, log_info
 from lacewinglift.metrics import Metrics
+from lacewinglift.overload.priorities import effective_priority
 from lacewinglift.refusals import Refusal, RefusalError, refuse
 from lacewinglift.shutdown import Shutdown
 from lacewinglift.timers import Timers
@@ -393,6 +394,7 @@
         )
         lost = check.is_access_lost if self.components.cancel_on_access_loss else None
         exchange = Exchange(self.components.timers, self.stream.socket, lost)
+        exchange.is_key_revoked = lambda: check.is_access_lost(full=False)
         if not self.head.has_body:
             exchange.on_caller_input = self.stream.note_input
         self.stream.cancelled = lambda: exchange.cancel_reason is not None
@@ -425,6 +427,10 @@
             free_refusals=route.free_refusals,
             request_id=self.head.value(dialect.request_id_header or ""),
             logged_id=self.logged_id,
+            route=f"{route.host or ''}{route.prefix}",
+            priority=effective_priority(route, access.workspace),
+            objective_s=route.objective_s,
+            arrived_s=self.stream.arrived_s,
             in_haste=self.components.shutdown.in_progress,
         )
         name = None if access.workspace is None else access.workspace.name
--- a/src/lacewinglift/retries.py
+++ b/src/lacewinglift/retries.py
@@ -49,14 +49,17 @@
         with self._lock:
             self.tokens = min(self.tokens + RETRY_TOKENS_PER_REQUEST, RETRY_TOKENS_MAX)
 
-    def try_acquire(self) -> bool:
-        """Return whether one more request may be retried now, and count it."""
+    def try_acquire(self, kept: float = 0.0) -> bool:
+        """Return whether one more request may be retried now, and count it.
+
+        `kept` tokens are left to others.
+        """
         with self._lock:
             now = self.timers.now()
             gained = (now - self._refilled_at_s) * RETRY_TOKENS_PER_S
             self._refilled_at_s = now
             self.tokens = min(self.tokens + gained, RETRY_TOKENS_MAX)
-            if self.tokens < 1.0:
+            if self.tokens < 1.0 + kept:
                 return False
             self.tokens -= 1.0
             return True
