Keep the slots in use while the less urgent requests wait

The rate now follows the time without a queue, and the wanted load follows the objective of the most urgent routes.

--- a/src/lacewinglift/overload/capacity.py
+++ b/src/lacewinglift/overload/capacity.py
@@ -15,6 +15,10 @@
 DEFAULT_RESPONSE_S = 0.2
 # Weight of the last response in the moving average of the response time.
 RESPONSE_EWMA_WEIGHT = 0.1
+# Weights in the estimate of the time without a queue. A shorter time counts more, since
+# only the others include the wait for a slot of the target.
+SHORTER_WEIGHT = 0.06
+LONGER_WEIGHT = 0.02
 
 
 @frozen
@@ -39,7 +43,7 @@
         return self.in_flight / self.slots if self.slots else math.inf
 
     def drain_per_s(self) -> float:
-        """Return the rate at which the service ends requests when its slots are full."""
+        """Return the rate at which the service ends requests while it is full."""
         return self.slots / self.response_s
 
     def time_until_load_s(self, load: float) -> float:
@@ -98,17 +102,22 @@
     """
 
     means_s: dict[object, float] = field(factory=dict)
-
-    def record(self, key: object, latency_s: float) -> None:
-        """Add a response time."""
-        mean_s = self.means_s.get(key, latency_s)
-        mean_s += (latency_s - mean_s) * RESPONSE_EWMA_WEIGHT
-        self.means_s[key] = max(mean_s, 0.001)
-
-    def mean_s(self, *keys: object) -> float:
-        """Return the mean of the first key that has one."""
-        for key in keys:
-            mean_s = self.means_s.get(key)
-            if mean_s is not None:
-                return mean_s
-        return DEFAULT_RESPONSE_S
+    unqueued_means_s: dict[object, float] = field(factory=dict)
+
+    def record(self, kind: object, latency_s: float) -> None:
+        """Add a response time of a kind; None stands for the whole service."""
+        latency_s = max(latency_s, 0.001)
+        mean_s = self.means_s.get(kind, latency_s)
+        self.means_s[kind] = mean_s + (latency_s - mean_s) * RESPONSE_EWMA_WEIGHT
+        unqueued_s = self.unqueued_means_s.get(kind, latency_s)
+        weight = SHORTER_WEIGHT if latency_s < unqueued_s else LONGER_WEIGHT
+        self.unqueued_means_s[kind] = unqueued_s + (latency_s - unqueued_s) * weight
+
+    def mean_s(self, kind: object = None) -> float:
+        """Return the mean time, the wait for a slot of the target included."""
+        return self.means_s.get(kind) or self.means_s.get(None, DEFAULT_RESPONSE_S)
+
+    def unqueued_s(self, kind: object = None) -> float:
+        """Return the mean time for which a request occupies a slot."""
+        known = self.unqueued_means_s
+        return known.get(kind) or known.get(None, DEFAULT_RESPONSE_S)
--- a/src/lacewinglift/overload/priorities.py
+++ b/src/lacewinglift/overload/priorities.py
@@ -13,8 +13,14 @@
 
 # Load of a target from which on it gets no request of the least urgent priority. What
 # queues behind the slots delays urgent requests, since a target serves its queue in
-# order. With 1.0, old loads let all instances choose the same few targets.
-LEAST_URGENT_LOAD = 1.5
+# order. With less, old loads let all instances choose the same few targets.
+LEAST_URGENT_LOAD = 2.0
+# Bounds of the mean load that is kept in overload. With less, some slots are idle while
+# requests queue at other targets, since loads are known late.
+WANTED_LOAD_MIN = 1.2
+WANTED_LOAD_MAX = 2.0
+# Part of the time that urgent requests can spare that they may queue at a target.
+QUEUE_FRACTION = 0.6
 # Least part of the fleet that is assumed to report its load.
 REPORTING_FRACTION_MIN = 0.5
 
@@ -24,6 +30,18 @@
     """Priorities of the routes that lead to one service, the most urgent first."""
 
     levels: tuple[int, ...]
+    urgent_objective_s: float | None = None
+    """Shortest objective of the most urgent routes."""
+
+    def wanted_load(self, response_s: float) -> float:
+        """Return the mean load to be kept in overload.
+
+        Above a load of 1, a request waits about one response time for each unit.
+        """
+        if self.urgent_objective_s is None:
+            return WANTED_LOAD_MIN
+        spare = self.urgent_objective_s / response_s - 1
+        return min(max(1 + QUEUE_FRACTION * spare, WANTED_LOAD_MIN), WANTED_LOAD_MAX)
 
     def rank(self, priority: int) -> int:
         """Return the position of a priority; 0 is the most urgent.
@@ -66,12 +84,22 @@
     configuration: Configuration,
 ) -> dict[str, PriorityLevels]:
     """Return the services to which routes of different priority lead."""
-    priorities: dict[str, set[int]] = defaultdict(set)
+    routes: dict[str, list[Route]] = defaultdict(list)
     for route in configuration.routes:
         for service in route.services():
-            priorities[service].add(route.priority)
+            routes[service].append(route)
     return {
-        service: PriorityLevels(tuple(sorted(levels)))
-        for service, levels in priorities.items()
-        if len(levels) > 1
+        service: _levels_of(each)
+        for service, each in routes.items()
+        if len({route.priority for route in each}) > 1
     }
+
+
+def _levels_of(routes: list[Route]) -> PriorityLevels:
+    levels = sorted({route.priority for route in routes})
+    objectives_s = [
+        route.objective_s
+        for route in routes
+        if route.priority == levels[0] and route.objective_s is not None
+    ]
+    return PriorityLevels(tuple(levels), min(objectives_s, default=None))
--- a/src/lacewinglift/overload/served_shares.py
+++ b/src/lacewinglift/overload/served_shares.py
@@ -13,13 +13,13 @@
 
 # Each kind and each workspace is served at least a quarter of the mean proportion. The
 # margin covers what an instance cannot see of the other instances.
-STARVING_FRACTION = 0.35
+STARVING_FRACTION = 0.28
 # Time constant after which past requests no longer count.
 MEMORY_S = 10.0
 # Proportion served above which nothing starves.
 NORMAL_PROPORTION = 0.98
-# Requests with the mean proportion that are assumed before the first of a key. After one
-# or two refusals, nothing is known of its proportion.
+# Requests with the mean proportion that are assumed before the first of a key. After
+# one or two refusals, nothing is known of its proportion.
 PRIOR_REQUESTS = 2.0
 # Number of counters that are kept; the least used are dropped.
 MAX_COUNTERS = 2048
--- a/src/lacewinglift/overload/service_control.py
+++ b/src/lacewinglift/overload/service_control.py
@@ -19,7 +19,7 @@
 from lacewinglift.overload.priorities import PriorityLevels
 from lacewinglift.overload.return_times import ReturnTimes
 from lacewinglift.overload.served_shares import ServedShares
-from lacewinglift.overload.slot_budget import FREE_LOAD, SlotBudget
+from lacewinglift.overload.slot_budget import FREE_FRACTION, SlotBudget
 from lacewinglift.overload.wait_queue import Waiter, WaitQueue, WaitSpace
 
 # Window of the request rates of this instance: long enough for a few requests of an
@@ -218,9 +218,9 @@
         self, demand: Demand, rank: int, exclude: Collection[str], repeatable: bool
     ) -> MeshAttempt | None:
         capacity = self.capacity()
-        if capacity.load() >= FREE_LOAD and self.slot_budget.missing(
-            self.levels.urgency(rank)
-        ):
+        wanted_load = self.levels.wanted_load(capacity.response_s)
+        is_free = capacity.load() < FREE_FRACTION * wanted_load
+        if not is_free and self.slot_budget.missing(self.levels.urgency(rank)):
             return None
         max_load = self.levels.max_load(rank, self.fleet.reporting_fraction)
         limit = LoadLimit(max_load, eligible_only=True)
@@ -240,7 +240,7 @@
         if attempt is None:
             return None
         attempt.kind = demand.kind()
-        self.slot_budget.take(self._response_s(demand))
+        self.slot_budget.take(self.responses.unqueued_s(demand.kind()))
         self.starts.add(1)
         if not exclude:
             self.shares.record_served(self._share_keys(demand))
@@ -248,8 +248,6 @@
 
     def record_response(self, attempt: MeshAttempt, latency_s: float) -> None:
         """Learn from the time of a response."""
-        # Without the time in the queue of the target.
-        latency_s /= max(attempt.load, 1.0)
         self.responses.record(None, latency_s)
         if attempt.kind is not None:
             self.responses.record(attempt.kind, latency_s)
@@ -259,26 +257,28 @@
         now = self.timers.now()
         if self._capacity is None or now >= self._capacity_until_s:
             self._capacity_until_s = now + CAPACITY_AGE_S
-            response_s = self.responses.mean_s(None)
+            response_s = self.responses.unqueued_s()
             self._capacity = self.table.capacity(
                 self.service, response_s, self.fleet.reporting_fraction
             )
             own_slots = self._capacity.slots * self.own_share()
-            self.slot_budget.set_share(own_slots, response_s, self._capacity.load())
+            self.slot_budget.set_share(
+                own_slots,
+                response_s,
+                self._capacity.load(),
+                self.levels.wanted_load(response_s),
+            )
         return self._capacity
 
     def own_share(self) -> float:
         """Return the part of the capacity that this instance may use."""
         return 1 / self.fleet.instances
 
-    def _response_s(self, demand: Demand) -> float:
-        return self.responses.mean_s(demand.kind(), None)
-
     # ---- times ----
 
     def _latest_start_s(self, demand: Demand) -> float:
         """Return the time after which a target could not respond in time."""
-        latest_s = demand.due_s() - self._response_s(demand)
+        latest_s = demand.due_s() - self.responses.mean_s(demand.kind())
         return min(latest_s, self.timers.now() + MAX_WAIT_S)
 
     def _patience_s(self, waiter: Waiter) -> float:
@@ -291,7 +291,7 @@
         ahead = self.queue.count_ahead(waiter.rank, waiter.latest_start_s, "target")
         interval_s = self._interval_s(waiter.rank, capacity)
         missing = self.slot_budget.missing(self.levels.urgency(waiter.rank))
-        requests = ahead + missing / self.responses.mean_s(None)
+        requests = ahead + missing / self.responses.unqueued_s()
         max_load = self.levels.max_load(waiter.rank)
         return max(capacity.time_until_load_s(max_load), requests * interval_s)
 
--- a/src/lacewinglift/overload/slot_budget.py
+++ b/src/lacewinglift/overload/slot_budget.py
@@ -12,12 +12,9 @@
 
 # Slots are handed out for this long in advance, so that a few requests that arrive
 # together need not wait.
-BURST_S = 0.5
+BURST_S = 0.3
 # Requests that may be admitted at once by an instance with a small share.
 BURST_REQUESTS = 2.0
-# Mean load of the targets that keeps their slots in use. With less, some are idle while
-# requests queue at others, since loads are known late; with more, urgent requests wait.
-WANTED_LOAD = 1.3
 # Change of the rate in a second for each unit by which the mean load differs. It is
 # slow against the age of the loads, or the rate would oscillate.
 CORRECTION_PER_S = 0.2
@@ -25,8 +22,9 @@
 CORRECTION_MAX = 2.0
 # Time after the last request without tokens in which the rate is corrected.
 LIMITING_S = 1.0
-# Mean load from which on slots are handed out; below, any request finds a free slot.
-FREE_LOAD = 0.7
+# Part of the wanted load from which on slots are handed out; below, there is room for
+# any request.
+FREE_FRACTION = 0.7
 
 
 @define(eq=False)
@@ -44,11 +42,13 @@
     level: float = 0.0
     refilled_at_s: float = 0.0
     correction: float = 1.0
-    """Factor that keeps the mean load near `WANTED_LOAD`."""
+    """Factor that keeps the mean load near the wanted one."""
     limited_at_s: float = float("-inf")
     updated_at_s: float = 0.0
 
-    def set_share(self, slots: float, response_s: float, mean_load: float) -> None:
+    def set_share(
+        self, slots: float, response_s: float, mean_load: float, wanted_load: float
+    ) -> None:
         """Set the share of this instance in the slots of the service.
 
         Parameters
@@ -59,14 +59,16 @@
             Mean time of a response.
         mean_load : float
             Requests in flight for each slot, over all instances.
+        wanted_load : float
+            Mean load to be kept while there is more demand than capacity.
         """
         self.refill()
-        self._correct(mean_load)
+        self._correct(wanted_load - mean_load)
         self.rate = slots * self.correction
         self.burst = max(self.rate * BURST_S, response_s * BURST_REQUESTS)
         self.level = min(self.level, self.burst)
 
-    def _correct(self, mean_load: float) -> None:
+    def _correct(self, error: float) -> None:
         now = self.timers.now()
         elapsed_s = min(now - self.updated_at_s, LIMITING_S)
         self.updated_at_s = now
@@ -74,7 +76,7 @@
             # What was learned from a full service says nothing about the next burst.
             self.correction = 1.0
             return
-        error = max(min(WANTED_LOAD - mean_load, 1.0), -1.0)
+        error = max(min(error, 1.0), -1.0)
         self.correction *= 1 + error * CORRECTION_PER_S * elapsed_s
         bounded = max(self.correction, CORRECTION_MIN)
         self.correction = min(bounded, CORRECTION_MAX)
@@ -105,4 +107,5 @@
     def take(self, response_s: float) -> None:
         """Take the tokens of a request."""
         self.refill()
-        self.level = max(self.level - response_s, -self.burst)
+        # With more debt, others would be refused after the urgent requests are gone.
+        self.level = max(self.level - response_s, -response_s)
