--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -153,6 +153,7 @@
             self.reachable_fraction,
             self.history,
         )
+        self.overload.fleet.requests_of = self.retry_budgets.recent_requests
         self.rate_shares = RateShares(
             self.timers,
             settings.instance,
--- a/src/lacewinglift/mesh/retry_budgets.py
+++ b/src/lacewinglift/mesh/retry_budgets.py
@@ -317,6 +317,12 @@
         with self.lock:
             return {name: budget.remaining() for name, budget in self.budgets.items()}
 
+    def recent_requests(self, service: str) -> tuple[float, float]:
+        """Return the requests in the window, of this instance and of the fleet."""
+        with self.lock:
+            budget = self.budget_for(service)
+            return budget.own_recent_requests.total(), budget.requests.total()
+
     def own_request_rate_per_s(self) -> float:
         """Return the recent rate of first attempts of this instance."""
         with self.lock:
--- a/src/lacewinglift/overload/service_control.py
+++ b/src/lacewinglift/overload/service_control.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from attrs import define, field, frozen
 
@@ -16,7 +16,7 @@
 from lacewinglift.mesh.target_table import MeshAttempt, MeshTargetTable
 from lacewinglift.overload.capacity import Capacity, ResponseTimes
 from lacewinglift.overload.demands import Demand
-from lacewinglift.overload.priorities import PriorityLevels
+from lacewinglift.overload.priorities import REPORTING_FRACTION_MIN, PriorityLevels
 from lacewinglift.overload.return_times import ReturnTimes
 from lacewinglift.overload.served_shares import ServedShares
 from lacewinglift.overload.slot_budget import FREE_FRACTION, SlotBudget
@@ -29,8 +29,10 @@
 MAX_WAIT_S = 3.0
 # Shortest time between two searches for room that no ended attempt calls for.
 SEARCH_INTERVAL_S = 0.02
-# Time for which a measured capacity is used.
-CAPACITY_AGE_S = 0.05
+# Part of the capacity that is shared equally, and not by the requests of each instance.
+EQUAL_PART = 0.3
+# Time for which a measured capacity is used. Loads change about as often.
+CAPACITY_AGE_S = 0.1
 # Resends that are kept for each more urgent rank when the retry budget runs low.
 RESENDS_KEPT_PER_RANK = 1.0
 # Part of the rate of the most urgent requests that the others get at least.
@@ -45,6 +47,19 @@
     """Instances that serve callers, this one included."""
     reporting_fraction: float = 1.0
     """Fraction of the instances whose load is known here."""
+    requests_of: Callable[[str], tuple[float, float]] = lambda service: (0.0, 0.0)
+    """Returns the recent requests of a service at this instance and at all of them."""
+
+    def own_share(self, service: str) -> float:
+        """Return the part of a service's capacity that this instance may use.
+
+        It follows the requests. An instance whose callers have just come has a part of
+        an equal share at once.
+        """
+        own, fleet = self.requests_of(service)
+        equal = 1.0 + EQUAL_PART * fleet / self.instances
+        share = (own + equal) / (fleet + equal * self.instances)
+        return share * min(max(self.reporting_fraction, REPORTING_FRACTION_MIN), 1.0)
 
 
 @frozen
@@ -261,7 +276,7 @@
             self._capacity = self.table.capacity(
                 self.service, response_s, self.fleet.reporting_fraction
             )
-            own_slots = self._capacity.slots * self.own_share()
+            own_slots = self._capacity.slots * self.fleet.own_share(self.service)
             self.slot_budget.set_share(
                 own_slots,
                 response_s,
@@ -270,10 +285,6 @@
             )
         return self._capacity
 
-    def own_share(self) -> float:
-        """Return the part of the capacity that this instance may use."""
-        return 1 / self.fleet.instances
-
     # ---- times ----
 
     def _latest_start_s(self, demand: Demand) -> float:
@@ -300,7 +311,7 @@
 
         The more urgent requests of this instance come first.
         """
-        own_per_s = capacity.drain_per_s() * self.own_share()
+        own_per_s = capacity.drain_per_s() * self.fleet.own_share(self.service)
         urgent = sum(self._arrivals(each).total() for each in range(rank))
         left_per_s = own_per_s - urgent / RATE_WINDOW_S
         return 1 / left_per_s if left_per_s > 0 else float("inf")
--- a/testing/overload/overload_tables.py
+++ b/testing/overload/overload_tables.py
@@ -68,7 +68,7 @@
         demand = self.demand(priority, **fields)
         return self.control.decide(demand, frozenset(exclude), False)
 
-    def report_load(self, in_flight, peer="b"):
+    def report_load(self, in_flight, peer="b", pause_s=0.11):
         """Apply a heartbeat of a peer with this many requests at each target."""
         heartbeat = beats_pb2.Beat(instance=peer, incarnation=1)
         if in_flight:
@@ -76,4 +76,4 @@
                 heartbeat.loads.add(target=name, in_flight=in_flight)
         self.table.record_peer_evidence(heartbeat, 0)
         # The estimate may be as old as this.
-        self.timers.advance(0.06)
+        self.timers.advance(pause_s)
--- a/testing/overload/test_overload_decisions.py
+++ b/testing/overload/test_overload_decisions.py
@@ -293,9 +293,9 @@
     fixture = ControlledTable.make(targets=10)
     fixture.control.update_fleet(31, fraction)
     for number in range(heard):
-        fixture.report_load(1, peer=f"p{number}")
+        fixture.report_load(1, peer=f"p{number}", pause_s=0.03)
     expected = 30 * 10 * 1
-    # 0.06 s pass between the heartbeats here; none is older than its time limit.
+    fixture.timers.advance(0.1)
     error = abs(fixture.service.capacity().in_flight - expected) / expected
     assert error < 0.2
     # Heartbeats of all stop: their loads count for no longer than their time limit.
