Tell requests without a resend when to return

A request that targets shed and that gets no resend was refused as no_target, without a Retry-After. It is now refused as overloaded with the computed one.

--- a/src/lacewinglift/overload/control.py
+++ b/src/lacewinglift/overload/control.py
@@ -147,11 +147,18 @@
             self._record_wait(waiter)
             if waiter.grant is not None or waiter.needs == "resend":
                 return waiter.grant or False
-            control = self.services.get(waiter.demand.service)
-            if control is None or waiter.end_reason == "released":
+            if waiter.end_reason == "released":
+                return None
+            return self.refuse(waiter.demand, waiter.end_reason)
+
+    def refuse(self, demand: Demand, reason: str) -> Refused | None:
+        """Return the refusal of a request; None if its service is not controlled."""
+        with self.lock:
+            control = self.services.get(demand.service)
+            if control is None:
                 return None
-            refused = control.refuse_waiter(waiter)
-            self._log_refusal(control, waiter.demand, refused)
+            refused = control.refuse(demand, reason)
+            self._log_refusal(control, demand, refused)
             return refused
 
     def _record_wait(self, waiter: Waiter) -> None:
--- a/src/lacewinglift/overload/gate.py
+++ b/src/lacewinglift/overload/gate.py
@@ -72,19 +72,26 @@
         if isinstance(decision, Waiter):
             decision = self._wait(decision)
         if isinstance(decision, Refused):
-            message = f"{self.demand.service} has no capacity for it: {decision.reason}"
-            self.refusal = refuse(
-                "overloaded", message, retry_after_s=decision.retry_after_s
-            )
+            self._refuse(decision)
         return None if self.refusal is not None else decision
 
     def acquire_resend(self, budget: ServiceRetryBudget, may_wait: bool) -> bool:
         """Return whether the request may be resent; it may wait for the budget."""
         decision = self.control.decide_resend(self.demand, budget, may_wait)
         if isinstance(decision, Waiter):
-            return bool(self._wait(decision))
+            decision = bool(self._wait(decision))
+        if not decision and may_wait and self.refusal is None:
+            self._refuse(self.control.refuse(self.demand, "retry_budget"))
         return decision
 
+    def _refuse(self, decision: Refused | None) -> None:
+        if decision is None:
+            return
+        message = f"{self.demand.service} has no capacity for it: {decision.reason}"
+        self.refusal = refuse(
+            "overloaded", message, retry_after_s=decision.retry_after_s
+        )
+
     def _wait(self, waiter: Waiter) -> object:
         exchange = self.request.exchange
         wait_for_grant(self.control, waiter, exchange, self.request.in_haste)
--- a/src/lacewinglift/overload/service_control.py
+++ b/src/lacewinglift/overload/service_control.py
@@ -186,9 +186,9 @@
             return False
         return waiter if self.queue.add(waiter) else False
 
-    def refuse_waiter(self, waiter: Waiter) -> Refused:
-        """Return the refusal of a request that has waited in vain."""
-        return self._refuse(waiter.demand, waiter.end_reason, self.capacity())
+    def refuse(self, demand: Demand, reason: str) -> Refused:
+        """Return the refusal of a request that gets neither a target nor a resend."""
+        return self._refuse(demand, reason, self.capacity())
 
     def search(self, urgent: bool = False) -> None:
         """Grant waiting requests what there is room for.
