--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -189,6 +189,15 @@
                 if bucket.last_admitted_at_s >= since_s or (full and bucket.admitted)
             ]
 
+    def peer_usages(self, instance: str, incarnation: int) -> list[beats_pb2.Usage]:
+        """Return all counts that another instance has reported."""
+        with self._lock:
+            counts = self.peer_counters.known_counts(instance, incarnation)
+        return [
+            beats_pb2.Usage(workspace=name, admitted=count)
+            for name, count in counts.items()
+        ]
+
 
 def _min_burst(workspace: Workspace) -> float:
     return max(MIN_BURST_S * workspace.rate_per_s, 1.0)
--- a/src/lacewinglift/mesh/heartbeats.py
+++ b/src/lacewinglift/mesh/heartbeats.py
@@ -49,6 +49,8 @@
     """Instances that have just joined."""
     DATA_CENTRE = "data centre"
     """Instances of the own data centre, for which this one watches the store."""
+    RELAYED = "relayed"
+    """Instances that get heartbeats of others through this one."""
 
 
 @frozen
@@ -127,6 +129,7 @@
         self.due_s = {recipients: math.inf for recipients in Recipients}
         self.due_s[Recipients.ALL] = 0.0
         self.active_budget = DatagramBudget()
+        self.min_active_interval_s = ACTIVE_HEARTBEAT_INTERVAL_S
         self.active_interval_s = ACTIVE_HEARTBEAT_INTERVAL_S
         self.send_errors: dict[str, str] = {}
         """Error of the last heartbeat, by address that it could not be sent to."""
@@ -173,6 +176,10 @@
         """Send a heartbeat to the instances of the own data centre."""
         self._schedule(Recipients.DATA_CENTRE, 0.0)
 
+    def schedule_relayed(self, delay_s: float) -> None:
+        """Send what is to be relayed within `delay_s`."""
+        self._schedule(Recipients.RELAYED, delay_s)
+
     def _schedule(self, recipients: Recipients, delay_s: float) -> None:
         now = self.timers.now()
         due_s = now + delay_s
@@ -217,6 +224,7 @@
                 self.due_s[Recipients.DATA_CENTRE] = math.inf
                 return Recipients.ALL
             for recipients in (
+                Recipients.RELAYED,
                 Recipients.DATA_CENTRE,
                 Recipients.ACTIVE,
                 Recipients.NEWCOMERS,
@@ -235,6 +243,7 @@
 
     def _send_to_each(self, outgoing: OutgoingHeartbeat) -> None:
         data = outgoing.heartbeat.SerializeToString()
+        kind = _kind_of(outgoing.heartbeat)
         if len(data) > MAX_DATAGRAM_BYTES:
             log_warning("beat_too_long", bytes=len(data))
             return
@@ -245,13 +254,13 @@
                 self._record_send_error(address, error)
             else:
                 self.send_errors.pop(address, None)
-                self.traffic.record(MessageKind.HEARTBEAT, Direction.SENT, len(data))
+                self.traffic.record(kind, Direction.SENT, len(data))
 
     def _spend_on_active(self, count: int) -> None:
         with self.condition:
             self.active_budget.spend(count, self.timers.now())
             self.active_interval_s = max(
-                ACTIVE_HEARTBEAT_INTERVAL_S, count / PERIODIC_DATAGRAMS_PER_S
+                self.min_active_interval_s, count / PERIODIC_DATAGRAMS_PER_S
             )
 
     def _record_send_error(self, address: str, error: OSError) -> None:
@@ -264,9 +273,6 @@
         while not self.stopped:
             data = self._receive()
             if data is not None:
-                self.traffic.record(
-                    MessageKind.HEARTBEAT, Direction.RECEIVED, len(data)
-                )
                 try:
                     self.dispatch(data)
                 except Exception:
@@ -291,5 +297,14 @@
         except DecodeError as error:
             log_warning("beat_invalid", reason=error)
             return
-        if heartbeat.instance:
+        self.traffic.record(_kind_of(heartbeat), Direction.RECEIVED, len(data))
+        if heartbeat.instance or heartbeat.HasField("bundle"):
             self.handler.receive_heartbeat(heartbeat)
+
+
+def _kind_of(heartbeat: beats_pb2.Beat) -> MessageKind:
+    if not heartbeat.HasField("bundle"):
+        return MessageKind.HEARTBEAT
+    if heartbeat.bundle.kind == beats_pb2.BETWEEN_DATA_CENTRES:
+        return MessageKind.BUNDLE_BETWEEN
+    return MessageKind.BUNDLE_WITHIN
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -27,11 +27,12 @@
     round_duration_s,
 )
 from lacewinglift.mesh.heartbeats import (
+    ACTIVE_HEARTBEAT_INTERVAL_S,
     HeartbeatExchange,
     OutgoingHeartbeat,
     Recipients,
 )
-from lacewinglift.mesh.members import MemberTable, PeerAddresses
+from lacewinglift.mesh.members import Member, MemberTable, PeerAddresses
 from lacewinglift.mesh.observer_election import (
     OBSERVER_HEARTBEAT_INTERVAL_S,
     ObserverElection,
@@ -40,6 +41,8 @@
 from lacewinglift.mesh.peer_counters import COUNT_REPEAT_S
 from lacewinglift.mesh.rate_shares import RateShares
 from lacewinglift.mesh.registry import TargetRegistry, from_message
+from lacewinglift.mesh.relay_election import RelayElection
+from lacewinglift.mesh.relaying import DETAILS_INTERVAL_S, Relaying
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets
 from lacewinglift.mesh.settings import MeshSettings
 from lacewinglift.mesh.snapshot_fetch_policy import SnapshotFetchPolicy
@@ -117,6 +120,8 @@
         self.incarnation = self.timers.wall_ms()
         self.sequence = 0
         self.full_heartbeats = FullHeartbeatSchedule()
+        self.evidence_number = 0
+        """Number of the last event that was sent to the active instances."""
         self.rounds = HeartbeatRounds(settings.heartbeat_address)
         self.is_followed = False
         """Whether all other instances get each periodic heartbeat of this one."""
@@ -132,7 +137,9 @@
         self.heartbeats = HeartbeatExchange(
             settings.heartbeat_address, self, self.timers, self.traffic
         )
-        self.members.on_join = self._welcome
+        self.members.on_join = self._note_join
+        self.joined_address: str | None = None
+        """Address of the instance that joined with the heartbeat in progress."""
         self.targets = MeshTargetTable(
             self.timers,
             settings.instance,
@@ -189,6 +196,7 @@
             settings.stop_bound_s,
             close_while_leaving=True,
         )
+        self.relaying = self._build_relaying()
         self.directory = Directory(
             settings,
             self.members,
@@ -249,6 +257,25 @@
             on_role_change=self.heartbeats.send_soon,
         )
 
+    def _build_relaying(self) -> Relaying:
+        settings = self.settings
+        election = RelayElection(
+            self.members,
+            settings.data_centre,
+            settings.link_bytes_per_s or 0.0,
+            settings.relay_min_instances,
+            self.timers,
+            self._serving_state,
+        )
+        return Relaying(
+            self.members,
+            election,
+            self,
+            settings.heartbeat_address,
+            self.timers,
+            self.heartbeats.schedule_relayed,
+        )
+
     def _build_request_components(self, dialect: Dialect) -> RequestComponents:
         settings = self.settings
         forwarder = Forwarder(
@@ -420,9 +447,13 @@
 
     def build_heartbeats(self, recipients: Recipients) -> list[OutgoingHeartbeat]:
         """Return the next heartbeats of this instance to a group of instances."""
+        if recipients is Recipients.RELAYED:
+            return [
+                OutgoingHeartbeat(each.heartbeat, each.addresses)
+                for each in self.relaying.build()
+            ]
         if recipients is Recipients.ACTIVE:
-            active = [each.description.beat_address for each in self.members.active()]
-            return [OutgoingHeartbeat(self._build_brief_heartbeat(), active)]
+            return self._build_active_heartbeats()
         if recipients is Recipients.DATA_CENTRE:
             near = self._addresses_in_data_centre()
             return [OutgoingHeartbeat(self._build_minimal_heartbeat(), near)]
@@ -436,9 +467,39 @@
             )
             outgoing.append(OutgoingHeartbeat(welcome, newcomers))
         if recipients is Recipients.ALL:
+            self.relaying.update()
             outgoing += self._build_periodic_heartbeats(set(newcomers))
         return outgoing
 
+    def _build_active_heartbeats(self) -> list[OutgoingHeartbeat]:
+        """Return the heartbeats to the instances that serve callers."""
+        self.heartbeats.min_active_interval_s = (
+            ACTIVE_HEARTBEAT_INTERVAL_S
+            if self.relaying.sends_details()
+            else DETAILS_INTERVAL_S
+        )
+        brief = self._build_brief_heartbeat()
+        self.relaying.note_own(brief)
+        active = self.members.active()
+        detailed = self.relaying.for_details(active)
+        outgoing = [_outgoing(brief, detailed)]
+        number = max((each.number for each in brief.evidence), default=0)
+        if number > self.evidence_number and not self.relaying.sends_details():
+            names = {member.name for member in detailed}
+            others = [m for m in self.relaying.direct(active) if m.name not in names]
+            outgoing.append(_outgoing(self._without_details(brief), others))
+        self.evidence_number = number
+        return outgoing
+
+    def _without_details(self, brief: beats_pb2.Beat) -> beats_pb2.Beat:
+        """Return a heartbeat without the counts and loads that relays pass on."""
+        heartbeat = beats_pb2.Beat()
+        heartbeat.CopyFrom(brief)
+        for name in ("usages", "resends", "loads"):
+            heartbeat.ClearField(name)
+        heartbeat.loads_omitted = True
+        return heartbeat
+
     def _build_periodic_heartbeats(self, greeted: set[str]) -> list[OutgoingHeartbeat]:
         """Return the heartbeats of this second, except to `greeted` addresses."""
         was_followed = self.is_followed
@@ -446,9 +507,10 @@
         # The last one to all tells them that others come in turn.
         to_all = self.is_followed or was_followed
         active = self.members.active() if self.members.sends_to_active_often() else []
+        preferred = self.relaying.for_details(active)
         recipients = self.rounds.next_recipients(
-            self._known_addresses() - greeted,
-            [member.description.beat_address for member in active],
+            self._direct_addresses() - greeted,
+            [member.description.beat_address for member in preferred],
             to_all or self.full_heartbeats.is_next_for_all(),
         )
         self.full_heartbeats.sent += 1
@@ -464,12 +526,19 @@
         if not addresses:
             return []
         brief = self._build_brief_heartbeat(in_turn)
+        self.relaying.note_own(brief)
         full_recipients, others = self.full_heartbeats.split(addresses)
         full = self._build_full_heartbeat(brief, MAX_GOSSIPED_PEERS)
-        return [
-            OutgoingHeartbeat(full, full_recipients),
-            OutgoingHeartbeat(brief, others),
-        ]
+        outgoing = [OutgoingHeartbeat(full, full_recipients)]
+        if not self.relaying.sends_details():
+            detailed = {
+                member.description.beat_address
+                for member in self.relaying.for_details(self.members.known())
+            }
+            light = [each for each in others if each not in detailed]
+            outgoing.append(OutgoingHeartbeat(self._without_details(brief), light))
+            others = [each for each in others if each in detailed]
+        return [*outgoing, OutgoingHeartbeat(brief, others)]
 
     def _must_be_followed(self) -> bool:
         """Return whether all others must learn at once what this instance reports."""
@@ -481,7 +550,7 @@
         """Return the time within which each other instance gets a heartbeat."""
         if self.is_followed:
             return HEARTBEAT_INTERVAL_S
-        return round_duration_s(len(self._known_addresses()))
+        return round_duration_s(len(self._direct_addresses()))
 
     def _build_minimal_heartbeat(self, with_loads: bool = True) -> beats_pb2.Beat:
         """Build a heartbeat that tells the state of this instance and no events.
@@ -504,8 +573,10 @@
             store_age_ms=min(int(min(store_age_s, 1e6) * 1000), MAX_STORE_AGE_MS),
             observer=self.observer.watching.is_set(),
             loads=self.targets.loads() if with_loads else [],
+            loads_omitted=not with_loads and self.relaying.is_on(),
             active=is_active,
             history_ms=self.history.own_ms(),
+            relays_to=self.relaying.relays_to,
         )
         interval_s = self._heartbeat_interval_s()
         if interval_s > HEARTBEAT_INTERVAL_S:
@@ -545,11 +616,7 @@
         heartbeat.usages.extend(self.quota.usages(full=True, with_levels=with_levels))
         heartbeat.resends.extend(self.retry_budgets.resend_counts(full=True))
         heartbeat.rate_limits.extend(self.targets.rate_limits(full=True))
-        settings = self.settings
-        heartbeat.description.data_centre = settings.data_centre
-        heartbeat.description.caller_address = settings.caller_address
-        heartbeat.description.beat_address = settings.heartbeat_address
-        heartbeat.description.fetch_address = settings.fetch_address
+        heartbeat.description.CopyFrom(self._describe())
         reachable = self.members.reachable()
         self.random.shuffle(reachable)
         heartbeat.peers.extend(
@@ -557,6 +624,55 @@
         )
         return heartbeat
 
+    def _describe(self) -> beats_pb2.Description:
+        settings = self.settings
+        return beats_pb2.Description(
+            data_centre=settings.data_centre,
+            caller_address=settings.caller_address,
+            beat_address=settings.heartbeat_address,
+            fetch_address=settings.fetch_address,
+            bundles_heartbeats=settings.relay_min_instances > 0,
+            link_bytes_per_s=int(settings.link_bytes_per_s or 0),
+        )
+
+    # ---- relayed heartbeats ----
+
+    def build_beacon(self) -> beats_pb2.Beat:
+        """Return a heartbeat with the state of this instance only."""
+        return self._build_minimal_heartbeat()
+
+    def build_own_heartbeat(self) -> beats_pb2.Beat:
+        """Return a heartbeat with the recent counts and events of this instance."""
+        return self._build_brief_heartbeat()
+
+    def build_welcome(self, peers: Sequence[str]) -> beats_pb2.Beat:
+        """Return a heartbeat to instances that have just joined."""
+        heartbeat = self._build_full_heartbeat(
+            self._build_brief_heartbeat(), MAX_GOSSIPED_PEERS, with_levels=True
+        )
+        if peers:
+            del heartbeat.peers[:]
+            heartbeat.peers.extend(peers)
+        return heartbeat
+
+    def add_counts(self, heartbeat: beats_pb2.Beat) -> None:
+        """Add the description and all known counts of the sender to a heartbeat."""
+        name, incarnation = heartbeat.instance, heartbeat.incarnation
+        heartbeat.ClearField("usages")
+        heartbeat.ClearField("resends")
+        if name == self.settings.instance:
+            heartbeat.description.CopyFrom(self._describe())
+            heartbeat.usages.extend(self.quota.usages(full=True, with_levels=False))
+            heartbeat.resends.extend(self.retry_budgets.resend_counts(full=True))
+            return
+        member = self.members.find(name)
+        if member is not None:
+            heartbeat.description.CopyFrom(member.description)
+        heartbeat.usages.extend(self.quota.peer_usages(name, incarnation))
+        heartbeat.resends.extend(
+            self.retry_budgets.peer_resend_counts(name, incarnation)
+        )
+
     def _serving_state(self) -> int:
         if self.shutdown.state is not ShutdownState.SERVING:
             return beats_pb2.DRAINING
@@ -579,16 +695,47 @@
         known = {member.description.beat_address for member in self.members.known()}
         return known | self.peer_addresses.known()
 
-    def _welcome(self, address: str) -> None:
+    def _direct_addresses(self) -> set[str]:
+        """Return the addresses that get heartbeats from this instance itself."""
+        return self.relaying.direct_addresses(self._known_addresses())
+
+    def _note_join(self, address: str) -> None:
+        self.joined_address = address
+
+    def _welcome(self, member: Member, relayed: bool) -> None:
         """Send a full heartbeat soon to a member that has just joined."""
+        if self.relaying.greet(member, relayed):
+            return
+        address = member.description.beat_address
         self.full_heartbeats.add_newcomer(address)
         self.heartbeats.send_to_newcomers_soon()
 
     def receive_heartbeat(self, heartbeat: beats_pb2.Beat) -> None:
-        """Process a heartbeat of another instance."""
+        """Process a heartbeat of another instance, or a bundle of them."""
+        if heartbeat.HasField("bundle"):
+            self.relaying.receive_bundle(heartbeat.bundle)
+        else:
+            self.apply_heartbeat(heartbeat, relayed=False)
+
+    def apply_heartbeat(self, heartbeat: beats_pb2.Beat, relayed: bool) -> None:
+        """Process a heartbeat of another instance.
+
+        Parameters
+        ----------
+        heartbeat : Beat
+            The heartbeat.
+        relayed : bool
+            Whether it came through another instance.
+        """
+        self.joined_address = None
         member = self.members.receive(heartbeat)
         if member is None:
             return
+        joined = self.joined_address is not None
+        if joined:
+            self._welcome(member, relayed)
+        if not relayed:
+            self.relaying.note(member, heartbeat, joined)
         self.peer_addresses.add([member.description.beat_address, *heartbeat.peers])
         self.members.record_losses(heartbeat)
         self.quota.record_peer_usage(heartbeat)
@@ -618,3 +765,10 @@
         self.configuration_lag.report(
             self.snapshots.failed_fetches, len(self.members.reachable())
         )
+
+
+def _outgoing(
+    heartbeat: beats_pb2.Beat, members: Sequence[Member]
+) -> OutgoingHeartbeat:
+    addresses = [member.description.beat_address for member in members]
+    return OutgoingHeartbeat(heartbeat, addresses)
--- a/src/lacewinglift/mesh/members.py
+++ b/src/lacewinglift/mesh/members.py
@@ -99,6 +99,7 @@
     heartbeat: beats_pb2.Beat
     description: beats_pb2.Description
     last_heartbeat_at_s: float
+    joined_at_s: float = float("-inf")
     last_active_at_s: float = float("-inf")
     """Last time at which the instance reported a share of the callers' requests."""
     last_evidence_number: int = 0
@@ -156,7 +157,7 @@
             if member is None or member.heartbeat.incarnation != heartbeat.incarnation:
                 if not heartbeat.HasField("description"):
                     return None
-                member = Member(heartbeat, heartbeat.description, now)
+                member = Member(heartbeat, heartbeat.description, now, now)
                 self.members[heartbeat.instance] = member
                 log_info(
                     "member_joined",
@@ -191,6 +192,11 @@
                     del self.members[name]
                     log_info("member_forgotten", member=name, silent_s=silent_s)
 
+    def find(self, name: str) -> Member | None:
+        """Return the member of a name, if it is known."""
+        with self.lock:
+            return self.members.get(name)
+
     def known(self) -> list[Member]:
         """Return all members that were not removed."""
         with self.lock:
--- a/src/lacewinglift/mesh/observer_election.py
+++ b/src/lacewinglift/mesh/observer_election.py
@@ -91,7 +91,12 @@
         return now - self.last_observer_at_s >= OBSERVER_TIMEOUT_S + rank_delay_s
 
     def _note_observers(self, reachable: list[Member]) -> None:
-        heard_at_s = [m.last_heartbeat_at_s for m in reachable if _observes(m)]
+        # A relay may have held the heartbeat of an observer that is lost by now.
+        heard_at_s = [
+            m.last_heartbeat_at_s - m.heartbeat.held_ms / 1000
+            for m in reachable
+            if _observes(m)
+        ]
         self.last_observer_at_s = max(self.last_observer_at_s, *heard_at_s, 0.0)
 
     def _ranking(self, reachable: list[Member]) -> list[str]:
--- a/src/lacewinglift/mesh/peer_counters.py
+++ b/src/lacewinglift/mesh/peer_counters.py
@@ -55,6 +55,13 @@
         known.has_baseline = True
         return known
 
+    def known_counts(self, instance: str, incarnation: int) -> dict[str, int]:
+        """Return the last counts that an incarnation of an instance reported."""
+        known = self.peers.get(instance)
+        if known is None or known.incarnation != incarnation:
+            return {}
+        return dict(known.counts)
+
 
 def _started_within(heartbeat: beats_pb2.Beat, duration_s: float) -> bool:
     """Return whether the sender of a heartbeat has started within the last seconds."""
--- a/src/lacewinglift/mesh/retry_budgets.py
+++ b/src/lacewinglift/mesh/retry_budgets.py
@@ -109,6 +109,11 @@
         else:
             self.reports.pop((instance, incarnation), None)
 
+    def used_by(self, instance: str, incarnation: int) -> float:
+        """Return what an incarnation reported last."""
+        used, _ = self.reports.get((instance, incarnation), (0.0, 0.0))
+        return used
+
     def total(self) -> float:
         oldest_s = self.timers.now() - self.window_s
         for key, (_, reported_at_s) in list(self.reports.items()):
@@ -300,6 +305,23 @@
                 if full or budget.last_request_at_s >= since_s or budget.slack_used()
             ]
 
+    def peer_resend_counts(
+        self, instance: str, incarnation: int
+    ) -> list[beats_pb2.ResendCount]:
+        """Return all counts that another instance has reported."""
+        with self.lock:
+            counts = self.peer_counters.known_counts(instance, incarnation)
+            return [
+                beats_pb2.ResendCount(
+                    service=name,
+                    requests=counts.get(f"{name} requests", 0),
+                    resends=counts.get(f"{name} resends", 0),
+                    slack_used=budget.peer_slack.used_by(instance, incarnation),
+                )
+                for name, budget in self.budgets.items()
+                if f"{name} requests" in counts
+            ]
+
     def remaining(self) -> dict[str, float]:
         """Return how many requests of each service this instance may resend now."""
         with self.lock:
--- a/src/lacewinglift/mesh/settings.py
+++ b/src/lacewinglift/mesh/settings.py
@@ -44,6 +44,9 @@
     """Whether the whole fleet starts for the first time, without callers yet."""
     link_bytes_per_s: float | None = None
     """Speed of the link of the instance; None if it is not known."""
+    relay_min_instances: int = 60
+    """Size of the fleet from which on heartbeats go between data centres through
+    relays; 0 turns relays off."""
     worker_threads: int = 96
     max_address_lifetime_s: float = ADDRESS_LIFETIME_S
     """Longest time for which callers may use resolved addresses."""
--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -520,6 +520,8 @@
                     last_number = evidence.number
                     at_s = now - evidence.age_ms / 1000
                     self._apply_evidence(heartbeat.instance, evidence, at_s)
+            if heartbeat.loads_omitted:
+                return last_number
             # A target without a load in the heartbeat has no requests in flight there.
             loads = {load.target: load.in_flight for load in heartbeat.loads}
             for name, state in self.states.items():
--- a/src/lacewinglift/mesh/traffic.py
+++ b/src/lacewinglift/mesh/traffic.py
@@ -14,6 +14,10 @@
 
     HEARTBEAT = "heartbeat"
     SNAPSHOT = "snapshot"
+    BUNDLE_BETWEEN = "bundle_between"
+    """Heartbeats of several instances to another data centre."""
+    BUNDLE_WITHIN = "bundle_within"
+    """Heartbeats of several instances to the own data centre."""
 
 
 class Direction(enum.Enum):
--- a/testing/mesh/simulated_fleet.py
+++ b/testing/mesh/simulated_fleet.py
@@ -98,8 +98,11 @@
 
     fleet: "SimulatedFleet"
     link: Link
+    data_centre: str
     sent: int = 0
     sent_bytes: int = 0
+    far_bytes: int = 0
+    """Bytes sent to other data centres."""
 
     def sendto(self, data, address):
         self.sent += 1
@@ -111,6 +114,8 @@
         host, port = address
         receiver = self.fleet.by_heartbeat_address.get(f"{host}:{port}")
         if receiver is not None:
+            if receiver.settings.data_centre != self.data_centre:
+                self.far_bytes += len(data)
             self.fleet.at(arrives_s, lambda: receiver.heartbeats.dispatch(data))
 
 
@@ -207,7 +212,7 @@
         instance.heartbeats.socket.close()
         instance.snapshots.runner.loop.close()
         link = self.links.setdefault(settings.instance, Link(self.link_bytes_per_s))
-        instance.heartbeats.socket = Datagrams(self, link)
+        instance.heartbeats.socket = Datagrams(self, link, settings.data_centre)
         instance.snapshots = SimulatedSnapshots(self, instance)
         self.by_heartbeat_address[settings.heartbeat_address] = instance
         self.by_fetch_address[settings.fetch_address] = instance
--- a/tools/measure_fleet_traffic.py
+++ b/tools/measure_fleet_traffic.py
@@ -22,6 +22,7 @@
     fleet.assume_request_rate(caller_rate_per_s)
     fleet.run(WARM_UP_S, caller_rate_per_s, 1.0)
     before = {each: _counts(each) for each in fleet.instances}
+    far_before = {each: _far_bytes(each) for each in fleet.instances}
     fleet.run(MEASURED_S, caller_rate_per_s, 1.0)
     cells = [str(size)]
     for active in (True, False):
@@ -36,6 +37,8 @@
         datagrams = sum(rate[0] for rate in rates) / max(len(rates), 1)
         kilobytes = sum(rate[1] for rate in rates) / max(len(rates), 1) / 1000
         cells += [str(len(rates)), f"{datagrams:.0f}", f"{kilobytes:.1f}"]
+    far = sum(_far_bytes(each) - far_before[each] for each in fleet.instances)
+    cells.append(f"{far / MEASURED_S / 1000:.1f}")
     longest_wait_s = max(link.max_wait_s for link in fleet.links.values())
     return " | ".join(["", *cells, f"{longest_wait_s:.2f}", ""]).strip()
 
@@ -45,6 +48,10 @@
     return datagrams.sent, datagrams.sent_bytes
 
 
+def _far_bytes(instance) -> int:
+    return instance.heartbeats.socket.far_bytes
+
+
 def main() -> None:
     """Print one row for each size."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
