--- a/src/lacewinglift/mesh/directory.py
+++ b/src/lacewinglift/mesh/directory.py
@@ -187,7 +187,7 @@
                 member.heartbeat.observer,
                 StatedCapacity(
                     member.description.processor_millicores / 1000,
-                    member.description.link_kbytes_per_s * 1000,
+                    float(member.description.link_bytes_per_s),
                 ),
             )
             for member in self.members.reachable()
--- a/src/lacewinglift/mesh/settings.py
+++ b/src/lacewinglift/mesh/settings.py
@@ -50,6 +50,9 @@
     """Region of each data centre."""
     processor_cores: float | None = None
     """Processor time that the instance may use, in cores; None if it is not known."""
+    relay_min_instances: int = 60
+    """Size of the fleet from which on heartbeats go between data centres through
+    relays; 0 turns relays off."""
     worker_threads: int = 96
     max_address_lifetime_s: float = ADDRESS_LIFETIME_S
     """Longest time for which callers may use resolved addresses."""
--- a/testing/mesh/test_instance_capacities.py
+++ b/testing/mesh/test_instance_capacities.py
@@ -12,8 +12,8 @@
 from lacewinglift.timers import ManualTimers
 from testing.mesh.test_directory import DATA_CENTRES, SETTINGS, build_heartbeat
 
-SMALL = {"processor_millicores": 430, "link_kbytes_per_s": 1250}
-LARGE = {"processor_millicores": 2150, "link_kbytes_per_s": 25000}
+SMALL = {"processor_millicores": 430, "link_bytes_per_s": 1_250_000}
+LARGE = {"processor_millicores": 2150, "link_bytes_per_s": 25_000_000}
 LARGE_CAPACITY = 5
 RATE_PER_S = 455.0
 
