Release targets from callers that read slowly, and bound the bytes held

A response was read on only as its caller took it, so that a slow caller held a slot of the target; and up to 1 MiB for each idempotent request was held without a bound for the instance (96 threads, 200 MB).

Bytes held are counted for the instance (24 MiB), and one response may hold an eighth of what is left, 1 MiB at most. Where the configuration calls for balancing, what a target has sent is read while the caller is blocked, if it fits the bound.

--- a/src/lacewinglift/attempt_calls.py
+++ b/src/lacewinglift/attempt_calls.py
@@ -10,6 +10,7 @@
 from lacewinglift.attempts import Attempt
 from lacewinglift.configuration import Service
 from lacewinglift.forward_requests import ForwardRequest
+from lacewinglift.held_bytes import HeldBytes
 from lacewinglift.outcomes import Outcome, OutcomeKind
 from lacewinglift.pools import (
     TargetConnection,
@@ -71,6 +72,7 @@
     timers: Timers
     pools: TargetPools
     on_attempt: Callable[[str, OutcomeKind, float], None] | None
+    held_bytes: HeldBytes
 
     def pace_response(self, size: int, received: int) -> None:
         """Wait until a further block of a response may be read."""
@@ -107,6 +109,11 @@
         """Return the name of the target."""
         return self.attempt.target.name
 
+    @property
+    def held_bytes(self) -> HeldBytes:
+        """Return the count of the bytes of responses that the instance holds."""
+        return self.forwarder.held_bytes
+
     def pace_response(self, size: int, received: int) -> None:
         """Wait until a further block of the response may be read."""
         if not self.in_haste():
--- a/src/lacewinglift/callers.py
+++ b/src/lacewinglift/callers.py
@@ -23,6 +23,9 @@
 # Maximum time without progress while a caller sends or receives a body.
 CALLER_IDLE_TIMEOUT_S = 10.0
 SEND_POLL_INTERVAL_S = 0.25
+# The same while the rest of the response is read ahead. A target's slot should not wait
+# longer for a caller than a small part of an ordinary response time.
+BLOCKED_POLL_INTERVAL_S = 0.02
 COALESCE_MAX_BYTES = 16 * 1024
 LINGER_TIMEOUT_S = 1.0
 LINGER_MAX_BYTES = 256 * 1024
@@ -64,6 +67,8 @@
     reset_on_close: bool = False
     cancelled: Callable[[], bool] = bool
     """Returns whether the response that is being sent must be aborted."""
+    while_blocked: Callable[[], bool] | None = None
+    """Called while the caller does not take what is sent; returns False at the end."""
     head_started_s: float | None = None
     head_bytes_seen: int = 0
     queued_at_s: float | None = None
@@ -152,7 +157,10 @@
         left = memoryview(data)
         progress_s = self.timers.now()
         try:
-            self.socket.settimeout(SEND_POLL_INTERVAL_S)
+            blocked = self.while_blocked is not None
+            self.socket.settimeout(
+                BLOCKED_POLL_INTERVAL_S if blocked else SEND_POLL_INTERVAL_S
+            )
             while True:
                 with contextlib.suppress(TimeoutError):
                     left = left[self.socket.send(left) :]
@@ -165,6 +173,9 @@
                     raise CallerGoneError
                 if self.timers.now() - progress_s > CALLER_IDLE_TIMEOUT_S:
                     raise CallerGoneError
+                if self.while_blocked is not None and not self.while_blocked():
+                    self.while_blocked = None
+                    self.socket.settimeout(SEND_POLL_INTERVAL_S)
         except OSError as error:
             raise CallerGoneError from error
 
--- a/src/lacewinglift/forwarded_response.py
+++ b/src/lacewinglift/forwarded_response.py
@@ -1,16 +1,18 @@
 """Response of a target while its body is streamed to the caller."""
 
+import contextlib
 import http.client
-import itertools
 from collections.abc import Iterator
 from typing import Protocol
 
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
+from urllib3.util.wait import wait_for_read
 
-from lacewinglift.bodies import MAX_READ_BYTES, iter_blocks
+from lacewinglift.bodies import MAX_READ_BYTES
 from lacewinglift.exchanges import CancelReason, Exchange
 from lacewinglift.headers import headers_to_caller
+from lacewinglift.held_bytes import MAX_HELD_PER_RESPONSE, HeldBytes
 from lacewinglift.outcomes import OutcomeKind
 from lacewinglift.pools import TargetResponse
 
@@ -30,6 +32,8 @@
     exchange: Exchange
     finished: bool
     target_name: str
+    held_bytes: HeldBytes
+    """Bytes of responses that the instance holds."""
 
     def in_haste(self) -> bool:
         """Return whether the response must be passed on as it arrives."""
@@ -88,7 +92,12 @@
         self._raw = raw
         self._latency_s = latency_s
         self.body_bytes = 0
-        self._preloaded: Iterator[bytes] | None = None
+        self._held = bytearray()
+        """Bytes that the target has sent and the caller has not been sent."""
+        self._source = self._read_content()
+        self._source_ended = False
+        self._failure: TruncatedResponseError | None = None
+        """Failure after the bytes that are held."""
 
     @property
     def unfinished(self) -> bool:
@@ -104,28 +113,102 @@
         """Read the body to its end unless it is larger than `MAX_PRELOAD_BYTES`.
 
         An instance that stops reads no more than the first block: on a slow link, it
-        has no time to read the whole body before it sends the first byte.
+        has no time to read the whole body before it sends the first byte. Nor does one
+        that holds as many bytes of responses as it may.
 
         Raises
         ------
         TruncatedResponseError
             If the body is truncated.
         """
-        source = self.iter_content()
+        try:
+            while self._hold_next():
+                if len(self._held) > MAX_PRELOAD_BYTES or self._call.in_haste():
+                    break
+        except BaseException:
+            self._discard()
+            raise
+
+    def read_ahead(self) -> bool:
+        """Read what has arrived of a body that fits, while the caller does not read.
+
+        Its target is then not kept waiting for the caller. A failure is raised when
+        the caller has got what came before it.
+
+        Returns
+        -------
+        bool
+            Whether the target may send more.
+        """
+        if self._source_ended:
+            return False
+        try:
+            while self._fits() and self._has_arrived():
+                if not self._hold_next():
+                    break
+        except TruncatedResponseError as error:
+            self._source_ended = True
+            self._failure = error
+        if self._source_ended and self._held and self._failure is None:
+            self._call.held_bytes.count_early_release()
+        return not self._source_ended
+
+    def _fits(self) -> bool:
+        """Return whether the rest of the body may fit the bound of one response."""
+        if self.content_length is None:
+            return True
+        left = self.content_length - self.body_bytes
+        return len(self._held) + left <= MAX_HELD_PER_RESPONSE
+
+    def _has_arrived(self) -> bool:
+        """Return whether the target has sent more, or has ended its response."""
+        stream = self._raw.fp
+        if stream is None or self._raw.length == 0:
+            return True
+        sock = self._raw.socket
+        timeout_s = sock.gettimeout()
+        try:
+            sock.settimeout(0)
+            return bool(stream.peek(1)) or wait_for_read(sock, 0)
+        except (OSError, ValueError):
+            return True
+        finally:
+            with contextlib.suppress(OSError):
+                sock.settimeout(timeout_s)
+
+    def _hold_next(self) -> bool:
+        """Read and hold a block; return whether there was one that could be held."""
+        held_bytes = self._call.held_bytes
+        if not held_bytes.try_hold(MAX_READ_BYTES, len(self._held)):
+            return False
+        block = b""
+        try:
+            block = next(self._source, b"")
+        finally:
+            held_bytes.release(MAX_READ_BYTES - len(block))
         # One buffer: an object for each block would take many times the memory of a
         # body in chunks of a few bytes.
-        held = bytearray()
-        for block in source:
-            held += block
-            if len(held) > MAX_PRELOAD_BYTES or self._call.in_haste():
-                break
-        self._preloaded = itertools.chain(iter_blocks(held), source)
+        self._held += block
+        self._source_ended = not block
+        return bool(block)
 
     def iter_content(self) -> Iterator[bytes]:
         """Yield the body in blocks; raise TruncatedResponseError if it is truncated."""
-        if self._preloaded is not None:
-            yield from self._preloaded
-            return
+        while True:
+            while self._held:
+                block = bytes(self._held[:MAX_READ_BYTES])
+                del self._held[: len(block)]
+                self._call.held_bytes.release(len(block))
+                yield block
+            if self._failure is not None:
+                raise self._failure
+            block = next(self._source, b"")
+            if not block:
+                self._source_ended = True
+                return
+            yield block
+
+    def _read_content(self) -> Iterator[bytes]:
         if self.has_no_body:
             self._finish_body()
             return
@@ -149,6 +232,16 @@
         """Finish the attempt; a response that was not read to its end is cancelled."""
         self._call.finish(OutcomeKind.CANCELLED, self._latency_s)
         self._call.close()
+        self._discard()
+
+    def _discard(self) -> None:
+        """Return the memory, and end the generator, which refers to this response.
+
+        The socket would otherwise stay open until the cycle is collected.
+        """
+        self._call.held_bytes.release(len(self._held))
+        self._held.clear()
+        self._source.close()
 
     def _finish_body(self) -> None:
         close_delimited = self._raw.will_close and self._raw.length is None
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -10,6 +10,7 @@
 from lacewinglift.dialects import DEFAULT_DIALECT, Dialect
 from lacewinglift.forward_requests import ForwardRequest
 from lacewinglift.forwarded_response import ForwardedResponse
+from lacewinglift.held_bytes import HeldBytes
 from lacewinglift.outcomes import OutcomeKind
 from lacewinglift.pools import TargetPools
 from lacewinglift.response_pacing import ResponsePacer
@@ -62,6 +63,9 @@
             lambda service: RetryBudget(timers)
         )
         self.pacer = pacer or ResponsePacer(timers)
+        self.held_bytes = HeldBytes()
+        self.reads_ahead: Callable[[], bool] = bool
+        """Returns whether responses are read while their callers do not read."""
         self.pools = TargetPools(timers)
         self.retry_budgets: dict[str, RetryBudgetProtocol] = {}
         self._lock = threading.Lock()
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -13,6 +13,7 @@
 from lacewinglift.forwarder import Forwarder
 from lacewinglift.frontend import Frontend
 from lacewinglift.generated import beats_pb2
+from lacewinglift.held_bytes import HeldBytes
 from lacewinglift.kv import STORE_DRIVERS
 from lacewinglift.logs import LEFT_OUT_REPORT_INTERVAL_S, log_info, report_left_out
 from lacewinglift.mesh.choice_registry import COMPLETION_TIME
@@ -203,6 +204,7 @@
             self.timers,
         )
         self.directory.by_capacity = self._balances_load
+        self.held_bytes = HeldBytes(settings.max_held_bytes)
         collector = MeshCollector(
             self.timers,
             self.members,
@@ -216,6 +218,7 @@
             self.snapshots,
             self.traffic,
             self.configuration_lag,
+            self.held_bytes,
         )
         self.metrics.registry.register(collector)
         self.frontend = Frontend(settings, self._build_request_components(dialect))
@@ -267,6 +270,8 @@
             make_retry_budget=self.retry_budgets.budget_for,
             pacer=ResponsePacer(self.timers, settings.link_bytes_per_s),
         )
+        forwarder.held_bytes = self.held_bytes
+        forwarder.reads_ahead = self._balances_load
         self.targets.choice.has_connection = forwarder.pools.has_idle
         return RequestComponents(
             timers=self.timers,
--- a/src/lacewinglift/mesh/settings.py
+++ b/src/lacewinglift/mesh/settings.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from lacewinglift.held_bytes import MAX_HELD_PER_INSTANCE
 from lacewinglift.mesh.retry_budgets import RetryLimits
 
 ADDRESS_LIFETIME_S = 3.0
@@ -47,6 +48,8 @@
     processor_cores: float | None = None
     """Processor time that the instance may use, in cores; None if it is not known."""
     worker_threads: int = 96
+    max_held_bytes: int = MAX_HELD_PER_INSTANCE
+    """Bound of the bytes of responses that targets have sent and callers not read."""
     max_address_lifetime_s: float = ADDRESS_LIFETIME_S
     """Longest time for which callers may use resolved addresses."""
     leave_duration_s: float = 2.8
--- a/src/lacewinglift/mesh/telemetry.py
+++ b/src/lacewinglift/mesh/telemetry.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 
-from attrs import define
+from attrs import define, field
 from prometheus_client import Metric
 from prometheus_client.core import (
     CounterMetricFamily,
@@ -14,6 +14,7 @@
 from prometheus_client.registry import Collector
 
 from lacewinglift.errors import LacewingliftError
+from lacewinglift.held_bytes import HeldBytes
 from lacewinglift.kv import KeyValueStore, Listing, WatchResult
 from lacewinglift.mesh.configuration_holder import ConfigurationHolder
 from lacewinglift.mesh.configuration_lag import ConfigurationLag
@@ -103,6 +104,7 @@
     snapshots: SnapshotExchange
     traffic: MeshTraffic
     configuration_lag: ConfigurationLag
+    held_bytes: HeldBytes = field(factory=HeldBytes)
 
     def describe(self) -> Iterable[Metric]:
         """Return nothing: metric names are known only once they are collected."""
@@ -117,6 +119,7 @@
         yield self._rate_limited_targets()
         yield self._choices()
         yield self._failing_services()
+        yield from self._held()
         yield self._tokens()
         yield self._resends()
         yield from self._store_calls()
@@ -203,6 +206,18 @@
             failing.add_metric([service], 1)
         return failing
 
+    def _held(self) -> Iterable[Metric]:
+        yield GaugeMetricFamily(
+            "lacewinglift_held_bytes",
+            "Bytes of responses that callers have not read yet.",
+            value=self.held_bytes.total,
+        )
+        yield CounterMetricFamily(
+            "lacewinglift_targets_released_early",
+            "Responses whose target was released before the caller had read them.",
+            value=self.held_bytes.released_early,
+        )
+
     def _tokens(self) -> Metric:
         tokens = GaugeMetricFamily(
             "lacewinglift_quota_tokens",
--- a/src/lacewinglift/request_handler.py
+++ b/src/lacewinglift/request_handler.py
@@ -435,6 +435,8 @@
             self.writer = self._new_writer()
             if not self.body.finished:
                 self.writer.keep_alive = False
+            if self.components.forwarder.reads_ahead():
+                self.stream.while_blocked = response.read_ahead
             self.writer.write(
                 response.status,
                 response.reason,
@@ -443,6 +445,7 @@
                 self._access_checked_content(response.iter_content(), exchange),
             )
         finally:
+            self.stream.while_blocked = None
             self.received_bytes = response.body_bytes
             response.close()
         self._log_request_end(response, name)
