Leave targets in use elsewhere to their own data centre while a service fails

Loads of other data centres are up to 1 s old, so that targets there look as if they got no requests. Targets that are not held off are tried only in their data centre, and held off ones 0.4 s later from elsewhere.

--- a/src/lacewinglift/mesh/completion_time_choice.py
+++ b/src/lacewinglift/mesh/completion_time_choice.py
@@ -56,6 +56,9 @@
 TRY_AFTER_MAX_S = 0.7
 # Additional time for a request that cannot be repeated; one that can goes first.
 TRY_UNREPEATABLE_AFTER_S = 0.1
+# Additional time for a target in another data centre, whose own instances go first. The
+# loads that show it are up to 1 s old, but the evidence of their tries is not.
+TRY_REMOTE_AFTER_S = 0.4
 # Several targets count as held off at once from this number and this share on.
 HELD_OFF_MIN = 2
 HELD_OFF_SHARE = 0.1
@@ -235,7 +238,9 @@
         due = [
             each
             for each in candidates
-            if now_s >= self._try_at_s(each.state, repeatable)
+            # Instances of its data centre use a target that nothing speaks against.
+            if (each.state.near or not each.eligible)
+            and now_s >= self._try_at_s(each.state, repeatable)
         ]
         if not due or self._try_random.random() >= TRY_SHARE:
             return None
@@ -249,7 +254,8 @@
             after_s = self._try_random.uniform(TRY_AFTER_MIN_S, TRY_AFTER_MAX_S)
             state.try_at_s = last_s + after_s
             state.try_drawn_for_s = last_s
-        return state.try_at_s + (0.0 if repeatable else TRY_UNREPEATABLE_AFTER_S)
+        later_s = 0.0 if repeatable else TRY_UNREPEATABLE_AFTER_S
+        return state.try_at_s + later_s + (0.0 if state.near else TRY_REMOTE_AFTER_S)
 
     def _is_failing(self, service: str, several_held_off: bool, now_s: float) -> bool:
         failures = self.failures.get(service)
