Tell other instances which services fail

An instance with a few requests a second notices only after one or two seconds that a service fails, so held off targets had no request for up to 1.7 s. Heartbeats now name services that fail; two reports count as much as own failures.

--- a/src/lacewinglift/mesh/completion_time_choice.py
+++ b/src/lacewinglift/mesh/completion_time_choice.py
@@ -11,7 +11,7 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from random import Random
 
 from attrs import define, field
@@ -59,6 +59,10 @@
 # Additional time for a target in another data centre, whose own instances go first. The
 # loads that show it are up to 1 s old, but the evidence of their tries is not.
 TRY_REMOTE_AFTER_S = 0.4
+# Reports of this many others that a service fails, within this time, count as much as
+# own failures: an instance alone notices them only after a second or two.
+PEERS_FAILING_MIN = 2
+PEER_FAILING_S = 1.5
 # Several targets count as held off at once from this number and this share on.
 HELD_OFF_MIN = 2
 HELD_OFF_SHARE = 0.1
@@ -84,6 +88,10 @@
 
     speeds: TargetSpeeds = field(factory=TargetSpeeds)
     failures: dict[str, ServiceFailures] = field(factory=dict)
+    failing: set[str] = field(factory=set)
+    """Services whose targets in use fail requests of this instance."""
+    peer_failing: dict[str, dict[str, float]] = field(factory=dict)
+    """Time of the last report of each other instance, by service."""
     basis: str = "-"
     """Reason for the last choice."""
     _try_random: Random = field(factory=Random)
@@ -233,7 +241,8 @@
         service = candidates[0].state.registered.service
         held_off = sum(not each.eligible for each in candidates)
         several = held_off >= max(HELD_OFF_MIN, HELD_OFF_SHARE * len(candidates))
-        if not self._is_failing(service, several, now_s):
+        own = self._is_failing(service, several, now_s)
+        if not (own or self._fails_elsewhere(service, now_s)):
             return None
         due = [
             each
@@ -284,6 +293,36 @@
         )
         return ranked[: (len(ranked) + 1) // 2]
 
+    def failing_services(self, now_s: float) -> set[str]:
+        """Return the services whose targets in use fail requests of this instance."""
+        return {
+            service
+            for service in self.failing
+            if self.failures[service].is_failing(now_s, several_held_off=True)
+        }
+
+    def record_peer_failing(
+        self, instance: str, services: Iterable[str], now_s: float
+    ) -> None:
+        """Record the services whose targets in use fail requests of another."""
+        for service in services:
+            self._recent_reports(service, now_s)[instance] = now_s
+
+    def _fails_elsewhere(self, service: str, now_s: float) -> bool:
+        """Return whether several others report that a service fails."""
+        if service not in self.peer_failing:
+            return False
+        return len(self._recent_reports(service, now_s)) >= PEERS_FAILING_MIN
+
+    def _recent_reports(self, service: str, now_s: float) -> dict[str, float]:
+        reports = self.peer_failing.get(service, {})
+        self.peer_failing[service] = reports = {
+            instance: at_s
+            for instance, at_s in reports.items()
+            if now_s - at_s <= PEER_FAILING_S
+        }
+        return reports
+
     # ---- outcomes ----
 
     def record_no_target(self, service: str, now_s: float) -> None:
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -524,6 +524,7 @@
             loads=self.targets.loads() if with_loads else [],
             active=is_active,
             history_ms=self.history.own_ms(),
+            failing_services=sorted(self.targets.failing_services()),
         )
         interval_s = self._heartbeat_interval_s()
         if interval_s > HEARTBEAT_INTERVAL_S:
--- a/src/lacewinglift/mesh/target_choice.py
+++ b/src/lacewinglift/mesh/target_choice.py
@@ -1,6 +1,6 @@
 """Choice of one target among those that may get a request."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from random import Random
 
 from attrs import define, field
@@ -50,8 +50,6 @@
     """Moving average of the response size of each service."""
     chosen_counts: dict[tuple[str, str], int] = field(factory=dict)
     """Number of choices by service and basis, where the choice states one."""
-    failing: set[str] = field(factory=set)
-    """Services whose targets in use cannot serve everything, if that is watched."""
 
     def choose(
         self, candidates: list[Candidate], repeatable: bool, now_s: float
@@ -159,6 +157,15 @@
     def record_no_target(self, service: str, now_s: float) -> None:
         """Record that no target could be chosen for a request."""
 
+    def failing_services(self, now_s: float) -> set[str]:
+        """Return the services whose targets in use fail requests of this instance."""
+        return set()
+
+    def record_peer_failing(
+        self, instance: str, services: Iterable[str], now_s: float
+    ) -> None:
+        """Record the services whose targets in use fail requests of another."""
+
     def record_outcome(
         self, state: TargetState, begun: BegunAttempt, outcome: Outcome, now_s: float
     ) -> None:
--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -214,9 +214,9 @@
             return dict(self.choice.chosen_counts)
 
     def failing_services(self) -> set[str]:
-        """Return the services whose targets in use cannot serve everything."""
+        """Return the services whose targets in use fail requests of this instance."""
         with self.lock:
-            return set(self.choice.failing)
+            return self.choice.failing_services(self.timers.now())
 
     # ---- choice ----
 
@@ -553,6 +553,9 @@
                     last_number = evidence.number
                     at_s = now - evidence.age_ms / 1000
                     self._apply_evidence(heartbeat.instance, evidence, at_s)
+            self.choice.record_peer_failing(
+                heartbeat.instance, heartbeat.failing_services, now
+            )
             # A target without a load in the heartbeat has no requests in flight there.
             loads = {load.target: load.in_flight for load in heartbeat.loads}
             for name, state in self.states.items():
--- a/testing/mesh/test_completion_time_choice.py
+++ b/testing/mesh/test_completion_time_choice.py
@@ -54,6 +54,7 @@
         heartbeat = beats_pb2.Beat(instance=sender.instance, incarnation=1)
         heartbeat.evidence.extend(sender.evidence())
         heartbeat.loads.extend(sender.loads())
+        heartbeat.failing_services.extend(sender.failing_services())
         for receiver in tables:
             if receiver is not sender:
                 key = (receiver.instance, sender.instance)
@@ -91,7 +92,7 @@
         if number % 8 == 0:
             exchange_heartbeats(tables, last_numbers)
     longest_s = max(longest_s, timers.now() - min(asked_at_s.values()))
-    assert longest_s < 1.3
+    assert longest_s < 1.1
     assert sent_to_reported < most
 
 
