--- a/src/lacewinglift/mesh/completion_time_choice.py
+++ b/src/lacewinglift/mesh/completion_time_choice.py
@@ -253,7 +253,7 @@
         ]
         if not due or self._try_random.random() >= TRY_SHARE:
             return None
-        self.basis = "retried"
+        self.basis = "tried"
         # At random, since other instances choose among the same targets now.
         return self._try_random.choice(due)
 
