--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -10,6 +10,7 @@
 from lacewinglift.dialects import DEFAULT_DIALECT, Dialect
 from lacewinglift.forward_requests import ForwardRequest
 from lacewinglift.forwarded_response import ForwardedResponse
+from lacewinglift.held_bytes import HeldBytes
 from lacewinglift.outcomes import OutcomeKind
 from lacewinglift.overload.control import OverloadControl
 from lacewinglift.pools import TargetPools
@@ -67,6 +68,9 @@
         )
         self.pacer = pacer or ResponsePacer(timers)
         self.overload = overload
+        self.held_bytes = HeldBytes()
+        self.reads_ahead: Callable[[], bool] = bool
+        """Returns whether responses are read while their callers do not read."""
         self.pools = TargetPools(timers)
         self.no_target_wait_s: Callable[[str], float | None] = lambda service: None
         """Returns when a service without a usable target takes a request again."""
--- a/src/lacewinglift/mesh/completion_time_choice.py
+++ b/src/lacewinglift/mesh/completion_time_choice.py
@@ -11,7 +11,7 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from random import Random
 
 from attrs import define, field
@@ -56,6 +56,13 @@
 TRY_AFTER_MAX_S = 0.7
 # Additional time for a request that cannot be repeated; one that can goes first.
 TRY_UNREPEATABLE_AFTER_S = 0.1
+# Additional time for a target in another data centre, whose own instances go first. The
+# loads that show it are up to 1 s old, but the evidence of their tries is not.
+TRY_REMOTE_AFTER_S = 0.4
+# Reports of this many others that a service fails, within this time, count as much as
+# own failures: an instance alone notices them only after a second or two.
+PEERS_FAILING_MIN = 2
+PEER_FAILING_S = 1.5
 # Several targets count as held off at once from this number and this share on.
 HELD_OFF_MIN = 2
 HELD_OFF_SHARE = 0.1
@@ -81,6 +88,10 @@
 
     speeds: TargetSpeeds = field(factory=TargetSpeeds)
     failures: dict[str, ServiceFailures] = field(factory=dict)
+    failing: set[str] = field(factory=set)
+    """Services whose targets in use fail requests of this instance."""
+    peer_failing: dict[str, dict[str, float]] = field(factory=dict)
+    """Time of the last report of each other instance, by service."""
     basis: str = "-"
     """Reason for the last choice."""
     _try_random: Random = field(factory=Random)
@@ -230,16 +241,19 @@
         service = candidates[0].state.registered.service
         held_off = sum(not each.eligible for each in candidates)
         several = held_off >= max(HELD_OFF_MIN, HELD_OFF_SHARE * len(candidates))
-        if not self._is_failing(service, several, now_s):
+        own = self._is_failing(service, several, now_s)
+        if not (own or self._fails_elsewhere(service, now_s)):
             return None
         due = [
             each
             for each in candidates
-            if now_s >= self._try_at_s(each.state, repeatable)
+            # Instances of its data centre use a target that nothing speaks against.
+            if (each.state.near or not each.eligible)
+            and now_s >= self._try_at_s(each.state, repeatable)
         ]
         if not due or self._try_random.random() >= TRY_SHARE:
             return None
-        self.basis = "retried"
+        self.basis = "tried"
         # At random, since other instances choose among the same targets now.
         return self._try_random.choice(due)
 
@@ -249,7 +263,8 @@
             after_s = self._try_random.uniform(TRY_AFTER_MIN_S, TRY_AFTER_MAX_S)
             state.try_at_s = last_s + after_s
             state.try_drawn_for_s = last_s
-        return state.try_at_s + (0.0 if repeatable else TRY_UNREPEATABLE_AFTER_S)
+        later_s = 0.0 if repeatable else TRY_UNREPEATABLE_AFTER_S
+        return state.try_at_s + later_s + (0.0 if state.near else TRY_REMOTE_AFTER_S)
 
     def _is_failing(self, service: str, several_held_off: bool, now_s: float) -> bool:
         failures = self.failures.get(service)
@@ -278,6 +293,36 @@
         )
         return ranked[: (len(ranked) + 1) // 2]
 
+    def failing_services(self, now_s: float) -> set[str]:
+        """Return the services whose targets in use fail requests of this instance."""
+        return {
+            service
+            for service in self.failing
+            if self.failures[service].is_failing(now_s, several_held_off=True)
+        }
+
+    def record_peer_failing(
+        self, instance: str, services: Iterable[str], now_s: float
+    ) -> None:
+        """Record the services whose targets in use fail requests of another."""
+        for service in services:
+            self._recent_reports(service, now_s)[instance] = now_s
+
+    def _fails_elsewhere(self, service: str, now_s: float) -> bool:
+        """Return whether several others report that a service fails."""
+        if service not in self.peer_failing:
+            return False
+        return len(self._recent_reports(service, now_s)) >= PEERS_FAILING_MIN
+
+    def _recent_reports(self, service: str, now_s: float) -> dict[str, float]:
+        reports = self.peer_failing.get(service, {})
+        self.peer_failing[service] = reports = {
+            instance: at_s
+            for instance, at_s in reports.items()
+            if now_s - at_s <= PEER_FAILING_S
+        }
+        return reports
+
     # ---- outcomes ----
 
     def record_no_target(self, service: str, now_s: float) -> None:
--- a/src/lacewinglift/mesh/heartbeat_records.py
+++ b/src/lacewinglift/mesh/heartbeat_records.py
@@ -185,6 +185,8 @@
         or heartbeat.registry_digest != known.registry_digest
         or heartbeat.store_era != known.store_era
         or heartbeat.observer != known.observer
+        or heartbeat.evacuation_digest != known.evacuation_digest
+        or heartbeat.failing_services != known.failing_services
         or any(each.number > record.last_number for each in heartbeat.evidence)
         or {each.instance for each in heartbeat.lost}
         > {each.instance for each in record.lost}
@@ -302,5 +304,9 @@
         history_ms=source.history_ms,
         interval_ms=source.interval_ms,
         relays_to=source.relays_to,
+        failing_services=source.failing_services,
+        evacuation_digest=source.evacuation_digest,
+        evacuation_revision=source.evacuation_revision,
+        evacuation_era=source.evacuation_era,
         held_ms=min(source.held_ms + held_ms, MAX_UINT32),
     )
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -13,6 +13,7 @@
 from lacewinglift.forwarder import Forwarder
 from lacewinglift.frontend import Frontend
 from lacewinglift.generated import beats_pb2
+from lacewinglift.held_bytes import HeldBytes
 from lacewinglift.kv import STORE_DRIVERS
 from lacewinglift.logs import LEFT_OUT_REPORT_INTERVAL_S, log_info, report_left_out
 from lacewinglift.mesh.allowed_regions import report_unknown_regions
@@ -223,6 +224,7 @@
             self.timers,
         )
         self.directory.by_capacity = self._balances_load
+        self.held_bytes = HeldBytes(settings.max_held_bytes)
         collector = MeshCollector(
             self.timers,
             self.members,
@@ -237,6 +239,7 @@
             self.traffic,
             self.configuration_lag,
             self.overload,
+            self.held_bytes,
         )
         self.metrics.registry.register(collector)
         self.frontend = Frontend(settings, self._build_request_components(dialect))
@@ -309,6 +312,8 @@
             pacer=ResponsePacer(self.timers, settings.link_bytes_per_s),
             overload=self.overload,
         )
+        forwarder.held_bytes = self.held_bytes
+        forwarder.reads_ahead = self._balances_load
         self.targets.choice.has_connection = forwarder.pools.has_idle
         forwarder.no_target_wait_s = self.targets.wait_s
         forwarder.targets_outside = self.targets.outside
@@ -625,6 +630,7 @@
             active=is_active,
             history_ms=self.history.own_ms(),
             relays_to=self.relaying.relays_to,
+            failing_services=sorted(self.targets.failing_services()),
         )
         interval_s = self._heartbeat_interval_s()
         if interval_s > HEARTBEAT_INTERVAL_S:
--- a/src/lacewinglift/mesh/settings.py
+++ b/src/lacewinglift/mesh/settings.py
@@ -4,6 +4,7 @@
 
 from attrs import field, frozen
 
+from lacewinglift.held_bytes import MAX_HELD_PER_INSTANCE
 from lacewinglift.mesh.retry_budgets import RetryLimits
 
 ADDRESS_LIFETIME_S = 3.0
@@ -54,6 +55,8 @@
     """Size of the fleet from which on heartbeats go between data centres through
     relays; 0 turns relays off."""
     worker_threads: int = 96
+    max_held_bytes: int = MAX_HELD_PER_INSTANCE
+    """Bound of the bytes of responses that targets have sent and callers not read."""
     max_address_lifetime_s: float = ADDRESS_LIFETIME_S
     """Longest time for which callers may use resolved addresses."""
     leave_duration_s: float = 2.8
