Bound what a new instance admits before it hears the fleet

Cause: each process of a fleet that restarts as a whole knows the seeds alone, takes the fleet for four instances, and lends each workspace a quarter of a second of its rate at once. The debt of the buckets ends with the old processes. A new one now grants one token until it hears another, then the square of the fraction that it hears, with no borrowing, and charges a quarter of a second of the rates once if most of what it hears is new.

--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -25,6 +25,9 @@
 MIN_BURST_S = 0.25
 # Maximum debt of a bucket, in seconds of its rate.
 MAX_DEBT_S = 5.0
+# Fraction of the fleet that a new process hears before it judges that most of it is
+# new as well.
+RESTART_HEARD_FRACTION = 0.5
 
 
 @define(eq=False)
@@ -49,7 +52,7 @@
             "heard_part": fraction,
         }
 
-    def charge(self, tokens: int) -> None:
+    def charge(self, tokens: float) -> None:
         self.level = max(self.level - tokens, -MAX_DEBT_S * self.rate_per_s)
 
 
@@ -80,6 +83,7 @@
         self.history = history
         self.buckets: dict[str, _Bucket] = {}
         self.peer_counters = PeerCounters()
+        self.charged_lost_debts = False
         self._lock = threading.Lock()
 
     def apply(self, configuration: Configuration) -> None:
@@ -102,21 +106,61 @@
             bucket = self.buckets.get(workspace.name)
             if bucket is None:
                 return Decision(True)
-            bucket.refill(self.timers.now(), fraction)
+            bucket.refill(self.timers.now(), self._grantable_fraction())
             wait_s = max(1.0 - bucket.level, 0.0) / (bucket.rate_per_s * fraction)
             log_fields = bucket.log_fields(fraction)
-            if wait_s > MAX_TOKEN_WAIT_S:
-                later_s = wait_s - MAX_TOKEN_WAIT_S / 2
+            max_wait_s = self._max_wait_s()
+            if wait_s > max_wait_s:
+                later_s = max(wait_s - MAX_TOKEN_WAIT_S / 2, MAX_TOKEN_WAIT_S / 2)
                 return Decision(False, OVER_LIMIT, later_s, log_fields=log_fields)
             bucket.level -= 1.0
             bucket.admitted += 1
             bucket.last_admitted_at_s = bucket.refilled_at_s
             return Decision(True, wait_s=wait_s, log_fields=log_fields)
 
+    def _max_wait_s(self) -> float:
+        """Return how long a request may wait for a token now."""
+        if self.history is None or self.history.has_heard_all():
+            return MAX_TOKEN_WAIT_S
+        return 0.0
+
+    def _grantable_fraction(self, known_fraction: float | None = None) -> float:
+        """Return the fraction of the rates that this instance grants now.
+
+        After its start it grants nothing until it hears another instance. While it has
+        heard only some of the fleet, so have the others, if they started too: only the
+        pairs that hear each other know each other's use.
+        """
+        fraction = self.reachable_fraction()
+        if self.history is None or self.history.has_heard_all():
+            return fraction if known_fraction is None else known_fraction
+        # The fraction is 1 also for an instance that knows no address of another one.
+        if fraction < 1.0 and not self.history.has_heard_any():
+            return 0.0
+        return fraction**2
+
+    def _charge_lost_debts(self) -> None:
+        """Charge what the buckets may have owed when most of the fleet restarted.
+
+        A bucket in use owes about as much as the instances admit between heartbeats,
+        and processes that all start at once have nobody to take its level from.
+        """
+        if self.charged_lost_debts or self.history is None:
+            return
+        if (
+            self.reachable_fraction() < RESTART_HEARD_FRACTION
+            or not self.history.is_mostly_new()
+        ):
+            return
+        self.charged_lost_debts = True
+        for bucket in self.buckets.values():
+            bucket.charge(max(MIN_BURST_S * bucket.rate_per_s, 1.0))
+
     def record_peer_usage(self, heartbeat: beats_pb2.Beat) -> None:
         """Charge the requests that another instance has admitted."""
         own_history_s = 0.0 if self.history is None else self.history.own_s()
         with self._lock:
+            self._charge_lost_debts()
             adopts_levels = self._adopts_levels(heartbeat)
             counts = self.peer_counters.counts_of(heartbeat, own_history_s)
             for usage in heartbeat.usages:
@@ -127,7 +171,7 @@
                 if adopts_levels and usage.HasField("tokens"):
                     bucket.level = min(usage.tokens, bucket.burst)
                 elif increase:
-                    bucket.refill(self.timers.now(), 1.0)
+                    bucket.refill(self.timers.now(), self._grantable_fraction(1.0))
                     bucket.charge(increase)
 
     def _initial_burst(self, workspace: Workspace) -> float:
@@ -145,7 +189,7 @@
 
     def levels(self) -> dict[str, float]:
         """Return the tokens in the bucket of each workspace."""
-        fraction = self.reachable_fraction()
+        fraction = self._grantable_fraction()
         with self._lock:
             self._refill_all(fraction)
             return {name: bucket.level for name, bucket in self.buckets.items()}
@@ -175,7 +219,7 @@
         """
         with_levels = full if with_levels is None else with_levels
         since_s = self.timers.now() - repeat_s
-        fraction = self.reachable_fraction()
+        fraction = self._grantable_fraction()
         with self._lock:
             if with_levels:
                 self._refill_all(fraction)
--- a/testing/mesh/test_fleet_history.py
+++ b/testing/mesh/test_fleet_history.py
@@ -56,3 +56,21 @@
     history = FleetHistory(timers, members, first_start=True)
     assert_that(history.fleet_s(), GreaterThan(1e6))
     assert_that(history.own_ms(), Equals(2**32 - 1))
+
+
+@pytest.mark.parametrize(
+    ("histories_ms", "expected"),
+    [
+        ([200, 300, 400], True),
+        ([200], False),
+        ([200, 300, 60_000, 60_000], False),
+        ([0, 0, 0], False),
+    ],
+)
+def test_restart_of_the_fleet_shows_in_its_histories(
+    timers, members, histories_ms, expected
+):
+    """Guards against a debt charged when only some restart, or by older builds."""
+    history = FleetHistory(timers, members, first_start=False)
+    hear(members, histories_ms)
+    assert_that(history.is_mostly_new(), Equals(expected))
--- a/testing/mesh/test_fleet_limits.py
+++ b/testing/mesh/test_fleet_limits.py
@@ -216,3 +216,21 @@
     heartbeat.usages.add(workspace="house", admitted=500)
     restarted.record_peer_usage(heartbeat)
     assert_that(restarted.levels()["house"], Equals(before))
+
+
+def test_new_process_grants_one_token_until_it_hears_another(timers):
+    """Guards against a fleet that restarts and admits a rate at each instance.
+
+    An instance that knows of no other one grants the whole rate.
+    """
+    history = FleetHistory(timers, MemberTable("self", timers), first_start=False)
+    admitted = {}
+    for fraction in (0.25, 1.0):
+        quota = FleetQuota(timers, lambda fraction=fraction: fraction, history)
+        quota.apply(make_configuration())
+        admitted[fraction] = 0
+        for _ in range(10):
+            timers.advance(0.05)
+            admitted[fraction] += quota.admit(HOUSE).admitted
+    assert_that(admitted[0.25], Equals(1))
+    assert_that(admitted[1.0], GreaterThan(3))
