Ask a second target when the first one is late (hedged requests)

Cause: a request to a target that is slow for a moment waits for it up to its deadline. Off unless hedge_limit_percent is given.

--- a/src/lacewinglift/attempt_calls.py
+++ b/src/lacewinglift/attempt_calls.py
@@ -96,6 +96,8 @@
         self.started_s = self.timers.now()
         self.finished = False
         self.released = False
+        self.attached = True
+        """Whether the exchange may use the connection of this attempt."""
         self.pool: TargetPool
         self.connection: TargetConnection
         self.pool, self.connection = forwarder.pools.checkout(attempt.target.address)
@@ -142,13 +144,22 @@
         if self.released:
             return
         self.released = True
-        self.exchange.detach()
+        self._detach()
         self.connection.close()
 
+    def park(self) -> None:
+        """Leave the exchange to another attempt of the same request."""
+        self._detach()
+
+    def _detach(self) -> None:
+        if self.attached:
+            self.attached = False
+            self.exchange.detach()
+
     def release(self, raw: TargetResponse, upload_finished: bool) -> None:
         """Return the connection to its pool, or close it if it cannot be reused."""
         self.released = True
-        self.exchange.detach()
+        self._detach()
         raw.close()
         if raw.reusable and upload_finished and self.connection.sock is not None:
             self.pool.checkin(self.connection)
--- a/src/lacewinglift/attempt_loop.py
+++ b/src/lacewinglift/attempt_loop.py
@@ -1,9 +1,11 @@
 """Sends one request to one target after another, until one of them serves it."""
 
 import http.client
+import math
 from collections.abc import Callable, Iterator
+from functools import partial
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from urllib3 import HTTPHeaderDict
 from urllib3.exceptions import HTTPError
@@ -25,6 +27,7 @@
 from lacewinglift.forward_requests import ExchangeCancelledError, ForwardRequest
 from lacewinglift.forwarded_response import ForwardedResponse, TruncatedResponseError
 from lacewinglift.headers import BadRequestError
+from lacewinglift.hedging.race import HedgeRace
 from lacewinglift.logs import log_info, log_warning
 from lacewinglift.outcomes import Outcome, OutcomeKind
 from lacewinglift.pools import TargetConnection, TargetResponse
@@ -35,10 +38,14 @@
 if TYPE_CHECKING:
     from lacewinglift.forwarder import Forwarder
 
+Result = TypeVar("Result")
+
 WRONG_TARGET_STATUS = 421  # Misdirected Request
 # Retry-After of the refusal when no target is usable. If all targets are at their
 # limits, some of their requests will have ended by then.
 NO_TARGET_RETRY_AFTER_S = 0.5
+# The response of the first target is not read while a connection for a hedge is opened.
+HEDGE_CONNECT_TIMEOUT_S = 0.1
 
 
 class AttemptLoop:
@@ -73,14 +80,38 @@
         self.budget = forwarder.retry_budget(service.name)
         self.retry_reserved = False
         """Whether the budget has granted the retry after an abandoned attempt."""
+        self.target_selector = forwarder.target_selector
+        self.logged_id = request.logged_id
+        self.race: HedgeRace | None = None
+        if forwarder.hedger is not None and forwarder.hedger.enabled:
+            self.race = HedgeRace(forwarder.hedger, self, service.name)
 
     def run(self) -> ForwardedResponse:
         """Return the response, or raise RefusalError or ExchangeCancelledError."""
+        if self.race is None:
+            return self._run()
+        self.forwarder.hedger.record_request(self.service.name)
+        answered = cancelled = False
+        try:
+            response = self._run()
+            answered = True
+        except ExchangeCancelledError:
+            cancelled = True
+            raise
+        finally:
+            self.race.finish(answered, cancelled)
+        response.hedge = self.race.result
+        return response
+
+    def _run(self) -> ForwardedResponse:
         budget = self.budget
         budget.record_request()
         while True:
             attempt = self._next_attempt()
-            response, failure = self._try_target(attempt)
+            response, failure = self._try_target(partial(self._call_target, attempt))
+            while failure is not None and self._take_other(failure, response):
+                response, failure = self._try_target(self._resume_call)
+            attempt = self.call.attempt
             if failure is None:
                 return response
             self._record_failure(failure)
@@ -116,11 +147,11 @@
         return attempt
 
     def _try_target(
-        self, attempt: Attempt
+        self, call_target: Callable[[], ForwardedResponse]
     ) -> tuple[ForwardedResponse | None, AttemptFailedError | None]:
         """Return the response of a target, and the failure that calls for a retry."""
         try:
-            response = self._call_target(attempt)
+            response = call_target()
             failure = self._response_failure(response)
         except AttemptFailedError as error:
             return None, error
@@ -250,14 +281,25 @@
         return refuse(code, message, failure.verdict, failure.retry_after_s)
 
     def _call_target(self, attempt: Attempt) -> ForwardedResponse:
+        self._open_call(attempt)
+
+        def send_and_receive() -> ForwardedResponse:
+            self._connect()
+            return self._send_and_receive()
+
+        return self._finish_on_failure(send_and_receive)
+
+    def _open_call(self, attempt: Attempt) -> None:
         try:
             self.call = AttemptCall(self.forwarder, attempt, self.service, self.request)
         except Exception:
             attempt.finish(Outcome(OutcomeKind.CONNECT_FAILED, 0.0))
             raise
+
+    def _finish_on_failure(self, step: Callable[[], Result]) -> Result:
+        """Do a part of an attempt; record the attempt's end if it fails."""
         try:
-            self._connect()
-            return self._send_and_receive()
+            return step()
         except AttemptFailedError as failure:
             self._end_attempt(self._reported_kind(failure.kind))
             if failure.verdict is Verdict.MAY_HAVE_RUN:
@@ -271,6 +313,69 @@
             self._end_attempt(OutcomeKind.CANCELLED)
             raise
 
+    # ---- hedges ----
+
+    def may_hedge(self) -> bool:
+        """Return whether the request may be sent to one more target meanwhile."""
+        body = self.request.body
+        return (
+            self.request.idempotent is True
+            and body.finished
+            and (not body.started or body.replayable)
+            and self._has_further_attempt()
+            and self.exchange.cancel_reason is None
+        )
+
+    def remaining_s(self) -> float:
+        """Return the time until the deadline."""
+        return self._remaining_s()
+
+    def open_call(self, attempt: Attempt) -> AttemptCall:
+        """Send the request to a second target; raises AttemptFailedError."""
+        self._open_call(attempt)
+        # The exchange keeps the connection to the first target, which ends when the
+        # exchange is cancelled; the second one is closed then.
+        self.call.attached = False
+
+        def send() -> AttemptCall:
+            self._open_connection(HEDGE_CONNECT_TIMEOUT_S)
+            try:
+                self._send(self.call.connection)
+            except EarlyResponseError as error:
+                message = "the target responded to a hedge before it was sent"
+                raise self._make_failure(OutcomeKind.CANCELLED, message) from error
+            except (HTTPError, http.client.HTTPException, OSError) as error:
+                raise self._connection_error(error) from error
+            return self.call
+
+        return self._finish_on_failure(send)
+
+    def _take_other(
+        self, failure: AttemptFailedError, response: ForwardedResponse | None
+    ) -> bool:
+        """Go on with the other target of a hedge; return whether there is one."""
+        failed_target = self.call.target_name
+        if self.race is None or self.race.other is None:
+            return False
+        self._record_failure(failure)
+        self._log_failure(failed_target, failure, "other_target", self.budget)
+        if response is not None:
+            response.close()
+        return self.race.take_other()
+
+    def _resume_call(self) -> ForwardedResponse:
+        """Receive the response of a target that the request was sent to before."""
+        return self._finish_on_failure(self._receive)
+
+    def _attach(self) -> None:
+        """Let the exchange use the connection of the current attempt."""
+        if self.call.attached:
+            return
+        self.call.attached = True
+        self._set_exchange_deadline(streaming=False)
+        if not self.exchange.attach(self.call.connection.sock):
+            raise self._connection_error(None)
+
     def _reported_kind(self, kind: OutcomeKind) -> OutcomeKind:
         """Return the outcome to record; CANCELLED if it is no evidence of a fault."""
         if self.exchange.abandoned:
@@ -295,24 +400,29 @@
         return Verdict.NOT_RUN
 
     def _connect(self) -> None:
+        self._open_connection()
+        if not self.exchange.attach(self.call.connection.sock):
+            raise self._connection_error(None)
+        if self._has_further_attempt():
+            # The request is retried as soon as its target is ejected; it need not wait
+            # for a target that is known to be faulty.
+            self.call.attempt.on_ejected = self._make_ejection_callback()
+
+    def _open_connection(self, max_timeout_s: float = math.inf) -> None:
         connection = self.call.connection
         remaining_s = max(self._remaining_s(), 0.001)
         if self.forwarder.on_connection is not None:
             opened = connection.sock is None
             self.forwarder.on_connection(self.service.name, opened)
         if connection.sock is None:
-            connection.timeout = min(self.service.connect_timeout_s, remaining_s)
+            connection.timeout = min(
+                self.service.connect_timeout_s, remaining_s, max_timeout_s
+            )
             try:
                 connection.connect()
             except (HTTPError, OSError) as error:
                 message = "the connection to a target failed"
                 raise self._make_failure(OutcomeKind.CONNECT_FAILED, message) from error
-        if not self.exchange.attach(connection.sock):
-            raise self._connection_error(None)
-        if self._has_further_attempt():
-            # The request is retried as soon as its target is ejected; it need not wait
-            # for a target that is known to be faulty.
-            self.call.attempt.on_ejected = self._make_ejection_callback()
 
     def _make_ejection_callback(self) -> Callable[[], None]:
         """Return a function that abandons the attempt if the request can be retried."""
@@ -330,7 +440,6 @@
 
     def _send_and_receive(self) -> ForwardedResponse:
         connection = self.call.connection
-        sock = connection.sock
         body = self.request.body
         self._set_exchange_deadline(streaming=not body.finished)
         upload_finished = True
@@ -350,6 +459,16 @@
         if self.exchange.cancel_reason is not None:
             raise self._connection_error(None)
         self._set_exchange_deadline(streaming=False)
+        if self.race is not None and upload_finished:
+            self.race.await_response()
+        return self._receive(upload_finished)
+
+    def _receive(self, upload_finished: bool = True) -> ForwardedResponse:
+        self._attach()
+        body = self.request.body
+        connection = self.call.connection
+        # The response takes over a connection that ends with it.
+        sock = connection.sock
         response, raw = self._read_head(connection)
         latency_s = self.call.elapsed_s()
         if not self.exchange.mark_response_started():
@@ -357,6 +476,7 @@
         self._record_statements(response)
         self._raise_if_not_run(response)
         self.call.attempt.mark_response_started(latency_s)
+        self._record_latency(response, latency_s)
         if not self.request.idempotent:
             self.exchange.deadline_s = self._body_deadline_s()
         if self.exchange.cancel_reason is not None:
@@ -366,6 +486,11 @@
             body.discard_replay_buffer()
         return ForwardedResponse(self.call, response, raw, latency_s, upload_finished)
 
+    def _record_latency(self, response: HTTPResponse, latency_s: float) -> None:
+        """Record the latency of an attempt that another one could be hedged by."""
+        if self.race is not None and self.request.idempotent and response.status < 500:
+            self.race.hedger.record_latency(self.service.name, latency_s)
+
     def _body_deadline_s(self) -> float | None:
         return self.deadline_s if self.request.deadline_covers_body else None
 
--- a/src/lacewinglift/explaining/causes.py
+++ b/src/lacewinglift/explaining/causes.py
@@ -180,7 +180,8 @@
     if ended is None:
         return None
     text = f"{ended.fields.get('target')} answered {ended.fields.get('status')}"
-    return Cause("served", f"{text} after {ended.number('after_s'):.2f} s")
+    text += f" after {ended.number('after_s'):.2f} s"
+    return Cause("served", text + _describe_hedge(timeline))
 
 
 @rule
@@ -204,7 +205,25 @@
     "retry_budget": "the fleet's retry budget was used up",
     "time": "its deadline had passed",
     "no_target": "no other target was available",
+    "other_target": "a second target was already asked",
 }
+_HEDGE_RESULTS = {
+    "won": "the hedge at {target} answered",
+    "lost": "the first attempt answered, before the hedge at {target}",
+    "failed": "the hedge at {target} failed",
+}
+
+
+def _describe_hedge(timeline: RequestTimeline) -> str:
+    """Tell which attempt answered a request that was sent to a second target."""
+    hedge = timeline.last_line("hedge_ended")
+    sent = timeline.last_line("hedge_sent")
+    if hedge is None or sent is None:
+        return ""
+    template = _HEDGE_RESULTS.get(hedge.fields.get("result", ""), "")
+    text = template.format(target=sent.fields.get("target", "?"))
+    first = sent.fields.get("first", "?")
+    return f"; {first} was late after {sent.number('after_s'):.2f} s: {text}"
 
 
 def _refusal_with_code(timeline: RequestTimeline, code: str) -> LogLine | None:
--- a/src/lacewinglift/forwarded_response.py
+++ b/src/lacewinglift/forwarded_response.py
@@ -83,6 +83,8 @@
         self.upload_finished = upload_finished
         self.target_name = call.target_name
         self.attempts = 1
+        self.hedge: str | None = None
+        """What became of the hedge of the request; None if there was none."""
         self._call = call
         self._response = response
         self._raw = raw
--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -10,6 +10,7 @@
 from lacewinglift.dialects import DEFAULT_DIALECT, Dialect
 from lacewinglift.forward_requests import ForwardRequest
 from lacewinglift.forwarded_response import ForwardedResponse
+from lacewinglift.hedging.hedger import Hedger
 from lacewinglift.outcomes import OutcomeKind
 from lacewinglift.pools import TargetPools
 from lacewinglift.response_pacing import ResponsePacer
@@ -39,6 +40,8 @@
         that counts the requests of this instance alone.
     pacer : ResponsePacer, default=None
         Limits the rate of long responses; no limit by default.
+    hedger : Hedger, default=None
+        Decides on hedged requests; there are none by default.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         dialect: Dialect = DEFAULT_DIALECT,
         make_retry_budget: Callable[[str], RetryBudgetProtocol] | None = None,
         pacer: ResponsePacer | None = None,
+        hedger: Hedger | None = None,
     ) -> None:
         self.target_selector = target_selector
         self.timers = timers
@@ -61,6 +65,7 @@
         self.make_retry_budget = make_retry_budget or (
             lambda service: RetryBudget(timers)
         )
+        self.hedger = hedger
         self.pacer = pacer or ResponsePacer(timers)
         self.pools = TargetPools(timers)
         self.retry_budgets: dict[str, RetryBudgetProtocol] = {}
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -13,6 +13,7 @@
 from lacewinglift.forwarder import Forwarder
 from lacewinglift.frontend import Frontend
 from lacewinglift.generated import beats_pb2
+from lacewinglift.hedging.hedger import Hedger
 from lacewinglift.kv import STORE_DRIVERS
 from lacewinglift.logs import LEFT_OUT_REPORT_INTERVAL_S, log_info, report_left_out
 from lacewinglift.mesh.configuration_holder import ConfigurationHolder
@@ -31,6 +32,7 @@
     OutgoingHeartbeat,
     Recipients,
 )
+from lacewinglift.mesh.hedge_capacity import crowded_targets
 from lacewinglift.mesh.members import MemberTable, PeerAddresses
 from lacewinglift.mesh.observer_election import (
     OBSERVER_HEARTBEAT_INTERVAL_S,
@@ -149,6 +151,11 @@
             self.reachable_fraction,
             self.history,
         )
+        self.hedger = Hedger(
+            self.timers,
+            settings.hedge_limit_percent,
+            lambda service, avoided: crowded_targets(self.targets, service, avoided),
+        )
         self.rate_shares = RateShares(
             self.timers,
             settings.instance,
@@ -210,6 +217,7 @@
             self.snapshots,
             self.traffic,
             self.configuration_lag,
+            self.hedger,
         )
         self.metrics.registry.register(collector)
         self.frontend = Frontend(settings, self._build_request_components(dialect))
@@ -260,6 +268,7 @@
             dialect=dialect,
             make_retry_budget=self.retry_budgets.budget_for,
             pacer=ResponsePacer(self.timers, settings.link_bytes_per_s),
+            hedger=self.hedger,
         )
         self.targets.choice.has_connection = forwarder.pools.has_idle
         return RequestComponents(
@@ -545,6 +554,7 @@
         heartbeat.usages.extend(self.quota.usages(full=True, with_levels=with_levels))
         heartbeat.resends.extend(self.retry_budgets.resend_counts(full=True))
         heartbeat.rate_limits.extend(self.targets.rate_limits(full=True))
+        heartbeat.latencies.extend(self.hedger.reports())
         settings = self.settings
         heartbeat.description.data_centre = settings.data_centre
         heartbeat.description.caller_address = settings.caller_address
@@ -597,6 +607,7 @@
             heartbeat, member.last_evidence_number
         )
         self.targets.record_peer_rate_limits(heartbeat)
+        self.hedger.record_peer_reports(heartbeat)
         self.configuration_lag.record(heartbeat.configuration_version)
         self.snapshot_fetcher.process_heartbeat(heartbeat)
 
--- a/src/lacewinglift/mesh/settings.py
+++ b/src/lacewinglift/mesh/settings.py
@@ -44,6 +44,8 @@
     """Whether the whole fleet starts for the first time, without callers yet."""
     link_bytes_per_s: float | None = None
     """Speed of the link of the instance; None if it is not known."""
+    hedge_limit_percent: float | None = None
+    """Hedges of a service in per cent of its requests; None turns hedging off."""
     worker_threads: int = 96
     max_address_lifetime_s: float = ADDRESS_LIFETIME_S
     """Longest time for which callers may use resolved addresses."""
--- a/src/lacewinglift/mesh/telemetry.py
+++ b/src/lacewinglift/mesh/telemetry.py
@@ -14,6 +14,7 @@
 from prometheus_client.registry import Collector
 
 from lacewinglift.errors import LacewingliftError
+from lacewinglift.hedging.hedger import Hedger
 from lacewinglift.kv import KeyValueStore, Listing, WatchResult
 from lacewinglift.mesh.configuration_holder import ConfigurationHolder
 from lacewinglift.mesh.configuration_lag import ConfigurationLag
@@ -103,6 +104,7 @@
     snapshots: SnapshotExchange
     traffic: MeshTraffic
     configuration_lag: ConfigurationLag
+    hedger: Hedger | None = None
 
     def describe(self) -> Iterable[Metric]:
         """Return nothing: metric names are known only once they are collected."""
@@ -123,6 +125,18 @@
         yield self._fetch_times()
         yield self._configuration_lag()
         yield self._timer_delays()
+        if self.hedger is not None:
+            yield self._hedges(self.hedger)
+
+    def _hedges(self, hedger: Hedger) -> Metric:
+        hedges = CounterMetricFamily(
+            "lacewinglift_hedges",
+            "Hedges of each service: sent, how they ended, and why some were withheld.",
+            labels=["service", "result"],
+        )
+        for (service, result), count in sorted(hedger.counts.copy().items()):
+            hedges.add_metric([service, result], count)
+        return hedges
 
     def _ages(self) -> Metric:
         ages = GaugeMetricFamily(
--- a/src/lacewinglift/request_handler.py
+++ b/src/lacewinglift/request_handler.py
@@ -461,6 +461,7 @@
             target=response.target_name,
             status=response.status,
             attempts=response.attempts,
+            hedge=response.hedge or "-",
             after_s=self._elapsed_s(),
             bytes=response.body_bytes,
         )
--- a/testing/standins/proxy_harness.py
+++ b/testing/standins/proxy_harness.py
@@ -123,6 +123,7 @@
         (
             Route("/cassa", "cassa"),
             Route("/open", "cassa", open=True),
+            Route("/read", "cassa", idempotent=True),
             Route("/vip", "cassa", workspaces=("vip",)),
         ),
         {
@@ -164,6 +165,7 @@
     worker_threads=8,
     dialect=DEFAULT_DIALECT,
     link_bytes_per_s=None,
+    hedger=None,
     **service_fields,
 ):
     """Run a proxy in front of `targets` (address strings)."""
@@ -189,6 +191,7 @@
             metrics.record_retry,
             dialect=dialect,
             pacer=ResponsePacer(timers, link_bytes_per_s),
+            hedger=hedger,
         ),
         AddressBook("milano", lambda: members),
         Shutdown(timers, lambda: 0.3, leaving_announced.set, 10.0),
--- a/testing/test_explaining.py
+++ b/testing/test_explaining.py
@@ -203,6 +203,19 @@
     assert offsets["b"] == pytest.approx(41.0, abs=0.01)
 
 
+def test_attempt_that_answered_a_hedged_request_is_named():
+    """Guards against a hedge that is taken for a retry after a failure."""
+    fields = {"id": "r", "service": "cassa", "target": "t2", "after_s": 0.4}
+    _, cause = explain(
+        admitted(0.0),
+        chosen(0.0),
+        write(0.4, "a", "hedge_sent", first="t1", **fields),
+        write(0.5, "a", "hedge_ended", result="won", **fields),
+        ended(0.5, 200, target="t2"),
+    )
+    assert cause.text.endswith("t1 was late after 0.40 s: the hedge at t2 answered")
+
+
 def test_missing_lines_are_reported():
     """Guards against a timeline that looks complete although its end is missing."""
     timeline, cause = explain(admitted(0), chosen(0), ended(0.2, 200)[:40])
