--- a/testing/test_hedged_requests.py
+++ b/testing/test_hedged_requests.py
@@ -114,6 +114,15 @@
     assert_that(results(hedger), Equals({}))
 
 
+def test_nothing_is_hedged_without_a_limit(run, hedger):
+    """Guards against hedges that no operator has asked for."""
+    hedger.limit_percent = None
+    proxy, (_, second) = run(hang, SOLD, request_timeout_s=0.5)
+    call(proxy, path="/read")
+    assert_that(second.received, Equals([]))
+    assert_that(results(hedger), Equals({}))
+
+
 def test_caller_that_leaves_cancels_both_attempts(run, hedger):
     """Guards against attempts that keep the slots of two targets for nobody."""
     proxy, (first, second) = run(hang, hang)
