Count a hedge that fails before a retry as failed

Cause: a request that a third target answered after its hedge had failed counted the hedge as lost. The attempt's failure now ends the hedge.

--- a/src/lacewinglift/attempt_loop.py
+++ b/src/lacewinglift/attempt_loop.py
@@ -354,9 +354,12 @@
         self, failure: AttemptFailedError, response: ForwardedResponse | None
     ) -> bool:
         """Go on with the other target of a hedge; return whether there is one."""
-        failed_target = self.call.target_name
-        if self.race is None or self.race.other is None:
+        if self.race is None:
             return False
+        self.race.record_failure()
+        if self.race.other is None:
+            return False
+        failed_target = self.call.target_name
         self._record_failure(failure)
         self._log_failure(failed_target, failure, "other_target", self.budget)
         if response is not None:
--- a/src/lacewinglift/hedging/race.py
+++ b/src/lacewinglift/hedging/race.py
@@ -139,12 +139,15 @@
         self.other, self.attempts.call = self.attempts.call, self.other
         self.other.park()
 
+    def record_failure(self) -> None:
+        """Record that the attempt whose response was to be read has failed."""
+        if self.hedge is not None and self.attempts.call is self.hedge:
+            self._end("failed")
+
     def take_other(self) -> bool:
         """Read the other attempt after a failed one; return whether there is one."""
         if self.other is None:
             return False
-        if self.attempts.call is self.hedge:
-            self._end("failed")
         self.attempts.call, self.other = self.other, None
         return True
 
--- a/testing/test_hedged_requests.py
+++ b/testing/test_hedged_requests.py
@@ -114,6 +114,14 @@
     assert_that(results(hedger), Equals({}))
 
 
+def test_retry_after_a_failed_hedge_is_no_hedge(run, hedger):
+    """Guards against counting the answer of a third target for the hedge."""
+    failing = serve_bytes(make_response(500, b"no"))
+    proxy, _ = run(close_after_head, failing, SOLD)
+    assert_that(call(proxy, path="/read"), Contains(b"sold"))
+    assert_that(results(hedger), Equals({"sent": 1, "failed": 1}))
+
+
 def test_nothing_is_hedged_without_a_limit(run, hedger):
     """Guards against hedges that no operator has asked for."""
     hedger.limit_percent = None
