--- a/src/lacewinglift/forwarder.py
+++ b/src/lacewinglift/forwarder.py
@@ -10,6 +10,7 @@
 from lacewinglift.dialects import DEFAULT_DIALECT, Dialect
 from lacewinglift.forward_requests import ForwardRequest
 from lacewinglift.forwarded_response import ForwardedResponse
+from lacewinglift.hedging.hedger import Hedger
 from lacewinglift.held_bytes import HeldBytes
 from lacewinglift.outcomes import OutcomeKind
 from lacewinglift.overload.control import OverloadControl
@@ -43,6 +44,8 @@
         Limits the rate of long responses; no limit by default.
     overload : OverloadControl, default=None
         Holds or refuses requests of services with priorities; none by default.
+    hedger : Hedger, default=None
+        Decides on hedged requests; there are none by default.
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         make_retry_budget: Callable[[str], RetryBudgetProtocol] | None = None,
         pacer: ResponsePacer | None = None,
         overload: OverloadControl | None = None,
+        hedger: Hedger | None = None,
     ) -> None:
         self.target_selector = target_selector
         self.timers = timers
@@ -66,6 +70,7 @@
         self.make_retry_budget = make_retry_budget or (
             lambda service: RetryBudget(timers)
         )
+        self.hedger = hedger
         self.pacer = pacer or ResponsePacer(timers)
         self.overload = overload
         self.held_bytes = HeldBytes()
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -13,6 +13,7 @@
 from lacewinglift.forwarder import Forwarder
 from lacewinglift.frontend import Frontend
 from lacewinglift.generated import beats_pb2
+from lacewinglift.hedging.hedger import Hedger
 from lacewinglift.held_bytes import HeldBytes
 from lacewinglift.kv import STORE_DRIVERS
 from lacewinglift.logs import LEFT_OUT_REPORT_INTERVAL_S, log_info, report_left_out
@@ -36,6 +37,7 @@
     OutgoingHeartbeat,
     Recipients,
 )
+from lacewinglift.mesh.hedge_capacity import crowded_targets
 from lacewinglift.mesh.members import Member, MemberTable, PeerAddresses
 from lacewinglift.mesh.observer_election import (
     OBSERVER_HEARTBEAT_INTERVAL_S,
@@ -169,6 +171,11 @@
             self.history,
         )
         self.overload.fleet.requests_of = self.retry_budgets.recent_requests
+        self.hedger = Hedger(
+            self.timers,
+            settings.hedge_limit_percent,
+            lambda service, avoided: crowded_targets(self.targets, service, avoided),
+        )
         self.rate_shares = RateShares(
             self.timers,
             settings.instance,
@@ -240,6 +247,7 @@
             self.configuration_lag,
             self.overload,
             self.held_bytes,
+            self.hedger,
         )
         self.metrics.registry.register(collector)
         self.frontend = Frontend(settings, self._build_request_components(dialect))
@@ -311,6 +319,7 @@
             make_retry_budget=self.retry_budgets.budget_for,
             pacer=ResponsePacer(self.timers, settings.link_bytes_per_s),
             overload=self.overload,
+            hedger=self.hedger,
         )
         forwarder.held_bytes = self.held_bytes
         forwarder.reads_ahead = self._balances_load
@@ -672,6 +681,7 @@
         heartbeat.resends.extend(self.retry_budgets.resend_counts(full=True))
         heartbeat.rate_limits.extend(self.targets.rate_limits(full=True))
         heartbeat.description.CopyFrom(self._describe())
+        heartbeat.latencies.extend(self.hedger.reports())
         reachable = self.members.reachable()
         self.random.shuffle(reachable)
         heartbeat.peers.extend(
@@ -804,6 +814,7 @@
             heartbeat, member.last_evidence_number
         )
         self.targets.record_peer_rate_limits(heartbeat)
+        self.hedger.record_peer_reports(heartbeat)
         self.configuration_lag.record(heartbeat.configuration_version)
         self.snapshot_fetcher.process_heartbeat(heartbeat)
 
--- a/src/lacewinglift/mesh/settings.py
+++ b/src/lacewinglift/mesh/settings.py
@@ -54,6 +54,8 @@
     relay_min_instances: int = 60
     """Size of the fleet from which on heartbeats go between data centres through
     relays; 0 turns relays off."""
+    hedge_limit_percent: float | None = None
+    """Hedges of a service in per cent of its requests; None turns hedging off."""
     worker_threads: int = 96
     max_held_bytes: int = MAX_HELD_PER_INSTANCE
     """Bound of the bytes of responses that targets have sent and callers not read."""
