Suspect targets that close new connections, and avoid those that shed

A cut of a connection that was opened for its request now counts as a failure of the target, unless more targets cut than respond at the instance. Targets that shed a request are avoided by all instances for 2 s while others have a free slot. Both only with the choice by completion time, which configurations call for that limit cold targets or give routes of one service different priorities.

--- a/src/lacewinglift/attempt_calls.py
+++ b/src/lacewinglift/attempt_calls.py
@@ -142,7 +142,7 @@
             return
         self.finished = True
         latency_s = self.elapsed_s() if latency_s is None else latency_s
-        self.attempt.finish(Outcome(kind, latency_s, response_bytes))
+        self.attempt.finish(Outcome(kind, latency_s, response_bytes, self.reused))
         if self.forwarder.on_attempt is not None:
             self.forwarder.on_attempt(self.service.name, kind, latency_s)
 
--- a/src/lacewinglift/mesh/completion_time_choice.py
+++ b/src/lacewinglift/mesh/completion_time_choice.py
@@ -86,6 +86,8 @@
 class CompletionTimeChoice(TargetChoice):
     """Chooses targets by their expected completion time, near ones first."""
 
+    counts_cuts_as_failures: bool = True
+    shares_shedding: bool = True
     speeds: TargetSpeeds = field(factory=TargetSpeeds)
     failures: dict[str, ServiceFailures] = field(factory=dict)
     failing: set[str] = field(factory=set)
@@ -125,7 +127,12 @@
         if not eligible:
             self.basis = "last_resort"
             return self._first_to_complete(self._oldest_problems(candidates, now_s))
-        return self._choose_eligible(eligible, now_s)
+        return self._choose_eligible(self._prefer_accepting(eligible), now_s)
+
+    def _prefer_accepting(self, eligible: list[Candidate]) -> list[Candidate]:
+        """Return the targets that do not shed requests, while one has a free slot."""
+        accepting = [each for each in eligible if not self.is_shedding(each.state)]
+        return accepting if _with_free_slot(accepting) else eligible
 
     def _choose_eligible(self, eligible: list[Candidate], now_s: float) -> Candidate:
         due = [each for each in eligible if each.state.limit.is_share_unused()]
--- a/src/lacewinglift/mesh/heartbeat_records.py
+++ b/src/lacewinglift/mesh/heartbeat_records.py
@@ -318,5 +318,16 @@
         evacuation_digest=source.evacuation_digest,
         evacuation_revision=source.evacuation_revision,
         evacuation_era=source.evacuation_era,
+        shedding=[_held_report(each, held_ms) for each in source.shedding],
         held_ms=min(source.held_ms + held_ms, MAX_UINT32),
     )
+
+
+def _held_report(
+    report: beats_pb2.SheddingReport, held_ms: int
+) -> beats_pb2.SheddingReport:
+    return beats_pb2.SheddingReport(
+        target=report.target,
+        born_ms=report.born_ms,
+        age_ms=min(report.age_ms + held_ms, MAX_UINT32),
+    )
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -439,9 +439,7 @@
         self.quota.apply(configuration)
         self.targets.cold_targets.apply(configuration.services)
         report_unknown_regions(configuration, self.settings.regions.values())
-        self.targets.use_choice(
-            choice_for(configuration.routes, self.settings.target_choice)
-        )
+        self.targets.use_choice(choice_for(configuration, self.settings.target_choice))
         self.overload.apply(configuration)
         if configuration.idle_timeout_s is not None:
             self.frontend.server.timeout = configuration.idle_timeout_s
@@ -656,6 +654,7 @@
             round_s = self._heartbeat_interval_s() + HEARTBEAT_INTERVAL_S
             repeat_s = max(COUNT_REPEAT_S, round_s)
         heartbeat.evidence.extend(self.targets.evidence())
+        heartbeat.shedding.extend(self.targets.shedding.messages())
         if heartbeat.interval_ms:
             # In a small fleet, all miss an instance at the same time.
             heartbeat.lost.extend(self.members.lost_active())
@@ -855,6 +854,7 @@
         if self.members.reachable():
             self.peer_addresses.expire()
         self.registry.remove_expired()
+        self.targets.shedding.remove_expired()
         if self.registry.ready:
             self.evacuations.report_unknown(self.targets.count_by_data_centre())
         self.configuration_lag.report(
--- a/src/lacewinglift/mesh/route_priorities.py
+++ b/src/lacewinglift/mesh/route_priorities.py
@@ -1,8 +1,8 @@
-"""Services whose routes differ in priority, for which balancing under load is on."""
+"""Configurations that call for balancing under load."""
 
 from collections.abc import Iterable
 
-from lacewinglift.configuration import Route
+from lacewinglift.configuration import Configuration, Route
 from lacewinglift.errors import SettingsError
 from lacewinglift.mesh.choice_registry import (
     COMPLETION_TIME,
@@ -23,19 +23,25 @@
     return frozenset(name for name, known in priorities.items() if len(known) > 1)
 
 
-def choice_for(routes: Iterable[Route], stated: str | None) -> str:
+def choice_for(configuration: Configuration, stated: str | None) -> str:
     """Return the way of choosing targets that a configuration calls for.
 
+    Targets differ in what they bear if routes of different priority share a service,
+    or if a service limits the requests of its cold targets.
+
     Parameters
     ----------
-    routes : iterable of Route
-        Routes of the configuration in force.
+    configuration : Configuration
+        Configuration in force.
     stated : str or None
         Way of choosing that the settings state; it takes precedence.
     """
     if stated is not None:
         return stated
-    return COMPLETION_TIME if services_with_priorities(routes) else LEAST_LOADED
+    limits_cold = any(each.warmup_per_s for each in configuration.services.values())
+    if limits_cold or services_with_priorities(configuration.routes):
+        return COMPLETION_TIME
+    return LEAST_LOADED
 
 
 def check_choice(stated: str | None) -> None:
--- a/src/lacewinglift/mesh/target_choice.py
+++ b/src/lacewinglift/mesh/target_choice.py
@@ -50,6 +50,12 @@
     """Moving average of the response size of each service."""
     chosen_counts: dict[tuple[str, str], int] = field(factory=dict)
     """Number of choices by service and basis, where the choice states one."""
+    counts_cuts_as_failures: bool = False
+    """Whether a target that closes a new connection counts as failing at once."""
+    shares_shedding: bool = False
+    """Whether instances tell each other which targets shed requests."""
+    is_shedding: Callable[[TargetState], bool] = lambda state: False
+    """Returns whether a target has shed a request of any instance recently."""
 
     def choose(
         self, candidates: list[Candidate], repeatable: bool, now_s: float
--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -22,7 +22,9 @@
 from lacewinglift.mesh import completion_time_choice  # noqa: F401  (registers it)
 from lacewinglift.mesh.choice_registry import LEAST_LOADED, TARGET_CHOICES
 from lacewinglift.mesh.cold_targets import ColdTargets, prefer_warm
+from lacewinglift.mesh.cut_evidence import CutEvidence
 from lacewinglift.mesh.registry import RegisteredTarget
+from lacewinglift.mesh.shedding import SheddingReports
 from lacewinglift.mesh.target_choice import (
     PATH_HOLD_OFF_S,
     SUSPECT_HOLD_OFF_S,
@@ -58,6 +60,7 @@
 EVENT_REPEAT_S = 1.5
 
 _TARGET_FAILURE_KINDS = {OutcomeKind.ERROR}
+_RESPONSE_KINDS = {OutcomeKind.SUCCESS, OutcomeKind.ERROR}
 _PATH_FAILURE_KINDS = {OutcomeKind.TIMEOUT, OutcomeKind.CONNECT_FAILED, OutcomeKind.CUT}
 
 
@@ -162,6 +165,8 @@
         self.states: dict[str, TargetState] = {}
         self.by_service: dict[str, list[TargetState]] = {}
         self.events: deque[EvidenceEvent] = deque()
+        self.cut_evidence = CutEvidence()
+        self.shedding = SheddingReports(timers)
         self.event_numbers = itertools.count(1)
         self.lock = threading.RLock()
 
@@ -174,8 +179,13 @@
             has_connection = self.choice.has_connection
             self.choice = TARGET_CHOICES[name](self.random)
             self.choice.has_connection = has_connection
+            self.choice.is_shedding = self._is_shedding
         log_info("target_choice_changed", choice=name)
 
+    def _is_shedding(self, state: TargetState) -> bool:
+        name, born_ms = state.target.name, state.registered.born_ms
+        return self.shedding.is_shedding(name, born_ms)
+
     def apply(self, targets: Iterable[RegisteredTarget]) -> None:
         """Apply the registered targets; known incarnations keep their state."""
         with self.lock:
@@ -438,8 +448,9 @@
     ) -> None:
         now = self.timers.now()
         if outcome.kind is OutcomeKind.SHED:
+            self.cut_evidence.record_response(state.target.name, now)
             self._record_shed(state, now)
-        elif outcome.kind in _TARGET_FAILURE_KINDS:
+        elif self._is_target_failure(state, outcome, now):
             self._log_failure(attempt, state, now)
             self._suspect(state, self.instance, now)
             self._publish_event(state, FAILED, now)
@@ -453,6 +464,20 @@
             self._record_success(attempt, state, now)
         self.choice.record_outcome(state, attempt.begun, outcome, now)
 
+    def _is_target_failure(
+        self, state: TargetState, outcome: Outcome, now_s: float
+    ) -> bool:
+        """Return whether an outcome is a fault of the target and not of the path."""
+        name = state.target.name
+        if outcome.kind in _RESPONSE_KINDS:
+            self.cut_evidence.record_response(name, now_s)
+        if outcome.kind in _TARGET_FAILURE_KINDS:
+            return True
+        if outcome.kind is not OutcomeKind.CUT or outcome.reused_connection:
+            return False
+        by_target = self.cut_evidence.is_fault_of_target(name, now_s)
+        return by_target and self.choice.counts_cuts_as_failures
+
     def _log_failure(
         self, attempt: MeshAttempt, state: TargetState, now_s: float
     ) -> None:
@@ -475,6 +500,10 @@
         )
         state.consecutive_sheds += 1
         state.shed_until_s = now_s + wait_s * self.random.uniform(0.5, 1.5)
+        if self.choice.shares_shedding and self.shedding.record(
+            state.target.name, state.registered.born_ms
+        ):
+            self.on_event()
 
     def _record_success(
         self, attempt: MeshAttempt, state: TargetState, now_s: float
@@ -632,6 +661,7 @@
         """
         now = self.timers.now()
         with self.lock:
+            self.shedding.receive(heartbeat.shedding)
             for evidence in heartbeat.evidence:
                 if evidence.number > last_number:
                     last_number = evidence.number
--- a/src/lacewinglift/outcomes.py
+++ b/src/lacewinglift/outcomes.py
@@ -35,8 +35,11 @@
         Time until the response head arrived, or until the attempt failed.
     response_bytes : int
         Size of the body of a complete response.
+    reused_connection : bool
+        Whether the connection had carried an earlier request.
     """
 
     kind: OutcomeKind
     latency_s: float
     response_bytes: int = 0
+    reused_connection: bool = False
