--- a/testing/test_forwarder.py
+++ b/testing/test_forwarder.py
@@ -9,6 +9,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, EndsWith, Equals, GreaterThan, LessThan, Not
 
+from lacewinglift.access import Access
 from lacewinglift.configuration import DEFAULT_MAX_ATTEMPTS
 from lacewinglift.outcomes import OutcomeKind
 from testing.standins.proxy_harness import (
@@ -103,6 +104,18 @@
         assert_that(proxy.selector.kinds(), Equals([OutcomeKind.CUT] * 2))
 
 
+def test_request_goes_to_no_target_outside_its_regions(monkeypatch):
+    """Guards against a limited request that reaches a target of another region."""
+    monkeypatch.setattr(Access, "allowed_regions", lambda access: frozenset({"south"}))
+    with proxy_with_targets(SOLD, SOLD) as (proxy, first, second):
+        outside = proxy.components.forwarder
+        outside.targets_outside = lambda service, regions: {"t0"}
+        assert_that(call(proxy), Contains(b"sold"))
+        outside.targets_outside = lambda service, regions: {"t0", "t1"}
+        assert_that(refusal(call(proxy)), Equals(("no_target", "not_run")))
+        assert_that((len(first.received), len(second.received)), Equals((0, 1)))
+
+
 COMPLETE_RESPONSES = [
     (b"HTTP/1.1 200 OK\r\n\r\nabc", b"3\r\nabc\r\n0\r\n\r\n"),
     (b"HTTP/1.0 200 OK\r\n\r\n", b"0\r\n\r\n"),
