--- a/testing/adapter/test_codec.py
+++ b/testing/adapter/test_codec.py
@@ -105,6 +105,31 @@
     assert_that(parts, Equals([("a", 90.0), ("b", 10.0)]))
 
 
+@pytest.mark.parametrize("rate_per_s", [4.6, -1, float("nan"), "many", True])
+def test_warmup_of_a_service_is_read(codec, rate_per_s):
+    """Guards against a field read from the wrong name, and a number that limits all."""
+    service = {
+        "resource_kind": "services",
+        "metadata": {"name": "tills"},
+        "specification": {"warmup_s": 3.0, "warmup_per_s": rate_per_s},
+    }
+    route = make_route(allowed_regions=["south"])
+    configuration = codec.read_configuration(make_configuration(service, route))
+    read = configuration.services["tills"]
+    expected = 4.6 if rate_per_s == 4.6 else 0.0
+    assert_that((read.warmup_s, read.warmup_per_s), Equals((3.0, expected)))
+    assert_that(configuration.routes[0].allowed_regions, Equals({"south"}))
+
+
+@pytest.mark.parametrize("regions", ["south", [7]])
+def test_unreadable_regions_are_an_error(codec, regions):
+    """Guards against requests that leave their regions by a mistake in the field."""
+    with pytest.raises(ConfigurationError):
+        codec.read_configuration(
+            make_configuration(make_route(allowed_regions=regions))
+        )
+
+
 def test_workspace_is_found_by_the_digest_of_its_key(codec):
     """Guards against API keys in clear text in memory, dumps or snapshots."""
     configuration = codec.read_configuration(make_configuration(make_route()))
--- a/testing/adapter/test_node_file.py
+++ b/testing/adapter/test_node_file.py
@@ -25,6 +25,7 @@
     "seeds": ["10.2.0.8:8381"],
     "bounds": ["budget_ratio=0.2", "budget_slack=58", "closed=false", "grace_s=6"],
     "platform": {"address": "10.200.1.7:8382"},
+    "zones": {"milano": "south", "torino": 7},
     "unknown": {"new": "field"},
 }
 
@@ -47,6 +48,7 @@
     assert_that(settings.fetch_address, Equals("10.1.0.37:7560"))
     assert_that(settings.seeds, Equals(("10.2.0.8:8381",)))
     assert_that(settings.retry_limits.slack, Equals(58.0))
+    assert_that(settings.regions, Equals({"milano": "south"}))
     assert settings.stop_bound_s < 6
 
 
