--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -119,6 +119,8 @@
         self.incarnation = self.timers.wall_ms()
         self.sequence = 0
         self.full_heartbeats = FullHeartbeatSchedule()
+        self.callers_served = not settings.first_start
+        """Whether the fleet has served callers; at its first start there are none."""
         self.rounds = HeartbeatRounds(settings.heartbeat_address)
         self.is_followed = False
         """Whether all other instances get each periodic heartbeat of this one."""
@@ -394,10 +396,10 @@
         self.heartbeats.send_soon()
 
     def _are_callers_served(self) -> bool:
-        """Return whether the fleet serves callers, as far as this instance knows."""
-        if not self.settings.first_start:
-            return True
-        return self.retry_budgets.request_rate().per_s > 0
+        """Return whether the fleet has served callers, as far as is known here."""
+        if not self.callers_served:
+            self.callers_served = self.retry_budgets.request_rate().per_s > 0
+        return self.callers_served
 
     def _registry_changed(self) -> None:
         self.targets.apply(list(self.registry.targets.values()))
@@ -641,6 +643,8 @@
         if self.members.reachable():
             self.peer_addresses.expire()
         self.registry.remove_expired()
+        # Callers may pause before the next target is seen.
+        self._are_callers_served()
         if self.registry.ready:
             self.evacuations.report_unknown(self.targets.count_by_data_centre())
         self.configuration_lag.report(
