Spread requests over the targets while their slots are in use

Loads in heartbeats are older than a response lasts. The choice prefers targets with a free slot when the sampled ones are full, so all instances chose the same few.

--- a/src/lacewinglift/mesh/target_state.py
+++ b/src/lacewinglift/mesh/target_state.py
@@ -74,6 +74,9 @@
     """Load from which on a target gets no more."""
     eligible_only: bool = False
     """Whether targets that evidence speaks against are left out, except for a trial."""
+    spread: bool = False
+    """Whether a few targets at random are considered, so that instances do not all
+    choose the few that seem to have a free slot."""
 
 
 DEFAULT_LOAD_LIMIT = LoadLimit()
--- a/src/lacewinglift/mesh/target_table.py
+++ b/src/lacewinglift/mesh/target_table.py
@@ -50,6 +50,8 @@
 SHED_BACKOFF_MAX_S = 1.0
 # Longest time for which a target is left alone at its own word.
 MAX_PAUSE_S = 600.0
+# Targets of each distance that are considered for a request while most are full.
+SPREAD_SAMPLE = 2
 # Each event is repeated in heartbeats for this long, since datagrams can be lost.
 EVENT_REPEAT_S = 1.5
 
@@ -218,6 +220,8 @@
             candidates = self._candidates(service_name, exclude, now, limit.max_load)
             if limit.eligible_only:
                 candidates = _without_last_resorts(candidates, repeatable, now)
+            if limit.spread:
+                candidates = _sample_by_distance(candidates, self.random)
             chosen = self.choice.choose(candidates, repeatable, now)
             if chosen is None:
                 return None
@@ -594,3 +598,14 @@
         and each.state.next_trial_at_s <= now_s
         and each.state.shed_until_s <= now_s
     ]
+
+
+def _sample_by_distance(candidates: list[Candidate], random: Random) -> list[Candidate]:
+    """Return a few near and a few remote targets at random, and those to be tried."""
+    sampled = [each for each in candidates if not each.eligible]
+    for near in (True, False):
+        group = [
+            each for each in candidates if each.eligible and each.state.near is near
+        ]
+        sampled += random.sample(group, min(len(group), SPREAD_SAMPLE))
+    return sampled
--- a/src/lacewinglift/overload/priorities.py
+++ b/src/lacewinglift/overload/priorities.py
@@ -18,7 +18,7 @@
 # Bounds of the mean load that is kept in overload. With less, some slots are idle while
 # requests queue at other targets, since loads are known late.
 WANTED_LOAD_MIN = 1.2
-WANTED_LOAD_MAX = 2.0
+WANTED_LOAD_MAX = 2.2
 # Part of the time that urgent requests can spare that they may queue at a target.
 QUEUE_FRACTION = 0.6
 # Least part of the fleet that is assumed to report its load.
--- a/src/lacewinglift/overload/service_control.py
+++ b/src/lacewinglift/overload/service_control.py
@@ -238,7 +238,7 @@
         if not is_free and self.slot_budget.missing(self.levels.urgency(rank)):
             return None
         max_load = self.levels.max_load(rank, self.fleet.reporting_fraction)
-        limit = LoadLimit(max_load, eligible_only=True)
+        limit = LoadLimit(max_load, eligible_only=True, spread=not is_free)
         attempt = self.table.acquire(self.service, exclude, repeatable, limit)
         return self._record_start(demand, attempt, exclude)
 
--- a/src/lacewinglift/overload/slot_budget.py
+++ b/src/lacewinglift/overload/slot_budget.py
@@ -17,7 +17,7 @@
 BURST_REQUESTS = 2.0
 # Change of the rate in a second for each unit by which the mean load differs. It is
 # slow against the age of the loads, or the rate would oscillate.
-CORRECTION_PER_S = 0.2
+CORRECTION_PER_S = 0.3
 CORRECTION_MIN = 0.5
 CORRECTION_MAX = 2.0
 # Time after the last request without tokens in which the rate is corrected.
--- a/testing/overload/test_overload_decisions.py
+++ b/testing/overload/test_overload_decisions.py
@@ -13,6 +13,7 @@
     ServiceWeight,
     Workspace,
 )
+from lacewinglift.generated import beats_pb2
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets, RetryLimits
 from lacewinglift.mesh.target_state import MAX_LOAD
 from lacewinglift.mesh.target_table import MeshAttempt, MeshTargetTable
@@ -302,3 +303,17 @@
     assert samples["lacewinglift_requests_waiting", "0"] == 1
     assert samples["lacewinglift_capacity_refusals_total", "2"] == 1
     assert len(samples) == 12
+
+
+def test_target_that_seems_free_does_not_get_all_requests():
+    """Load: the slots are full, and loads are known late.
+
+    Guards against instances that all choose the few targets that reported a free slot.
+    """
+    fixture = ControlledTable.make(targets=20)
+    heartbeat = beats_pb2.Beat(instance="b", incarnation=1)
+    for number in range(1, 20):
+        heartbeat.loads.add(target=f"t{number}", in_flight=7)
+    fixture.table.record_peer_evidence(heartbeat, 0)
+    chosen = [fixture.decide(0).target.name for _ in range(8)]
+    assert chosen.count("t0") < 4
