--- a/testing/overload/test_overload_decisions.py
+++ b/testing/overload/test_overload_decisions.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 from attrs import evolve
@@ -13,10 +14,13 @@
     ServiceWeight,
     Workspace,
 )
+from lacewinglift.exchanges import CancelReason
+from lacewinglift.forward_requests import ExchangeCancelledError
 from lacewinglift.generated import beats_pb2
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets, RetryLimits
 from lacewinglift.mesh.target_state import MAX_LOAD
 from lacewinglift.mesh.target_table import MeshAttempt, MeshTargetTable
+from lacewinglift.overload.gate import OverloadGate
 from lacewinglift.overload.priorities import (
     PriorityLevels,
     effective_priority,
@@ -317,3 +321,17 @@
     fixture.table.record_peer_evidence(heartbeat, 0)
     chosen = [fixture.decide(0).target.name for _ in range(8)]
     assert chosen.count("t0") < 4
+
+
+def test_grant_to_a_request_whose_caller_has_gone_is_given_back(fixture):
+    """Guards against slots that stay occupied when a grant and a disconnect coincide."""
+    fill(fixture, 12)
+    waiter = fixture.decide(0)
+    fixture.report_load(0)
+    fixture.control.search(waiter)
+    exchange = SimpleNamespace(cancel_reason=CancelReason.CALLER_GONE)
+    request = SimpleNamespace(exchange=exchange, in_haste=bool)
+    gate = OverloadGate(fixture.control, request, waiter.demand)
+    with pytest.raises(ExchangeCancelledError):
+        gate._wait(waiter)
+    assert waiter.grant.state.in_flight == 0
