--- a/testing/overload/test_overload_decisions.py
+++ b/testing/overload/test_overload_decisions.py
@@ -324,7 +324,7 @@
 
 
 def test_grant_to_a_request_whose_caller_has_gone_is_given_back(fixture):
-    """Guards against slots that stay occupied when a grant and a disconnect coincide."""
+    """Guards against slots that stay occupied if a grant and a disconnect coincide."""
     fill(fixture, 12)
     waiter = fixture.decide(0)
     fixture.report_load(0)
