--- a/testing/overload/test_overload_decisions.py
+++ b/testing/overload/test_overload_decisions.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 from attrs import evolve
@@ -13,9 +14,13 @@
     ServiceWeight,
     Workspace,
 )
+from lacewinglift.exchanges import CancelReason
+from lacewinglift.forward_requests import ExchangeCancelledError
+from lacewinglift.generated import beats_pb2
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets, RetryLimits
 from lacewinglift.mesh.target_state import MAX_LOAD
 from lacewinglift.mesh.target_table import MeshAttempt, MeshTargetTable
+from lacewinglift.overload.gate import OverloadGate
 from lacewinglift.overload.priorities import (
     PriorityLevels,
     effective_priority,
@@ -302,3 +307,31 @@
     assert samples["lacewinglift_requests_waiting", "0"] == 1
     assert samples["lacewinglift_capacity_refusals_total", "2"] == 1
     assert len(samples) == 12
+
+
+def test_target_that_seems_free_does_not_get_all_requests():
+    """Load: the slots are full, and loads are known late.
+
+    Guards against instances that all choose the few targets that reported a free slot.
+    """
+    fixture = ControlledTable.make(targets=20)
+    heartbeat = beats_pb2.Beat(instance="b", incarnation=1)
+    for number in range(1, 20):
+        heartbeat.loads.add(target=f"t{number}", in_flight=7)
+    fixture.table.record_peer_evidence(heartbeat, 0)
+    chosen = [fixture.decide(0).target.name for _ in range(8)]
+    assert chosen.count("t0") < 4
+
+
+def test_grant_to_a_request_whose_caller_has_gone_is_given_back(fixture):
+    """Guards against slots that stay occupied if a grant and a disconnect coincide."""
+    fill(fixture, 12)
+    waiter = fixture.decide(0)
+    fixture.report_load(0)
+    fixture.control.search(waiter)
+    exchange = SimpleNamespace(cancel_reason=CancelReason.CALLER_GONE)
+    request = SimpleNamespace(exchange=exchange, in_haste=bool)
+    gate = OverloadGate(fixture.control, request, waiter.demand)
+    with pytest.raises(ExchangeCancelledError):
+        gate._wait(waiter)
+    assert waiter.grant.state.in_flight == 0
