Leave targets in use to the ordinary choice while a service fails

In a fleet of 30 with 10 % failing targets, 238 of 601 requests were tries, most of them at targets in use, past their speed and load.

--- a/src/lacewinglift/mesh/completion_time_choice.py
+++ b/src/lacewinglift/mesh/completion_time_choice.py
@@ -56,6 +56,9 @@
 TRY_AFTER_MAX_S = 0.7
 # Additional time for a request that cannot be repeated; one that can goes first.
 TRY_UNREPEATABLE_AFTER_S = 0.1
+# Additional time for a target that is not held off, which the ordinary choice uses by
+# its speed and load.
+TRY_IN_USE_AFTER_S = 0.3
 # Additional time for a target in another data centre, whose own instances go first. The
 # loads that show it are up to 1 s old, but the evidence of their tries is not.
 TRY_REMOTE_AFTER_S = 0.4
@@ -249,7 +252,7 @@
             for each in candidates
             # Instances of its data centre use a target that nothing speaks against.
             if (each.state.near or not each.eligible)
-            and now_s >= self._try_at_s(each.state, repeatable)
+            and now_s >= self._try_at_s(each, repeatable)
         ]
         if not due or self._try_random.random() >= TRY_SHARE:
             return None
@@ -257,14 +260,19 @@
         # At random, since other instances choose among the same targets now.
         return self._try_random.choice(due)
 
-    def _try_at_s(self, state: TargetState, repeatable: bool) -> float:
+    def _try_at_s(self, candidate: Candidate, repeatable: bool) -> float:
+        state = candidate.state
         last_s = max(state.last_request_at_s, state.first_seen_at_s)
         if state.try_at_s is None or state.try_drawn_for_s != last_s:
             after_s = self._try_random.uniform(TRY_AFTER_MIN_S, TRY_AFTER_MAX_S)
             state.try_at_s = last_s + after_s
             state.try_drawn_for_s = last_s
-        later_s = 0.0 if repeatable else TRY_UNREPEATABLE_AFTER_S
-        return state.try_at_s + later_s + (0.0 if state.near else TRY_REMOTE_AFTER_S)
+        try_at_s = state.try_at_s
+        if not repeatable:
+            try_at_s += TRY_UNREPEATABLE_AFTER_S
+        if not state.near:
+            try_at_s += TRY_REMOTE_AFTER_S
+        return try_at_s + (TRY_IN_USE_AFTER_S if candidate.eligible else 0.0)
 
     def _is_failing(self, service: str, several_held_off: bool, now_s: float) -> bool:
         failures = self.failures.get(service)
--- a/testing/mesh/test_completion_time_choice.py
+++ b/testing/mesh/test_completion_time_choice.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import pytest
+from attrs import evolve
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
@@ -15,6 +16,7 @@
 from lacewinglift.mesh.target_table import UNREACHED, MeshTargetTable
 from lacewinglift.outcomes import Outcome, OutcomeKind
 from lacewinglift.timers import ManualTimers
+from testing.mesh.simulated_fleet import SimulatedFleet
 
 DATA_CENTRES = ("milano", "torino")
 ERROR = Outcome(OutcomeKind.ERROR, 0.001)
@@ -235,3 +237,19 @@
     ]
     routes.append(Route("/other", "other", priority=7))
     assert_that(choice_for(routes, stated), Equals(expected))
+
+
+def test_a_configuration_turns_it_on_and_off_in_an_instance():
+    """Guards against an instance that keeps the way of an earlier configuration."""
+    fleet = SimulatedFleet(1, 1e6, targets=4)
+    instance = fleet.instances[0]
+    read = fleet.codec.read_configuration
+    for generation, priorities in ((2, (0, 1)), (3, (0, 0))):
+        routes = tuple(Route(f"/{each}", "cassa", priority=each) for each in priorities)
+        fleet.codec.read_configuration = lambda value, routes=routes: evolve(
+            read(value), routes=routes
+        )
+        instance.apply_configuration(fleet.configuration_value(generation))
+        expected = COMPLETION_TIME if priorities[1] else LEAST_LOADED
+        assert_that(instance.targets.choice_name, Equals(expected))
+        assert instance.directory.by_capacity() == bool(priorities[1])
