Keep a record of resends for a fleet that restarts as a whole

Cause: after a restart of all instances nobody knows what was resent, and two restarts within a window gave the fleet more than its limit.

The processes of limits_fleet read and write the record through a stand-in of the store.

--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -42,6 +42,7 @@
 from lacewinglift.mesh.peer_counters import COUNT_REPEAT_S
 from lacewinglift.mesh.rate_shares import RateShares
 from lacewinglift.mesh.registry import TargetRegistry, from_message
+from lacewinglift.mesh.resend_records import ResendRecordKeeper
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets
 from lacewinglift.mesh.settings import MeshSettings
 from lacewinglift.mesh.snapshot_fetch_policy import SnapshotFetchPolicy
@@ -255,6 +256,9 @@
             self.is_started,
             read_immediately=not settings.first_start,
             on_role_change=self.heartbeats.send_soon,
+            resend_record=ResendRecordKeeper(
+                self.timers, self.retry_budgets, settings.retry_limits.window_s
+            ),
         )
 
     def _build_request_components(self, dialect: Dialect) -> RequestComponents:
@@ -555,6 +559,9 @@
         heartbeat.resends.extend(self.retry_budgets.resend_counts(full=True))
         heartbeat.rate_limits.extend(self.targets.rate_limits(full=True))
         heartbeat.latencies.extend(self.hedger.reports())
+        earlier = self.retry_budgets.earlier_resends()
+        if earlier is not None:
+            heartbeat.earlier_resends.CopyFrom(earlier)
         settings = self.settings
         heartbeat.description.data_centre = settings.data_centre
         heartbeat.description.caller_address = settings.caller_address
--- a/src/lacewinglift/mesh/observer_election.py
+++ b/src/lacewinglift/mesh/observer_election.py
@@ -90,6 +90,11 @@
         rank_delay_s = min(rank * RANK_DELAY_S, MAX_RANK_DELAY_S)
         return now - self.last_observer_at_s >= OBSERVER_TIMEOUT_S + rank_delay_s
 
+    def is_first_observer(self) -> bool:
+        """Return whether no observer that reaches the store has a lower name."""
+        names = [m.name for m in self.members.reachable() if _observes(m)]
+        return all(self.members.own_name < name for name in names)
+
     def _note_observers(self, reachable: list[Member]) -> None:
         heard_at_s = [m.last_heartbeat_at_s for m in reachable if _observes(m)]
         self.last_observer_at_s = max(self.last_observer_at_s, *heard_at_s, 0.0)
--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -15,6 +15,7 @@
 from lacewinglift.logs import log_exception, log_info, log_warning
 from lacewinglift.mesh.observer_election import ObserverElection
 from lacewinglift.mesh.registry import RegisteredTarget, TargetRegistry
+from lacewinglift.mesh.resend_records import ResendRecordKeeper
 from lacewinglift.timers import Timers
 
 # Delay after changes of targets, so that the next watch call returns several at once.
@@ -46,6 +47,7 @@
     configuration_key: str
     targets_prefix: str
     instances_prefix: str
+    resend_record_key: str
 
     def read_configuration(self, value: bytes) -> Configuration:
         """Decode a configuration; raises ConfigurationError."""
@@ -123,6 +125,8 @@
     on_role_change : callable, default=None
         Called when the role changes, and when an observer loses or regains the store.
         The others must know soon, since they watch the store instead of it.
+    resend_record : ResendRecordKeeper, default=None
+        Builds and applies the record of resends; by default, there is none.
     """
 
     def __init__(
@@ -138,6 +142,7 @@
         is_started: Callable[[], bool],
         read_immediately: bool,
         on_role_change: Callable[[], None] | None = None,
+        resend_record: ResendRecordKeeper | None = None,
     ) -> None:
         self.store = store
         self.codec = codec
@@ -151,6 +156,7 @@
         self.is_started = is_started
         self.read_immediately = read_immediately
         self.on_role_change = on_role_change
+        self.resend_record = resend_record
         self.contact = StoreContact(timers, on_change=self._announce_contact)
         election.start()
         self.watching = threading.Event()
@@ -166,6 +172,7 @@
             ("watch-targets", self._watch_targets),
             ("watch-configuration", self._watch_configuration),
             ("announce", self._announce),
+            ("resend-record", self.keep_resend_record),
         ):
             _start_thread(name, lambda loop=loop: self._run_while_watching(loop))
         if self.read_immediately:
@@ -343,6 +350,24 @@
         )
         self._sleep(PEER_DISCOVERY_INTERVAL_S - ANNOUNCEMENT_DELAY_S, era)
 
+    def keep_resend_record(self) -> None:
+        """Read the record of resends after a restart; write it when it is due."""
+        keeper = self.resend_record
+        if keeper is None:
+            self._sleep(PEER_DISCOVERY_INTERVAL_S)
+            return
+        key = self.codec.resend_record_key
+        if keeper.must_read():
+            for item in self._list(key).items:
+                if item.key == key:
+                    keeper.apply(item.value)
+            keeper.has_read = True
+        value = keeper.due() if self.election.is_first_observer() else None
+        if value is not None:
+            with self._recorded_call():
+                self.store.put_with_lease(key, value, keeper.lease_s)
+        self._sleep(ROLE_CHECK_INTERVAL_S)
+
     def _sleep(self, duration_s: float, era: int | None = None) -> None:
         """Wait while this instance watches, and while the store is in `era`."""
         until_s = self.timers.now() + duration_s
--- a/src/lacewinglift/mesh/retry_budgets.py
+++ b/src/lacewinglift/mesh/retry_budgets.py
@@ -8,7 +8,8 @@
 Resends from before a restart count in the users' window too. A new process does not
 know those of its predecessor, so its own requests allow fewer resends until the window
 has passed. After a restart of most of the fleet nobody knows what was used of the
-slack, and it is not used until then.
+slack, and it is not used until then. If some of it was in use, a record in the store
+says what was resent, and the fleet resends what that leaves of its limit.
 """
 
 import threading
@@ -19,9 +20,11 @@
 from attrs import define, field, frozen
 
 from lacewinglift.generated import beats_pb2
+from lacewinglift.logs import log_info
 from lacewinglift.mesh.fleet_history import FleetHistory
 from lacewinglift.mesh.peer_counters import COUNT_REPEAT_S, PeerCounters
 from lacewinglift.mesh.request_rate import RateEstimate, RequestRate
+from lacewinglift.mesh.resend_records import EarlierResends, counted_intervals
 from lacewinglift.mesh.sliding_window import SlidingWindowCounter
 from lacewinglift.timers import Timers
 
@@ -132,6 +135,8 @@
         """What others know at least of the slack that this instance uses."""
         self.peer_slack = _PeerSlackUse(timers, window_s)
         self.rounding = _RandomRounding(timers, budgets.random)
+        self.earlier: EarlierResends | None = None
+        """What the fleet resent before it restarted; None if that is not known."""
         self.own_requests = 0
         self.own_resends = 0
         self.last_request_at_s = float("-inf")
@@ -178,10 +183,46 @@
     def _own_remaining(self) -> float:
         """Return what own requests still allow; negative if slack was used."""
         allowed = self.budgets.limits.per_request * self.own_recent_requests.total()
+        if self._uses_earlier():
+            left = min(max(self._left_after_restart(), 0.0), allowed)
+            return left - self.own_recent_resends.total()
         # Squared, since the resends before the start may all have come right before it.
         allowed *= self.budgets.own_known_fraction() ** 2
         return allowed - self.own_recent_resends.total()
 
+    def _uses_earlier(self) -> bool:
+        return self.earlier is not None and not self.budgets.is_slack_use_known()
+
+    def _left_after_restart(self) -> float:
+        """Return the share in what resends before a restart leave of the limit."""
+        history = self.budgets.history
+        if self.earlier is None or history is None or not history.has_heard_all():
+            return 0.0
+        oldest_s = self.budgets.timers.now() - self.budgets.limits.window_s
+        since_start = max(self.requests.total(), 1)
+        requests = since_start + self.earlier.requests_since(oldest_s)
+        left = self.budgets.own_limit(requests) - self.earlier.resends_since(oldest_s)
+        return left * self.own_recent_requests.total() / since_start
+
+    def is_slack_in_use(self) -> bool:
+        """Return whether some of the slack is in use, or was before a restart."""
+        return (
+            self._uses_earlier() or self.slack_used() > 0 or self.peer_slack.total() > 0
+        )
+
+    def to_message(self, name: str, complete: bool) -> beats_pb2.ServiceResends:
+        """Return what the fleet resent in the window."""
+        now = self.budgets.timers.now()
+        message = beats_pb2.ServiceResends(service=name, complete=complete)
+        if self._uses_earlier():
+            oldest_s = now - self.budgets.limits.window_s
+            message.intervals.extend(self.earlier.messages(now, oldest_s))
+        if not complete:
+            message.intervals.extend(
+                counted_intervals(now, self.resends, self.requests)
+            )
+        return message
+
     def _slack_share(self, rounding_offset: float = 0.0) -> float:
         """Return what this instance may use of the slack now.
 
@@ -267,9 +308,54 @@
         """Return whether at least half of the fleet has counted for a whole window."""
         return self.history is None or self.history.fleet_s() >= self.limits.window_s
 
+    def own_limit(self, requests: float) -> float:
+        """Return the resends that the fleet allows itself for requests in a window."""
+        slack = self.limits.slack * USABLE_SLACK_FRACTION
+        return self.limits.per_request * requests + slack
+
+    def build_record(self) -> beats_pb2.ResendRecord | None:
+        """Return the record for the store; None while no slack is in use."""
+        return self._record(lambda budget: budget.is_slack_in_use(), complete=False)
+
+    def earlier_resends(self) -> beats_pb2.ResendRecord | None:
+        """Return what the fleet resent before it restarted, to tell the others."""
+        return self._record(lambda budget: budget._uses_earlier(), complete=True)
+
+    def _record(
+        self, includes: Callable[[ServiceRetryBudget], bool], complete: bool
+    ) -> beats_pb2.ResendRecord | None:
+        with self.lock:
+            services = [
+                budget.to_message(name, complete)
+                for name, budget in self.budgets.items()
+                if includes(budget)
+            ]
+        return beats_pb2.ResendRecord(services=services) if services else None
+
+    def adopt_record(self, record: beats_pb2.ResendRecord) -> None:
+        """Apply what the fleet resent before this process and most others started."""
+        if self.is_slack_use_known():
+            return
+        now = self.timers.now()
+        with self.lock:
+            for each in record.services:
+                budget = self.budget_for(each.service)
+                if budget.earlier is None:
+                    budget.earlier = EarlierResends.from_message(
+                        each, now, self.limits.window_s, self.own_limit
+                    )
+                    oldest_s = now - self.limits.window_s
+                    log_info(
+                        "earlier_resends",
+                        service=each.service,
+                        resends=budget.earlier.resends_since(oldest_s),
+                    )
+
     def record_peer_resends(self, heartbeat: beats_pb2.Beat) -> None:
         """Count the requests and resends of another instance."""
         own_history_s = 0.0 if self.history is None else self.history.own_s()
+        if heartbeat.HasField("earlier_resends"):
+            self.adopt_record(heartbeat.earlier_resends)
         with self.lock:
             counts = self.peer_counters.counts_of(heartbeat, own_history_s)
             for count in heartbeat.resends:
--- a/testing/mesh/limits_fleet.py
+++ b/testing/mesh/limits_fleet.py
@@ -17,6 +17,8 @@
 from lacewinglift.mesh.fleet_limits import FleetQuota
 from lacewinglift.mesh.full_heartbeats import INITIAL_FULL_HEARTBEATS
 from lacewinglift.mesh.members import MemberTable, PeerAddresses
+from lacewinglift.mesh.observer_election import INITIAL_LISTEN_S
+from lacewinglift.mesh.resend_records import ResendRecordKeeper
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets, RetryLimits
 from lacewinglift.timers import ManualTimers
 
@@ -44,6 +46,7 @@
     budgets: FleetRetryBudgets
     quota: FleetQuota
     next_heartbeat_s: float
+    keeper: ResendRecordKeeper
     heartbeats: int = 0
 
     def build_heartbeat(self):
@@ -61,6 +64,9 @@
         if full:
             heartbeat.description.beat_address = f"{self.name}:81"
             heartbeat.peers.extend(sorted(self.peer_addresses.known()))
+            earlier = self.budgets.earlier_resends()
+            if earlier is not None:
+                heartbeat.earlier_resends.CopyFrom(earlier)
         heartbeat.resends.extend(self.budgets.resend_counts(full=full))
         heartbeat.usages.extend(self.quota.usages(full=full))
         return heartbeat
@@ -74,6 +80,31 @@
             self.quota.record_peer_usage(heartbeat)
 
 
+@define(eq=False)
+class RecordStore:
+    """The key of the store that holds the record of resends."""
+
+    timers: ManualTimers
+    value: bytes | None = None
+    expires_at_s: float = 0.0
+    writes: int = 0
+
+    def serve(self, observer):
+        """Read and write the record as an observer does."""
+        if observer.history.own_s() < INITIAL_LISTEN_S:
+            return
+        keeper = observer.keeper
+        if keeper.must_read():
+            keeper.has_read = True
+            if self.value is not None and self.timers.now() < self.expires_at_s:
+                keeper.apply(self.value)
+        value = keeper.due()
+        if value is not None:
+            self.value = value
+            self.writes += 1
+            self.expires_at_s = self.timers.now() + keeper.lease_s
+
+
 @define(eq=False)
 class LimitsFleet:
     """Processes that exchange heartbeats, on simulated time.
@@ -104,8 +135,10 @@
     admission_times_s: list = field(factory=list)
     due_requests: float = 0.0
     due_admissions: float = 0.0
+    store: RecordStore = field(init=False)
 
     def __attrs_post_init__(self):
+        self.store = RecordStore(self.timers)
         names = [f"frontend-{number}" for number in range(self.size)]
         self.processes = [self._start(name, 1) for name in names]
 
@@ -139,6 +172,7 @@
             budgets,
             quota,
             first_heartbeat_s,
+            ResendRecordKeeper(self.timers, budgets, self.limits.window_s),
         )
 
     def restart(self, processes):
@@ -164,6 +198,7 @@
             for process in self.processes:
                 if self.timers.now() >= process.next_heartbeat_s:
                     self._send_heartbeat(process)
+            self.store.serve(self.processes[0])
             self.timers.advance(STEP_S)
 
     def _send_requests(self, requests_per_s, resends_per_request):
--- a/testing/mesh/simulated_fleet.py
+++ b/testing/mesh/simulated_fleet.py
@@ -63,6 +63,7 @@
     configuration_key = "config"
     targets_prefix = "targets/"
     instances_prefix = "instances/"
+    resend_record_key = "resends"
 
     def __init__(self, workspaces):
         self.workspaces = workspaces
--- a/testing/mesh/test_observers.py
+++ b/testing/mesh/test_observers.py
@@ -5,7 +5,8 @@
 
 from lacewinglift.errors import StoreUnavailableError
 from lacewinglift.generated import beats_pb2
-from lacewinglift.kv import Listing
+from lacewinglift.kv import Item, Listing
+from lacewinglift.mesh.fleet_history import FleetHistory
 from lacewinglift.mesh.members import MEMBER_TIMEOUT_S, MemberTable
 from lacewinglift.mesh.observer_election import (
     INITIAL_LISTEN_S,
@@ -15,6 +16,8 @@
 )
 from lacewinglift.mesh.observers import ROLE_CHECK_INTERVAL_S, Observer
 from lacewinglift.mesh.registry import TargetRegistry
+from lacewinglift.mesh.resend_records import ResendRecordKeeper
+from lacewinglift.mesh.retry_budgets import FleetRetryBudgets, RetryLimits
 from lacewinglift.rendezvous import rank_candidates
 from lacewinglift.timers import ManualTimers
 from testing.mesh.test_directory import build_heartbeat
@@ -37,10 +40,26 @@
         pass
 
 
+class RecordStoreStandIn(EmptyStore):
+    """Store with one key."""
+
+    value = None
+    written = ()
+
+    def list(self, prefix, stale=False):
+        items = () if self.value is None else (Item(prefix, self.value, 7),)
+        return Listing(items, 7)
+
+    def put_with_lease(self, key, value, ttl_s):
+        self.value = value
+        self.written = (*self.written, key)
+
+
 class EmptyCodec:
     configuration_key = "config"
     targets_prefix = "targets/"
     instances_prefix = "instances/"
+    resend_record_key = "resends"
 
 
 @pytest.fixture
@@ -357,3 +376,34 @@
     """Guards against a backoff that is not reset after an outage."""
     run_iterations(fleet["f0"], [False, False, False, True, False])
     assert_that(delays, Equals([0.1, 0.2, 0.4, 0.1, 0.2]))
+
+
+def test_record_of_resends_outlives_the_fleet(timers):
+    """Guards against a write while nothing is used, and a record that nobody reads."""
+    store = RecordStoreStandIn()
+
+    def keep_record(name, resends, first_start):
+        observer = observe(store, timers, name)
+        observer.watching.set()
+        observer._sleep = lambda duration_s: None
+        history = FleetHistory(timers, observer.members, first_start)
+        limits = RetryLimits(0.2, 10.0, 8.0)
+        budgets = FleetRetryBudgets(timers, limits, lambda: 1.0, history)
+        observer.resend_record = ResendRecordKeeper(timers, budgets, 10.0)
+        budget = budgets.budget_for("cassa")
+        for _ in range(10):
+            budget.record_request()
+        for _ in range(resends):
+            budget.try_acquire()
+        for _ in range(3):
+            observer.keep_resend_record()
+        return budget
+
+    keep_record("f0", 2, first_start=True)
+    assert_that(store.written, HasLength(0))
+    keep_record("f1", 4, first_start=True)
+    assert_that(store.written, HasLength(1))
+    restarted = keep_record("f2", 0, first_start=False)
+    assert_that(restarted.earlier.resends_since(timers.now()), Equals(8.0))
+    store.value = b"\xff"
+    assert keep_record("f3", 0, first_start=False).earlier is None
