--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -49,6 +49,7 @@
 from lacewinglift.mesh.registry import TargetRegistry, from_message
 from lacewinglift.mesh.relay_election import RelayElection
 from lacewinglift.mesh.relaying import DETAILS_INTERVAL_S, Relaying
+from lacewinglift.mesh.resend_records import ResendRecordKeeper
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets
 from lacewinglift.mesh.route_priorities import check_choice, choice_for
 from lacewinglift.mesh.settings import MeshSettings
@@ -288,6 +289,9 @@
             read_immediately=not settings.first_start,
             on_role_change=self.heartbeats.send_soon,
             evacuations=self.evacuations,
+            resend_record=ResendRecordKeeper(
+                self.timers, self.retry_budgets, settings.retry_limits.window_s
+            ),
         )
 
     def _build_relaying(self) -> Relaying:
@@ -683,6 +687,9 @@
         heartbeat.rate_limits.extend(self.targets.rate_limits(full=True))
         heartbeat.description.CopyFrom(self._describe())
         heartbeat.latencies.extend(self.hedger.reports())
+        earlier = self.retry_budgets.earlier_resends()
+        if earlier is not None:
+            heartbeat.earlier_resends.CopyFrom(earlier)
         reachable = self.members.reachable()
         self.random.shuffle(reachable)
         heartbeat.peers.extend(
--- a/testing/mesh/test_completion_time_choice.py
+++ b/testing/mesh/test_completion_time_choice.py
@@ -8,7 +8,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from lacewinglift.configuration import Route
+from lacewinglift.configuration import Configuration, Fleet, Route, Service
 from lacewinglift.generated import beats_pb2
 from lacewinglift.mesh.choice_registry import COMPLETION_TIME, LEAST_LOADED
 from lacewinglift.mesh.registry import RegisteredTarget
@@ -222,21 +222,24 @@
 
 
 @pytest.mark.parametrize(
-    ("priorities", "stated", "expected"),
+    ("priorities", "warmup_per_s", "stated", "expected"),
     [
-        ((0, 0), None, LEAST_LOADED),
-        ((0, 1), None, COMPLETION_TIME),
-        ((0, 1), LEAST_LOADED, LEAST_LOADED),
+        ((0, 0), 0.0, None, LEAST_LOADED),
+        ((0, 1), 0.0, None, COMPLETION_TIME),
+        ((0, 0), 4.6, None, COMPLETION_TIME),
+        ((0, 1), 4.6, LEAST_LOADED, LEAST_LOADED),
     ],
 )
-def test_routes_of_different_priority_turn_it_on(priorities, stated, expected):
+def test_configuration_turns_it_on(priorities, warmup_per_s, stated, expected):
     """Guards against another way of choosing where nothing calls for it."""
     routes = [
         Route(f"/{number}", "cassa", priority=priority)
         for number, priority in enumerate(priorities)
     ]
     routes.append(Route("/other", "other", priority=7))
-    assert_that(choice_for(routes, stated), Equals(expected))
+    services = {"cassa": Service("cassa", (), warmup_per_s=warmup_per_s)}
+    configuration = Configuration(1, Fleet("fleet"), services, tuple(routes), {})
+    assert_that(choice_for(configuration, stated), Equals(expected))
 
 
 def test_a_configuration_turns_it_on_and_off_in_an_instance():
--- a/testing/mesh/test_cut_evidence.py
+++ b/testing/mesh/test_cut_evidence.py
@@ -30,8 +30,9 @@
     ],
 )
 def test_closed_new_connection_is_evidence_at_once(choice, reused, suspected):
-    """Guards against a target that resets nine of ten requests until two instances
-    have lost one each; an idle connection may have been closed for its age.
+    """Guards against a target that resets requests until two instances lost one each.
+
+    A connection that was idle may have been closed for its age.
     """
     _, state = cut_once(choice, reused)
     assert_that(state.is_suspected(), Equals(suspected))
