--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -446,7 +446,8 @@
         self.targets.cold_targets.apply(configuration.services)
         report_unknown_regions(configuration, self.settings.regions.values())
         self.targets.use_choice(choice_for(configuration, self.settings.target_choice))
-        self.overload.apply(configuration)
+        if self.settings.overload_control:
+            self.overload.apply(configuration)
         if configuration.idle_timeout_s is not None:
             self.frontend.server.timeout = configuration.idle_timeout_s
         log_info(
--- a/src/lacewinglift/mesh/settings.py
+++ b/src/lacewinglift/mesh/settings.py
@@ -56,6 +56,8 @@
     relays; 0 turns relays off."""
     hedge_limit_percent: float | None = None
     """Hedges of a service in per cent of its requests; None turns hedging off."""
+    overload_control: bool = False
+    """Whether services whose routes differ in priority serve the urgent ones first."""
     worker_threads: int = 96
     max_held_bytes: int = MAX_HELD_PER_INSTANCE
     """Bound of the bytes of responses that targets have sent and callers not read."""
