--- a/testing/adapter/test_node_file.py
+++ b/testing/adapter/test_node_file.py
@@ -52,6 +52,16 @@
     assert settings.stop_bound_s < 6
 
 
+@pytest.mark.parametrize(
+    ("contracts", "expected"),
+    [(["base", "pressure"], True), (["base", "quota"], False), (None, False)],
+)
+def test_overload_control_is_on_only_by_contract(write, contracts, expected):
+    """Guards against requests that are refused where nobody asked for priorities."""
+    settings = NodeFile(write({**FIELDS, "contracts": contracts})).build_settings()
+    assert_that(settings.overload_control, Equals(expected))
+
+
 @pytest.mark.parametrize(
     ("limits", "expected"),
     [
--- a/testing/overload/test_overload_requests.py
+++ b/testing/overload/test_overload_requests.py
@@ -145,6 +145,7 @@
     instance.codec.read_configuration = lambda _: evolve(
         value, generation=9, routes=routes
     )
+    instance.settings = evolve(instance.settings, overload_control=True)
     instance.apply_configuration(b"")
     control = instance.overload
     assert control.controls("cassa")
@@ -154,3 +155,15 @@
     instance._run_housekeeping()
     instance.retry_budgets.budget_for("cassa").record_request()
     assert 0 < control.fleet.own_share("cassa") <= 1
+
+
+def test_control_is_off_unless_the_settings_call_for_it():
+    """Guards against refusals by priority in a fleet whose operator asked for none."""
+    instance = SimulatedFleet(3, 1e6, targets=3).instances[0]
+    routes = (Route("/a", "cassa"), Route("/b", "cassa", priority=1))
+    value = instance.configuration_holder.current()
+    instance.codec.read_configuration = lambda _: evolve(
+        value, generation=9, routes=routes
+    )
+    instance.apply_configuration(b"")
+    assert not instance.overload.controls("cassa")
