--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -134,6 +134,8 @@
         self.full_heartbeats = FullHeartbeatSchedule()
         self.evidence_number = 0
         """Number of the last event that was sent to the active instances."""
+        self.chooses_for_large_fleet = False
+        """Whether targets were last chosen as a large fleet calls for."""
         self.callers_served = not settings.first_start
         """Whether the fleet has served callers; at its first start there are none."""
         self.rounds = HeartbeatRounds(settings.heartbeat_address)
@@ -460,6 +462,17 @@
         self._update_started()
         self.heartbeats.send_soon()
 
+    def _update_choice(self) -> None:
+        """Choose targets as the configuration and the size of the fleet call for."""
+        configuration = self.configuration_holder.current()
+        if configuration is None:
+            return
+        self.chooses_for_large_fleet = self.relaying.was_on
+        choice = choice_for(
+            configuration, self.settings.target_choice, self.chooses_for_large_fleet
+        )
+        self.targets.use_choice(choice)
+
     def _are_callers_served(self) -> bool:
         """Return whether the fleet has served callers, as far as is known here."""
         if not self.callers_served:
@@ -860,6 +873,8 @@
         if self.overload.services:
             instances = len(self._serving_names())
             self.overload.update_fleet(instances, self.reachable_fraction())
+        if self.relaying.was_on != self.chooses_for_large_fleet:
+            self._update_choice()
         self.members.remove_unreachable()
         if self.members.reachable():
             self.peer_addresses.expire()
--- a/src/lacewinglift/mesh/route_priorities.py
+++ b/src/lacewinglift/mesh/route_priorities.py
@@ -23,11 +23,15 @@
     return frozenset(name for name, known in priorities.items() if len(known) > 1)
 
 
-def choice_for(configuration: Configuration, stated: str | None) -> str:
+def choice_for(
+    configuration: Configuration, stated: str | None, large_fleet: bool = True
+) -> str:
     """Return the way of choosing targets that a configuration calls for.
 
-    Targets differ in what they bear if routes of different priority share a service,
-    or if a service limits the requests of its cold targets.
+    Targets differ in what they bear if a service limits the requests of its cold
+    targets, or if routes of different priority share a service. The latter counts in a
+    large fleet only: with few targets in each data centre, requests that stay near
+    wait for a slot more often than others are saved a long way.
 
     Parameters
     ----------
@@ -35,11 +39,15 @@
         Configuration in force.
     stated : str or None
         Way of choosing that the settings state; it takes precedence.
+    large_fleet : bool, default=True
+        Whether the fleet is large enough for relays of heartbeats.
     """
     if stated is not None:
         return stated
     limits_cold = any(each.warmup_per_s for each in configuration.services.values())
-    if limits_cold or services_with_priorities(configuration.routes):
+    if limits_cold:
+        return COMPLETION_TIME
+    if large_fleet and services_with_priorities(configuration.routes):
         return COMPLETION_TIME
     return LEAST_LOADED
 
--- a/testing/mesh/test_completion_time_choice.py
+++ b/testing/mesh/test_completion_time_choice.py
@@ -240,6 +240,9 @@
     services = {"cassa": Service("cassa", (), warmup_per_s=warmup_per_s)}
     configuration = Configuration(1, Fleet("fleet"), services, tuple(routes), {})
     assert_that(choice_for(configuration, stated), Equals(expected))
+    in_small_fleet = choice_for(configuration, stated, large_fleet=False)
+    by_priorities = stated is None and not warmup_per_s
+    assert_that(in_small_fleet, Equals(LEAST_LOADED if by_priorities else expected))
 
 
 def test_a_configuration_turns_it_on_and_off_in_an_instance():
