Do not try targets that failed themselves with requests that may not be repeated

Tries now go only to targets that reports of broken paths or shed requests hold off; the others have trials with repeatable requests.

--- a/src/lacewinglift/mesh/completion_time_choice.py
+++ b/src/lacewinglift/mesh/completion_time_choice.py
@@ -259,6 +259,7 @@
             for each in candidates
             # Instances of its data centre use a target that nothing speaks against.
             if (each.state.near or not each.eligible)
+            and not _failed_itself(each.state)
             and now_s >= self._try_at_s(each, repeatable)
         ]
         if not due or self._try_random.random() >= TRY_SHARE:
@@ -366,6 +367,14 @@
         return {"basis": self.basis, "relative_time": relative_time(state)}
 
 
+def _failed_itself(state: TargetState) -> bool:
+    """Return whether a target has failed requests, and not only paths to it.
+
+    Such targets have trials, with requests that can be repeated.
+    """
+    return state.is_suspected() and not state.suspected_by_reports
+
+
 def _load_with_request(candidate: Candidate) -> float:
     return candidate.load + 1 / max(candidate.state.registered.slots, 1)
 
