--- a/src/lacewinglift/hedging/latencies.py
+++ b/src/lacewinglift/hedging/latencies.py
@@ -6,31 +6,31 @@
 """
 
 from attrs import define, field
-from hdrh.histogram import HdrHistogram
+from ddsketch import DDSketch
 
 from lacewinglift.timers import Timers
 
-# A histogram is in use for this long, and counts for as long again afterwards.
-HISTOGRAM_PERIOD_S = 30.0
-MAX_LATENCY_MS = 60_000
-SIGNIFICANT_DIGITS = 2
+# A sketch is in use for this long, and counts for as long again afterwards.
+SKETCH_PERIOD_S = 30.0
+MAX_LATENCY_S = 60.0
+RELATIVE_ACCURACY = 0.01
 # Below this number of latencies, a high quantile says little.
 MIN_SAMPLES = 40
 # A report of another instance is used for this long.
 REPORT_MAX_AGE_S = 60.0
 
 
-def _new_histogram() -> HdrHistogram:
-    return HdrHistogram(1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS)
+def _new_sketch() -> DDSketch:
+    return DDSketch(RELATIVE_ACCURACY)
 
 
 @define(eq=False)
 class LatencyWindow:
-    """Latencies that this instance has seen in the last `HISTOGRAM_PERIOD_S` or two."""
+    """Latencies that this instance has seen in the last `SKETCH_PERIOD_S` or two."""
 
     timers: Timers
-    current: HdrHistogram = field(factory=_new_histogram)
-    previous: HdrHistogram = field(factory=_new_histogram)
+    current: DDSketch = field(factory=_new_sketch)
+    previous: DDSketch = field(factory=_new_sketch)
     started_at_s: float = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -39,28 +39,28 @@
     def record(self, latency_s: float) -> None:
         """Add a latency."""
         self._rotate()
-        self.current.record_value(min(max(int(latency_s * 1000), 1), MAX_LATENCY_MS))
+        self.current.add(min(latency_s, MAX_LATENCY_S))
 
     def count(self) -> int:
         """Return the number of latencies."""
         self._rotate()
-        return self.current.total_count + self.previous.total_count
+        return int(self.current.count + self.previous.count)
 
     def quantile_s(self, percent: float) -> float:
         """Return a quantile of the latencies; 0 if there are none."""
         self._rotate()
-        merged = _new_histogram()
-        merged.add(self.previous)
-        merged.add(self.current)
-        return merged.get_value_at_percentile(percent) / 1000
+        merged = _new_sketch()
+        merged.merge(self.previous)
+        merged.merge(self.current)
+        return merged.get_quantile_value(percent / 100) or 0.0
 
     def _rotate(self) -> None:
         age_s = self.timers.now() - self.started_at_s
-        if age_s < HISTOGRAM_PERIOD_S:
+        if age_s < SKETCH_PERIOD_S:
             return
-        expired = age_s >= 2 * HISTOGRAM_PERIOD_S
-        self.previous = _new_histogram() if expired else self.current
-        self.current = _new_histogram()
+        expired = age_s >= 2 * SKETCH_PERIOD_S
+        self.previous = _new_sketch() if expired else self.current
+        self.current = _new_sketch()
         self.started_at_s = self.timers.now()
 
 
