--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -447,7 +447,7 @@
         self.quota.apply(configuration)
         self.targets.cold_targets.apply(configuration.services)
         report_unknown_regions(configuration, self.settings.regions.values())
-        self.targets.use_choice(choice_for(configuration, self.settings.target_choice))
+        self._update_choice()
         if self.settings.overload_control:
             self.overload.apply(configuration)
         if configuration.idle_timeout_s is not None:
--- a/src/lacewinglift/mesh/route_priorities.py
+++ b/src/lacewinglift/mesh/route_priorities.py
@@ -24,7 +24,7 @@
 
 
 def choice_for(
-    configuration: Configuration, stated: str | None, large_fleet: bool = True
+    configuration: Configuration, stated: str | None, large_fleet: bool
 ) -> str:
     """Return the way of choosing targets that a configuration calls for.
 
@@ -39,7 +39,7 @@
         Configuration in force.
     stated : str or None
         Way of choosing that the settings state; it takes precedence.
-    large_fleet : bool, default=True
+    large_fleet : bool
         Whether the fleet is large enough for relays of heartbeats.
     """
     if stated is not None:
