--- a/testing/mesh/test_large_fleet.py
+++ b/testing/mesh/test_large_fleet.py
@@ -129,7 +129,7 @@
     fleet.run(2.0, 0.0, 0.1)
     after = fleet.datagram_counts()
     idle -= {each.settings.instance for each in fleet.instances if each.is_active()}
-    # Relays send for the others, which `test_relays.py` bounds.
+    # Relays send for the others; no test bounds what a relay sends.
     idle -= {each.settings.instance for each in fleet.instances if relays(each)}
     rates = [(after[name] - before[name]) / 2.0 for name in idle]
     assert_that(len(rates), GreaterThan(200))
