Find services with routes of different priority in one place

mesh/route_priorities repeated the loop of overload.priorities.find_controlled_services. The choice of targets calls that function now; what it decides is the same (test_completion_time_choice and test_overload_decisions pass).

--- a/src/lacewinglift/mesh/route_priorities.py
+++ b/src/lacewinglift/mesh/route_priorities.py
@@ -1,26 +1,13 @@
 """Configurations that call for balancing under load."""
 
-from collections.abc import Iterable
-
-from lacewinglift.configuration import Configuration, Route
+from lacewinglift.configuration import Configuration
 from lacewinglift.errors import SettingsError
 from lacewinglift.mesh.choice_registry import (
     COMPLETION_TIME,
     LEAST_LOADED,
     TARGET_CHOICES,
 )
-
-
-def services_with_priorities(routes: Iterable[Route]) -> frozenset[str]:
-    """Return the services to which routes of different priority lead.
-
-    Only the priorities of the routes count, not those of workspaces.
-    """
-    priorities: dict[str, set[int]] = {}
-    for route in routes:
-        for service in route.services():
-            priorities.setdefault(service, set()).add(route.priority)
-    return frozenset(name for name, known in priorities.items() if len(known) > 1)
+from lacewinglift.overload.priorities import find_controlled_services
 
 
 def choice_for(
@@ -47,7 +34,7 @@
     limits_cold = any(each.warmup_per_s for each in configuration.services.values())
     if limits_cold:
         return COMPLETION_TIME
-    if large_fleet and services_with_priorities(configuration.routes):
+    if large_fleet and find_controlled_services(configuration):
         return COMPLETION_TIME
     return LEAST_LOADED
 
