Measure the time between reports of other instances

What the instances admit between two reports is limited by nothing but their own tokens, and no log or metric told how long that is. A summary of the intervals tells late reports from rates that are applied wrongly.

--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -841,6 +841,7 @@
         """Apply the counts, events and loads that another instance reports."""
         if not heartbeat.loads_omitted or heartbeat.usages or heartbeat.resends:
             member.details_sequence = heartbeat.sequence
+            self._record_report(member)
         self.quota.record_peer_usage(heartbeat)
         self.retry_budgets.record_peer_resends(heartbeat)
         member.last_evidence_number = self.targets.record_peer_evidence(
@@ -848,6 +849,13 @@
         )
         self.targets.record_peer_rate_limits(heartbeat)
 
+    def _record_report(self, member: Member) -> None:
+        """Record the time since the last report of an instance that serves callers."""
+        now = self.timers.now()
+        if member.reported_at_s is not None and member.heartbeat.active:
+            self.traffic.report_intervals.record(now - member.reported_at_s)
+        member.reported_at_s = now
+
     def _apply_late_details(self, heartbeat: beats_pb2.Beat) -> None:
         """Apply details that came through a relay, after newer state came directly."""
         member = self.members.find(heartbeat.instance)
--- a/src/lacewinglift/mesh/members.py
+++ b/src/lacewinglift/mesh/members.py
@@ -104,6 +104,8 @@
     """Last time at which the instance reported a share of the callers' requests."""
     details_sequence: int = 0
     """Sequence number of the last heartbeat whose counts or loads were applied."""
+    reported_at_s: float | None = None
+    """Time of the last heartbeat whose counts were applied; None before the first."""
     last_evidence_number: int = 0
     """Number of the last event of this incarnation that was applied."""
     loss_reporters: set[str] = field(factory=set)
--- a/src/lacewinglift/mesh/traffic.py
+++ b/src/lacewinglift/mesh/traffic.py
@@ -6,7 +6,9 @@
 
 from attrs import define, field
 from prometheus_client import Metric
-from prometheus_client.core import CounterMetricFamily
+from prometheus_client.core import CounterMetricFamily, SummaryMetricFamily
+
+from lacewinglift.timers import Durations
 
 
 class MessageKind(enum.Enum):
@@ -37,6 +39,8 @@
 
     messages: Counter[tuple[MessageKind, Direction]] = field(factory=Counter)
     payload_bytes: Counter[tuple[MessageKind, Direction]] = field(factory=Counter)
+    report_intervals: Durations = field(factory=Durations)
+    """Times between the reports of an instance that serves callers."""
 
     def record(self, kind: MessageKind, direction: Direction, size: int) -> None:
         """Count one message of `size` bytes."""
@@ -55,6 +59,12 @@
             "Payload bytes of messages between instances by kind and direction.",
             self.payload_bytes,
         )
+        yield SummaryMetricFamily(
+            "lacewinglift_mesh_report_interval_seconds",
+            "Time between two reports of what an instance that serves callers uses.",
+            count_value=self.report_intervals.count,
+            sum_value=self.report_intervals.total_s,
+        )
 
 
 def _counter_family(
--- a/testing/mesh/test_telemetry.py
+++ b/testing/mesh/test_telemetry.py
@@ -138,3 +138,12 @@
         "lacewinglift_timer_delay_seconds_sum 0.25",
     ):
         assert line in text
+
+
+def test_interval_of_reports_is_exported(collector):
+    """Guards against reports of use that take long without anybody seeing it."""
+    collector.traffic.report_intervals.record(0.5)
+    collector.traffic.report_intervals.record(1.0)
+    text = scrape(collector)
+    assert "lacewinglift_mesh_report_interval_seconds_sum 1.5" in text
+    assert "lacewinglift_mesh_report_interval_seconds_count 2.0" in text
