--- a/testing/mesh/simulated_fleet.py
+++ b/testing/mesh/simulated_fleet.py
@@ -167,6 +167,7 @@
     targets: int = 100
     workspaces: int = 40
     relay_min_instances: int = 60
+    data_centres: tuple = DATA_CENTRES
     introduced: bool = True
     """Whether the instances know each other from the beginning."""
     random: Random = field(factory=lambda: Random(1))
@@ -206,7 +207,7 @@
         host = f"10.1.{number // 250}.{number % 250}"
         settings = MeshSettings(
             instance=f"frontend-{number}",
-            data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
+            data_centre=self.data_centres[number % len(self.data_centres)],
             caller_address=f"{host}:80",
             heartbeat_address=f"{host}:81",
             fetch_address=f"{host}:82",
@@ -234,7 +235,7 @@
         return instance
 
     def _make_target(self, number):
-        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        data_centre = self.data_centres[number % len(self.data_centres)]
         address = f"10.2.{number // 250}.{number % 250}:8489"
         return RegisteredTarget(
             f"i-{number:010x}", SERVICE, address, data_centre, 6, 1, 1
