Hold back what other instances have probably admitted and not reported

Cause: each instance charges the use of the others when it hears of it, and in a large fleet that takes most of a second; until then all of them admit from the same tokens. The class is that of the retry budget and of the rates that targets state: a limit of the whole fleet that no instance can keep by its own view.

An instance now estimates what the others have admitted since their reports: their usual rate times the delay of the reports, times the growth of its own use over its usual rate. What the users' rule does not tolerate of it is held back from the tokens. No message is added, so it works at any size; where reports take 0.1 s, the estimate is below what is tolerated. Instances that callers use little report as often as others where heartbeats are relayed.

The delay is computed from the intervals of heartbeats and bundles, not measured.

--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -3,7 +3,9 @@
 Each instance keeps the same token bucket. It is charged for the instance's own use at
 once and for that of other instances when their heartbeats arrive. Requests that several
 instances admit at the same time can overdraw it; this debt is repaid before the bucket
-admits again. A process that starts takes the level of its bucket from its peers.
+admits again. What the others have probably admitted and not reported yet is held back,
+as far as the users' rule does not tolerate it. A process that starts takes the level of
+its bucket from its peers.
 """
 
 import threading
@@ -16,6 +18,11 @@
 from lacewinglift.generated import beats_pb2
 from lacewinglift.mesh.fleet_history import FleetHistory
 from lacewinglift.mesh.peer_counters import COUNT_REPEAT_S, PeerCounters
+from lacewinglift.mesh.unreported_usage import (
+    NO_TOLERANCE,
+    RateTolerance,
+    UnreportedUsage,
+)
 from lacewinglift.timers import Timers
 
 # Longest wait for a token. A refusal costs the caller more than this wait. A workspace
@@ -39,6 +46,8 @@
     admitted: int = 0
     last_admitted_at_s: float = float("-inf")
     """Last time at which this instance admitted a request."""
+    usage: UnreportedUsage | None = None
+    """None until the workspace is used; most workspaces are not."""
 
     def refill(self, now_s: float, fraction: float) -> None:
         increase = (now_s - self.refilled_at_s) * self.rate_per_s * fraction
@@ -55,6 +64,16 @@
     def charge(self, tokens: float) -> None:
         self.level = max(self.level - tokens, -MAX_DEBT_S * self.rate_per_s)
 
+    def used(self, now_s: float) -> UnreportedUsage:
+        if self.usage is None:
+            self.usage = UnreportedUsage.since(now_s)
+        return self.usage
+
+    def unreported(self, now_s: float, report_delay_s: float) -> float:
+        if self.usage is None:
+            return 0.0
+        return self.usage.estimate(now_s, report_delay_s)
+
 
 class FleetQuota:
     """Admits requests of workspaces within their rate over all instances.
@@ -70,6 +89,11 @@
     history : FleetHistory, default=None
         Time for which this instance has counted requests. By default, nothing was
         admitted before its start.
+    report_delay_s : callable, default=None
+        Returns the time that reports of other instances take, in seconds. By default,
+        they take no time.
+    tolerance : RateTolerance, default=NO_TOLERANCE
+        Requests that may exceed a rate.
     """
 
     def __init__(
@@ -77,10 +101,14 @@
         timers: Timers,
         reachable_fraction: Callable[[], float],
         history: FleetHistory | None = None,
+        report_delay_s: Callable[[], float] = float,
+        tolerance: RateTolerance = NO_TOLERANCE,
     ) -> None:
         self.timers = timers
         self.reachable_fraction = reachable_fraction
         self.history = history
+        self.report_delay_s = report_delay_s
+        self.tolerance = tolerance
         self.buckets: dict[str, _Bucket] = {}
         self.peer_counters = PeerCounters()
         self.charged_lost_debts = False
@@ -106,16 +134,21 @@
             bucket = self.buckets.get(workspace.name)
             if bucket is None:
                 return Decision(True)
-            bucket.refill(self.timers.now(), self._grantable_fraction())
-            wait_s = max(1.0 - bucket.level, 0.0) / (bucket.rate_per_s * fraction)
-            log_fields = bucket.log_fields(fraction)
+            now = self.timers.now()
+            bucket.refill(now, self._grantable_fraction())
+            unreported = bucket.unreported(now, self.report_delay_s())
+            borne = self.tolerance.usable(bucket.rate_per_s, bucket.burst)
+            tokens = bucket.level - max(unreported - borne, 0.0)
+            wait_s = max(1.0 - tokens, 0.0) / (bucket.rate_per_s * fraction)
+            log_fields = {**bucket.log_fields(fraction), "unreported": unreported}
             max_wait_s = self._max_wait_s()
             if wait_s > max_wait_s:
                 later_s = max(wait_s - MAX_TOKEN_WAIT_S / 2, MAX_TOKEN_WAIT_S / 2)
                 return Decision(False, OVER_LIMIT, later_s, log_fields=log_fields)
             bucket.level -= 1.0
             bucket.admitted += 1
-            bucket.last_admitted_at_s = bucket.refilled_at_s
+            bucket.last_admitted_at_s = now
+            bucket.used(now).record_own(now)
             return Decision(True, wait_s=wait_s, log_fields=log_fields)
 
     def _max_wait_s(self) -> float:
@@ -171,8 +204,10 @@
                 if adopts_levels and usage.HasField("tokens"):
                     bucket.level = min(usage.tokens, bucket.burst)
                 elif increase:
-                    bucket.refill(self.timers.now(), self._grantable_fraction(1.0))
+                    now = self.timers.now()
+                    bucket.refill(now, self._grantable_fraction(1.0))
                     bucket.charge(increase)
+                    bucket.used(now).record_peers(now, increase)
 
     def _initial_burst(self, workspace: Workspace) -> float:
         """Return the tokens of a new bucket, whose workspace may have used them."""
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -48,7 +48,11 @@
 from lacewinglift.mesh.rate_shares import RateShares
 from lacewinglift.mesh.registry import TargetRegistry, from_message
 from lacewinglift.mesh.relay_election import RelayElection
-from lacewinglift.mesh.relaying import DETAILS_INTERVAL_S, Relaying
+from lacewinglift.mesh.relaying import (
+    BUNDLE_INTERVAL_S,
+    DETAILS_INTERVAL_S,
+    Relaying,
+)
 from lacewinglift.mesh.resend_records import ResendRecordKeeper
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets
 from lacewinglift.mesh.route_priorities import check_choice, choice_for
@@ -168,7 +172,13 @@
         self.registry = TargetRegistry(self.timers, self._registry_changed)
         self.targets.on_leaving = self.registry.mark_leaving
         self.history = FleetHistory(self.timers, self.members, settings.first_start)
-        self.quota = FleetQuota(self.timers, self.reachable_fraction, self.history)
+        self.quota = FleetQuota(
+            self.timers,
+            self.reachable_fraction,
+            self.history,
+            self.report_delay_s,
+            settings.rate_tolerance,
+        )
         self.retry_budgets = FleetRetryBudgets(
             self.timers,
             settings.retry_limits,
@@ -382,6 +392,12 @@
             return self.members.reachable_fraction()
         return self.members.reachable_fraction(len(self.peer_addresses.known()))
 
+    def report_delay_s(self) -> float:
+        """Return the time that counts of other instances take to get here."""
+        if self.relaying.is_on():
+            return DETAILS_INTERVAL_S + BUNDLE_INTERVAL_S
+        return self.heartbeats.active_interval_s
+
     def is_started(self) -> bool:
         """Return whether this instance has a configuration and the targets."""
         return self.configuration_holder.current() is not None and self.registry.ready
@@ -431,7 +447,8 @@
         return names
 
     def _schedule_active_heartbeat(self) -> None:
-        if self.is_active():
+        # Where heartbeats are relayed, one more costs two or three datagrams only.
+        if self.is_active() or self.relaying.is_on():
             self.heartbeats.schedule_active_heartbeat()
 
     # ---- configuration and registry ----
--- a/src/lacewinglift/mesh/settings.py
+++ b/src/lacewinglift/mesh/settings.py
@@ -6,6 +6,7 @@
 
 from lacewinglift.held_bytes import MAX_HELD_PER_INSTANCE
 from lacewinglift.mesh.retry_budgets import RetryLimits
+from lacewinglift.mesh.unreported_usage import RateTolerance
 
 ADDRESS_LIFETIME_S = 3.0
 # Part of the grace period that is reserved for the exit of the process.
@@ -20,6 +21,7 @@
 RESPONSE_READ_TIMEOUT_S = 10.0
 # Stands for no concurrency limit: only the worker threads limit requests in progress.
 UNLIMITED_CONCURRENCY = 1_000_000
+DEFAULT_RATE_TOLERANCE = RateTolerance(fraction=0.1, slack=20.0, window_s=5.0)
 DEFAULT_RETRY_LIMITS = RetryLimits(per_request=0.1, window_s=10.0, slack=10.0)
 
 
@@ -43,6 +45,8 @@
     seeds: tuple[str, ...] = ()
     """Heartbeat addresses of instances to contact first."""
     retry_limits: RetryLimits = DEFAULT_RETRY_LIMITS
+    rate_tolerance: RateTolerance = DEFAULT_RATE_TOLERANCE
+    """Requests that may exceed the rate of a workspace."""
     first_start: bool = False
     """Whether the whole fleet starts for the first time, without callers yet."""
     link_bytes_per_s: float | None = None
--- a/testing/adapter/test_node_file.py
+++ b/testing/adapter/test_node_file.py
@@ -9,6 +9,7 @@
 from testtools.matchers import Contains, Equals
 
 from lacewinglift.errors import SettingsError
+from lacewinglift.mesh.unreported_usage import RateTolerance
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 FIELDS = {
@@ -23,7 +24,13 @@
     },
     "internal_port_range": [7560, 7575],
     "seeds": ["10.2.0.8:8381"],
-    "bounds": ["budget_ratio=0.2", "budget_slack=58", "closed=false", "grace_s=6"],
+    "bounds": [
+        "budget_ratio=0.2",
+        "budget_slack=58",
+        "closed=false",
+        "grace_s=6",
+        "quota_window_s=4",
+    ],
     "platform": {"address": "10.200.1.7:8382"},
     "zones": {"milano": "south", "torino": 7},
     "unknown": {"new": "field"},
@@ -48,6 +55,7 @@
     assert_that(settings.fetch_address, Equals("10.1.0.37:7560"))
     assert_that(settings.seeds, Equals(("10.2.0.8:8381",)))
     assert_that(settings.retry_limits.slack, Equals(58.0))
+    assert_that(settings.rate_tolerance, Equals(RateTolerance(0.1, 20.0, 4.0)))
     assert_that(settings.regions, Equals({"milano": "south"}))
     assert settings.stop_bound_s < 6
 
