Test that a version spreads although a third of its sources is cut off

The simulated fleet lets a fetch from an instance that is cut off hang, as a real one does, and seeds the choice of sources.

--- a/testing/mesh/simulated_fleet.py
+++ b/testing/mesh/simulated_fleet.py
@@ -187,7 +187,7 @@
     """Times at which requests were sent to each target."""
     requests_without_target: int = 0
     is_cut: Callable = lambda sender, receiver: False
-    """Returns whether datagrams between two instances are lost, by their settings."""
+    """Returns whether what one instance sends to another is lost, by their settings."""
 
     def __attrs_post_init__(self):
         names = [f"w{number}" for number in range(self.workspaces)]
@@ -224,6 +224,7 @@
         instance.targets.random = Random(number)
         instance.targets.choice.random = instance.targets.random
         instance.random = Random(number)
+        instance.snapshot_fetcher.random = Random(number)
         # Those of a large fleet would use up the descriptors of the test process.
         instance.heartbeats.socket.close()
         instance.snapshots.runner.loop.close()
@@ -298,9 +299,13 @@
     def transfer(self, snapshots, server, request):
         """Send a snapshot in chunks over the server's link.
 
-        Opening the connection and the request each wait for the requester's link.
+        Opening the connection and the request each wait for the requester's link. A
+        server that is cut off does not answer.
         """
         started_s = self.timers.now()
+        if self.is_cut(server.settings, snapshots.instance.settings):
+            self.at(started_s + FETCH_TIMEOUT_S, lambda: snapshots.end(None))
+            return
         snapshot = server.build_snapshot(request)
         link = self.links[server.settings.instance]
         requester_link = self.links[snapshots.instance.settings.instance]
--- a/testing/mesh/test_fleet_traffic.py
+++ b/testing/mesh/test_fleet_traffic.py
@@ -1,6 +1,7 @@
 """Traffic between the instances of a large fleet, on slow links."""
 
 import math
+from random import Random
 
 import pytest
 from attrs import evolve
@@ -81,6 +82,29 @@
     publish_in_time(fleet)
 
 
+@pytest.mark.parametrize("seed", [0, 1])
+def test_configuration_reaches_all_although_sources_are_cut_off(fleet, seed):
+    """Load: a third of 94 instances is cut off while a version spreads among them.
+
+    Guards against an instance that asks one source after another of those that are
+    cut off, which count as lost only seconds later, and waits a second for each.
+    """
+    run(fleet, 1.0)
+    started_s = fleet.timers.now()
+    for instance in fleet.instances[:3]:
+        instance.apply_configuration(fleet.configuration_value(2))
+    run(fleet, 0.25)
+    cut_off = Random(seed).sample(fleet.instances[3:], len(fleet.instances) // 3)
+    names = {each.settings.instance for each in cut_off}
+    fleet.is_cut = lambda sender, receiver: (
+        (sender.instance in names) != (receiver.instance in names)
+    )
+    others = [each for each in fleet.instances if each not in cut_off]
+    while any(each.configuration_holder.generation() < 2 for each in others):
+        run(fleet, 5 * STEP_S)
+        assert_that(fleet.timers.now() - started_s, LessThan(CONFIGURATION_BOUND_S))
+
+
 def test_target_that_registers_after_a_restore_of_the_store_stays_known():
     """Load: 36 instances, of which three read a restored store at a lower revision.
 
