--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -884,7 +884,7 @@
         # Counts only rise, but the rest is outdated.
         self.quota.record_peer_usage(heartbeat)
 
-    def _fetch_snapshot(self, source: beats_pb2.Description) -> None:
+    def _fetch_snapshot(self, sources: Sequence[beats_pb2.Description]) -> None:
         request = beats_pb2.SnapshotRequest(
             configuration_version=self.configuration_holder.generation(),
             registry_digest=self.registry.digest,
@@ -892,7 +892,8 @@
             store_era=self.registry.era,
             accepts_compressed=True,
         )
-        self.snapshots.fetch(source.fetch_address, request)
+        addresses = [source.fetch_address for source in sources]
+        self.snapshots.fetch(addresses, request)
 
     def _run_housekeeping(self) -> None:
         if self.overload.services:
--- a/src/lacewinglift/mesh/snapshot_fetcher.py
+++ b/src/lacewinglift/mesh/snapshot_fetcher.py
@@ -16,6 +16,10 @@
 # The fetches of a fleet are spread over this time for each instance. Those that come
 # later find more instances to fetch from.
 SPREAD_PER_INSTANCE_S = 0.004
+# Instances that one fetch may turn to, as some may have been cut off just now.
+MAX_SOURCES = 3
+# The last one is of another data centre, if there is one: the own one may be cut off.
+MAX_NEAR_SOURCES = MAX_SOURCES - 1
 
 
 class SnapshotFetcher:
@@ -32,7 +36,8 @@
     policy : SnapshotFetchPolicy
         Decides whether an instance has newer state.
     fetch : callable
-        Fetches a snapshot from an instance, given its description.
+        Fetches a snapshot from the first of some instances that answers, given their
+        descriptions.
     is_urgent : callable
         Returns whether callers are waiting for the state, so that it is fetched at
         once.
@@ -46,7 +51,7 @@
         data_centre: str,
         members: MemberTable,
         policy: SnapshotFetchPolicy,
-        fetch: Callable[[beats_pb2.Description], None],
+        fetch: Callable[[list[beats_pb2.Description]], None],
         is_urgent: Callable[[], bool],
         random: Random | None = None,
     ) -> None:
@@ -79,21 +84,21 @@
     def _fetch_from_one(self) -> None:
         with self.lock:
             self.scheduled = False
-        source = self._choose_source()
-        if source is not None:
-            self.fetch(source.description)
+        sources = self._choose_sources()
+        if sources:
+            self.fetch([source.description for source in sources])
 
-    def _choose_source(self) -> Member | None:
-        """Return an instance with newer state, preferably of this data centre."""
+    def _choose_sources(self) -> list[Member]:
+        """Return instances with newer state, those of this data centre first."""
         newer = [
             member
             for member in self.members.reachable()
             if self.policy.has_newer_state(member.heartbeat)
         ]
-        near = [
-            member
-            for member in newer
-            if member.description.data_centre == self.data_centre
-        ]
-        candidates = near or newer
-        return self.random.choice(candidates) if candidates else None
+        self.random.shuffle(newer)
+        near = [each for each in newer if self._is_near(each)][:MAX_NEAR_SOURCES]
+        far = [each for each in newer if not self._is_near(each)]
+        return [*near, *far][:MAX_SOURCES]
+
+    def _is_near(self, member: Member) -> bool:
+        return member.description.data_centre == self.data_centre
--- a/src/lacewinglift/mesh/snapshots.py
+++ b/src/lacewinglift/mesh/snapshots.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
-from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
@@ -13,6 +12,7 @@
 from lacewinglift.logs import log_exception, log_info
 from lacewinglift.loops import LoopRunner
 from lacewinglift.mesh.fetch_slots import FetchSlots
+from lacewinglift.mesh.source_connections import connect_to_first
 from lacewinglift.mesh.traffic import Direction, MeshTraffic, MessageKind
 from lacewinglift.socket_addresses import split_address
 from lacewinglift.timers import Durations, Timers
@@ -65,15 +65,18 @@
 
 
 async def fetch_snapshot(
-    address: str, request: beats_pb2.SnapshotRequest
+    addresses: Sequence[str], request: beats_pb2.SnapshotRequest
 ) -> beats_pb2.Snapshot:
-    """Fetch a snapshot from one instance; raises one of `_FETCH_ERRORS`."""
-    host, port = split_address(address)
-    channel = Channel(host, port)
-    try:
-        return await SnapshotsStub(channel).Fetch(request, timeout=FETCH_TIMEOUT_S)
-    finally:
-        channel.close()
+    """Fetch a snapshot from the first instance that can be connected to.
+
+    Raises one of `_FETCH_ERRORS`.
+    """
+    async with asyncio.timeout(FETCH_TIMEOUT_S):
+        channel = await connect_to_first(addresses)
+        try:
+            return await SnapshotsStub(channel).Fetch(request)
+        finally:
+            channel.close()
 
 
 class SnapshotExchange:
@@ -115,18 +118,31 @@
         """Stop the loop and its thread."""
         self.runner.stop()
 
-    def fetch(self, address: str, request: beats_pb2.SnapshotRequest) -> None:
-        """Fetch a snapshot in the background, unless one may be about to arrive."""
+    def fetch(
+        self, addresses: Sequence[str], request: beats_pb2.SnapshotRequest
+    ) -> None:
+        """Fetch a snapshot in the background, unless one may be about to arrive.
+
+        Parameters
+        ----------
+        addresses : sequence of str
+            Instances that have newer state. One of them is asked.
+        request : SnapshotRequest
+            State of this instance.
+        """
         if not self.slots.try_start():
             return
         asyncio.run_coroutine_threadsafe(
-            self._fetch(address, request), self.runner.loop
+            self._fetch(addresses, request), self.runner.loop
         )
 
-    async def _fetch(self, address: str, request: beats_pb2.SnapshotRequest) -> None:
+    async def _fetch(
+        self, addresses: Sequence[str], request: beats_pb2.SnapshotRequest
+    ) -> None:
         started_s = self.timers.now()
+        peers = ",".join(addresses)
         try:
-            reply = await fetch_snapshot(address, request)
+            reply = await fetch_snapshot(addresses, request)
             self.service.traffic.record(
                 MessageKind.SNAPSHOT, Direction.RECEIVED, reply.ByteSize()
             )
@@ -135,12 +151,12 @@
             self.failed_fetches += 1
             log_info(
                 "snapshot_fetch_failed",
-                peer=address,
+                peer=peers,
                 reason=repr(error),
                 after_s=self.timers.now() - started_s,
             )
         except Exception:
-            log_exception("snapshot_rejected", peer=address)
+            log_exception("snapshot_rejected", peer=peers)
         finally:
             self.fetch_times.record(self.timers.now() - started_s)
             self.slots.end()
--- a/testing/mesh/simulated_fleet.py
+++ b/testing/mesh/simulated_fleet.py
@@ -18,6 +18,7 @@
 from lacewinglift.mesh.registry import RegisteredTarget
 from lacewinglift.mesh.settings import MeshSettings
 from lacewinglift.mesh.snapshots import FETCH_TIMEOUT_S
+from lacewinglift.mesh.source_connections import NEXT_CONNECTION_DELAY_S
 from lacewinglift.outcomes import Outcome, OutcomeKind
 from lacewinglift.timers import ManualTimers
 
@@ -137,10 +138,18 @@
     def __attrs_post_init__(self):
         self.slots = FetchSlots(self.fleet.timers)
 
-    def fetch(self, address, request):
+    def fetch(self, addresses, request):
         if not self.slots.try_start():
             return
-        self.fleet.transfer(self, self.fleet.by_fetch_address[address], request)
+        servers = [self.fleet.by_fetch_address[address] for address in addresses]
+        own = self.instance.settings
+        delay_s = 0.0
+        for server in servers:
+            if not self.fleet.is_cut(server.settings, own):
+                break
+            delay_s += NEXT_CONNECTION_DELAY_S
+        start_s = self.fleet.timers.now() + delay_s
+        self.fleet.at(start_s, lambda: self.fleet.transfer(self, server, request))
 
     def end(self, snapshot):
         self.slots.end()
--- a/testing/mesh/test_snapshot_fetcher.py
+++ b/testing/mesh/test_snapshot_fetcher.py
@@ -37,7 +37,9 @@
             "milano",
             self.members,
             policy,
-            lambda description: self.fetched.append(description.beat_address),
+            lambda sources: self.fetched.append(
+                [each.beat_address for each in sources]
+            ),
             lambda: self.urgent,
             Random(1),
         )
@@ -74,7 +76,7 @@
     for _ in range(40):
         setup.timers.advance(LONGEST_DELAY_S)
         setup.hear("f0", generation=4)
-    sources = {address.removesuffix(":81") for address in setup.fetched}
+    sources = {first.removesuffix(":81") for first, *_ in setup.fetched}
     assert_that(len(sources), GreaterThan(5))
     assert_that({int(name[1:]) % 2 for name in sources}, Equals({0}))
 
@@ -84,7 +86,16 @@
     setup.urgent = True
     setup.hear("f1", generation=4)
     setup.timers.advance(0.0)
-    assert_that(setup.fetched, Equals(["f1:81"]))
+    assert_that(setup.fetched, Equals([["f1:81"]]))
+
+
+def test_last_source_is_of_another_data_centre(setup):
+    """Guards against sources that are all cut off with the own data centre."""
+    for number in range(MEMBERS):
+        setup.hear(f"f{number}", generation=4)
+    setup.timers.advance(LONGEST_DELAY_S)
+    numbers = [int(address.removesuffix(":81")[1:]) for address in setup.fetched[0]]
+    assert_that([number % 2 for number in numbers], Equals([0, 0, 1]))
 
 
 def test_snapshot_holds_only_what_is_newer():
