Take a response with an invalid status for a failure of its target

Reported for other systems: a target in trouble sent status 000, and the caller got it as an answer. This system refuses 000 already (http.client does); the new test passes for it without the change. Cause: the status is read by int() and has no upper bound.

--- a/src/lacewinglift/pools.py
+++ b/src/lacewinglift/pools.py
@@ -5,6 +5,7 @@
 import re
 import socket
 import threading
+from http import HTTPStatus
 from typing import Any
 
 from urllib3.connection import HTTPConnection
@@ -42,6 +43,7 @@
 # Limit for a line with a chunk size and for a trailer.
 MAX_LINE_BYTES = 16 * 1024
 
+_STATUS_LINE = re.compile(rb"(HTTP/1\.[0-9]) +([1-5][0-9]{2})(?: +([^\r\n]*))?\r?\n")
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _LINE_FOLD = re.compile(r"\r\n[ \t]+")
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
@@ -98,11 +100,11 @@
 class TargetResponse(http.client.HTTPResponse):
     """Response of a target, parsed more strictly than by http.client.
 
-    http.client accepts status 103 as a final response, accepts the first half of a
-    chunk size such as "0400" as the last chunk if the connection ends there, accepts a
-    truncated head as a complete one, and drops headers that follow an invalid line. In
-    each of these cases a wrong or incomplete response would be forwarded as a complete
-    one.
+    http.client accepts status 103 as a final response, reads "0200" as status 200,
+    passes on statuses above 599, accepts the first half of a chunk size such as "0400"
+    as the last chunk if the connection ends there, accepts a truncated head as a
+    complete one, and drops headers that follow an invalid line. In each of these cases
+    a wrong or incomplete response would be forwarded as a complete one.
     """
 
     def __init__(self, sock: socket.socket, *args: Any, **kwargs: Any) -> None:
@@ -174,14 +176,22 @@
 
     def _read_status(self) -> tuple[str, int, str]:
         for _ in range(MAX_INTERIM_RESPONSES):
-            version, status, reason = super()._read_status()
-            if status == 101 or status < 100:
+            version, status, reason = self._read_status_line()
+            if status == HTTPStatus.SWITCHING_PROTOCOLS:
                 raise InvalidResponseError(f"unexpected status {status}")
-            if status >= 200:
+            if status >= HTTPStatus.OK:
                 return version, status, reason
             http.client.parse_headers(self.fp)
         raise InvalidResponseError("too many interim responses")
 
+    def _read_status_line(self) -> tuple[str, int, str]:
+        line = self.fp.readline(MAX_LINE_BYTES)
+        match = _STATUS_LINE.fullmatch(line)
+        if match is None:
+            raise InvalidResponseError("invalid status line")
+        version, status, reason = match.groups(default=b"")
+        return version.decode(), int(status), reason.decode("iso-8859-1")
+
     def _validate_head(self) -> None:
         message = self.msg
         if message.defects or message.get_payload():
--- a/testing/test_forwarder.py
+++ b/testing/test_forwarder.py
@@ -10,7 +10,7 @@
 from testtools.matchers import Contains, EndsWith, Equals, GreaterThan, LessThan, Not
 
 from lacewinglift.access import Access
-from lacewinglift.configuration import DEFAULT_MAX_ATTEMPTS
+from lacewinglift.configuration import DEFAULT_MAX_ATTEMPTS, Route
 from lacewinglift.outcomes import OutcomeKind
 from testing.standins.proxy_harness import (
     AUTHORIZATION,
@@ -160,6 +160,21 @@
         assert_that(refusal(reply), Equals(("target_failed", "may_have_run")))
 
 
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize(
+    "status",
+    ["000", "0200", "+200", "2_00", "020", "20", "600", "999", "1000", "-200", "abc"],
+)
+def test_status_that_does_not_exist_is_not_forwarded(status, idempotent):
+    """Guards against an answer that the target never gave, or that has no meaning."""
+    data = f"HTTP/1.1 {status} Odd\r\nContent-Length: 3\r\n\r\nabc".encode()
+    with proxy_with_targets(send_and_close(data), send_and_close(data)) as (proxy, *_):
+        proxy.publish(routes=(Route("/cassa", "cassa", idempotent=idempotent),))
+        reply = call(proxy, "POST", body=b"x")
+        assert_that(refusal(reply), Equals(("target_failed", "may_have_run")))
+        assert_that(reply, Not(Contains(b"abc")))
+
+
 def test_bytes_after_a_response_are_not_the_next_response():
     """Guards against a late or duplicated response that reaches another caller."""
     doubled = make_response(200, b"first") + make_response(200, b"stray")
