--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+SIMULATED := testing/mesh testing/overload
 
 .PHONY: test format lint generate check-generated unit demo fleet
 
@@ -26,8 +27,11 @@
 check-generated: $(STAMP)
 	$(BIN)/python tools/generate.py --check
 
+# Tests on simulated time use all processors. The others measure real time, and some of
+# them listen on fixed ports, so they run one after another.
 unit: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses auto --dist worksteal $(SIMULATED)
+	$(BIN)/python -m pytest $(addprefix --ignore=,$(SIMULATED))
 
 demo: $(STAMP)
 	$(BIN)/python -m testing.fleet demo
