Do not measure the fleet for each heartbeat in order to charge lost debts

Found while tracing why a test of 300 instances with relays takes 300 s: for as long as a process had not been part of a restart of the whole fleet, each heartbeat and each relayed one computed the reachable part of the fleet, which takes time that grows with it. The result is only used in the first 1.5 s of a process, and is now asked for only then; decisions are the same.

--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -180,6 +180,9 @@
         """
         if self.charged_lost_debts or self.history is None:
             return
+        # First, since the rest takes time that grows with the fleet.
+        if self.history.has_heard_all():
+            return
         if (
             self.reachable_fraction() < RESTART_HEARD_FRACTION
             or not self.history.is_mostly_new()
