Explain refusals for unreported use, and keep its record small

lacewinglift explain names a refusal for tokens that others have probably used (over_limit_unreported). The record of a workspace in use holds a list instead of a deque, whose empty one takes ten times the memory. Names and comments as a newcomer would expect them.

--- a/src/lacewinglift/explaining/causes.py
+++ b/src/lacewinglift/explaining/causes.py
@@ -59,14 +59,15 @@
     text = f"{workspace} had {tokens:.2f} tokens at {timeline.instance}"
     if "rate_per_s" in refused.fields:
         text += f", at a rate of {refused.fields['rate_per_s']} per second"
-    unreported = refused.number("unreported", 0.0)
-    if unreported > tokens:
-        text += f"; other instances had probably used {unreported:.0f} of them"
     part = refused.number("heard_part", 1.0)
     if part < 1.0:
         text += f"; only {part:.0%} of the fleet was heard, and that part of the rate"
         text += " may be used"
         return Cause("over_limit_cut_off", text)
+    if tokens >= 1.0:
+        unreported = refused.number("unreported", 0.0)
+        text += f"; other instances had probably used {unreported:.0f} and not reported"
+        return Cause("over_limit_unreported", text + " it yet")
     return Cause("over_limit", text + ": its requests came faster than its rate")
 
 
--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -64,7 +64,7 @@
     def charge(self, tokens: float) -> None:
         self.level = max(self.level - tokens, -MAX_DEBT_S * self.rate_per_s)
 
-    def used(self, now_s: float) -> UnreportedUsage:
+    def ensure_usage(self, now_s: float) -> UnreportedUsage:
         if self.usage is None:
             self.usage = UnreportedUsage.since(now_s)
         return self.usage
@@ -89,7 +89,7 @@
     history : FleetHistory, default=None
         Time for which this instance has counted requests. By default, nothing was
         admitted before its start.
-    report_delay_s : callable, default=None
+    report_delay_s : callable, default=float
         Returns the time that reports of other instances take, in seconds. By default,
         they take no time.
     tolerance : RateTolerance, default=NO_TOLERANCE
@@ -137,8 +137,8 @@
             now = self.timers.now()
             bucket.refill(now, self._grantable_fraction())
             unreported = bucket.unreported(now, self.report_delay_s())
-            borne = self.tolerance.usable(bucket.rate_per_s, bucket.burst)
-            tokens = bucket.level - max(unreported - borne, 0.0)
+            tolerated = self.tolerance.usable(bucket.rate_per_s, bucket.burst)
+            tokens = bucket.level - max(unreported - tolerated, 0.0)
             wait_s = max(1.0 - tokens, 0.0) / (bucket.rate_per_s * fraction)
             log_fields = {**bucket.log_fields(fraction), "unreported": unreported}
             max_wait_s = self._max_wait_s()
@@ -148,7 +148,7 @@
             bucket.level -= 1.0
             bucket.admitted += 1
             bucket.last_admitted_at_s = now
-            bucket.used(now).record_own(now)
+            bucket.ensure_usage(now).record_own(now)
             return Decision(True, wait_s=wait_s, log_fields=log_fields)
 
     def _max_wait_s(self) -> float:
@@ -210,7 +210,7 @@
                     now = self.timers.now()
                     bucket.refill(now, self._grantable_fraction(1.0))
                     bucket.charge(increase)
-                    bucket.used(now).record_peers(now, increase)
+                    bucket.ensure_usage(now).record_peers(now, increase)
 
     def _initial_burst(self, workspace: Workspace) -> float:
         """Return the tokens of a new bucket, whose workspace may have used them."""
--- a/src/lacewinglift/mesh/unreported_usage.py
+++ b/src/lacewinglift/mesh/unreported_usage.py
@@ -8,8 +8,6 @@
 Load: one workspace sends several times its usual rate, through tens of instances.
 """
 
-from collections import deque
-
 from attrs import define, field, frozen
 
 from lacewinglift.admission import DemandMeter
@@ -54,13 +52,14 @@
         Requests that other instances report.
     own : DemandMeter
         Requests that this instance has admitted, the recent ones excepted.
-    recent_s : deque of float
+    recent_s : list of float
         Times at which this instance has admitted requests that others may not know.
     """
 
     peers: DemandMeter
     own: DemandMeter
-    recent_s: deque[float] = field(factory=deque)
+    # An empty deque takes ten times as much memory, for each workspace in use.
+    recent_s: list[float] = field(factory=list)
 
     @classmethod
     def since(cls, now_s: float) -> "UnreportedUsage":
@@ -89,7 +88,7 @@
             Time that the reports of the others take, in seconds.
         """
         while self.recent_s and self.recent_s[0] <= now_s - report_delay_s:
-            self.own.record(self.recent_s.popleft())
+            self.own.record(self.recent_s.pop(0))
         usual = self.own.average_at(now_s) * report_delay_s
         growth = (len(self.recent_s) + SURGE_DAMPING) / (usual + SURGE_DAMPING)
         return self.peers.average_at(now_s) * report_delay_s * max(growth, 1.0)
--- a/testing/test_explaining.py
+++ b/testing/test_explaining.py
@@ -93,6 +93,9 @@
     "over_limit_cut_off": [
         refused(0, "over_limit", 429, workspace="house", tokens=0.2, heard_part=0.4)
     ],
+    "over_limit_unreported": [
+        refused(0, "over_limit", 429, workspace="house", tokens=40, unreported=130)
+    ],
     "starting": [
         write(-1, "a", "store_lost", code="store_unavailable", reason="refused"),
         refused(0, "starting", 503),
