Show that a backend that has left gets requests while watches are cut

Cause: an observer takes a watch that the store cuts for an outage of the store. For some seconds after an outage it keeps targets whose entry is gone, and each further cut prolongs this, whatever the listings say.

--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -8,6 +8,9 @@
 import urllib.parse
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+# Answer of a watch whose connection is closed without one.
+CUT = (None, None)
+
 
 class Store:
     """Store on a loopback address; `write` is what the operator and servers do."""
@@ -19,6 +22,8 @@
         self.leases = {}
         self.lease_ids = itertools.count(77001)
         self.condition = threading.Condition()
+        self.watch_epoch = 0
+        self.cut_watches = 0
         handler = type("Handler", (_Handler,), {"store": self})
         self.server = ThreadingHTTPServer((host, 0), handler)
         self.server.daemon_threads = True
@@ -46,6 +51,12 @@
             self._remove(key)
         return time.monotonic()
 
+    def cut_all_watches(self):
+        """Cut the watches that wait now; they get no answer."""
+        with self.condition:
+            self.watch_epoch += 1
+            self.condition.notify_all()
+
     def _write(self, key, data, lease):
         self.revision += 1
         before = self.entries.get(key)
@@ -100,6 +111,7 @@
         prefix, after = query.get("prefix", ""), int(query["after"])
         deadline = time.monotonic() + min(int(query["wait_ms"]), 30_000) / 1000
         with self.condition:
+            epoch = self.watch_epoch
             while True:
                 self._expire()
                 events = [
@@ -108,6 +120,9 @@
                     if event["rev"] > after and event["key"].startswith(prefix)
                 ]
                 left = deadline - time.monotonic()
+                if epoch != self.watch_epoch and not events:
+                    self.cut_watches += 1
+                    return CUT
                 if events or left <= 0:
                     return 200, {"events": events, "store_revision": self.revision}
                 self.condition.wait(min(left, 0.5))
@@ -178,6 +193,9 @@
         path, _, text = self.path.partition("?")
         query = dict(urllib.parse.parse_qsl(text))
         status, fields = self._dispatch(path, query, body)
+        if status is None:
+            self.close_connection = True
+            return
         data = json.dumps(fields).encode()
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
