--- a/review/standins-2/backend.py
+++ b/review/standins-2/backend.py
@@ -8,18 +8,26 @@
 
 
 class Backend:
-    """Backend with an instance id; `on_run` is told of each request that it runs."""
+    """Backend with an instance id; `on_run` is told of each request that it runs.
 
-    def __init__(self, name, service, zone, on_run, work_s=0.03, host="127.0.0.1"):
+    It works on `slots` requests at a time, keeps `queue` more waiting and rejects the
+    rest.
+    """
+
+    def __init__(self, name, service, zone, on_run, work_s=0.03, slots=64, queue=8):
         self.name, self.service, self.zone = name, service, zone
         self.on_run, self.work_s = on_run, work_s
+        self.slots, self.queue = slots, queue
+        self.held = 0
+        self.free_slots = threading.Semaphore(slots)
+        self.lock = threading.Lock()
         self.sequence = itertools.count(1)
         self.born_ms = int(time.time() * 1000)
-        self.listener = socket.create_server((host, 0), backlog=256)
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.address = "{}:{}".format(*self.listener.getsockname())
         threading.Thread(target=self._accept, daemon=True).start()
 
-    def entry(self, state="ready", slots=64):
+    def entry(self, state="ready"):
         """Return what the backend writes to the store about itself."""
         return {
             "address": self.address,
@@ -28,7 +36,7 @@
                 "service": self.service,
                 "version": "v1",
                 "zone": self.zone,
-                "slots": slots,
+                "slots": self.slots,
             },
             "status": {
                 "state": state,
@@ -67,8 +75,17 @@
             if line.split(" ")[1] == "/health":
                 return response(200, b"", "", **extra)
             return response(400, b"", "", **{"Not-Executed": "1"})
-        self.on_run(self, line, headers, body)
-        time.sleep(self.work_s)
+        with self.lock:
+            if self.held >= self.slots + self.queue:
+                return response(503, b"", request_id, **{"Not-Executed": "1"})
+            self.held += 1
+        try:
+            with self.free_slots:
+                self.on_run(self, line, headers, body)
+                time.sleep(self.work_s)
+        finally:
+            with self.lock:
+                self.held -= 1
         signature = {"Server-Signature": f"{self.name}.{request_id}"}
         return response(
             200, f"answer to {request_id}".encode(), request_id, **signature
--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -27,6 +27,8 @@
         handler = type("Handler", (_Handler,), {"store": self})
         self.server = ThreadingHTTPServer((host, 0), handler)
         self.server.daemon_threads = True
+        # Connections of processes that were ended are no errors of the store.
+        self.server.handle_error = lambda request, address: None
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
     @property
