Do not take a cut watch for an outage of the store

Cause: a call that failed counted as an outage in which entries of live targets may have expired, unless another call was answered meanwhile. A watch that waits may be cut at any time, and in a quiet store nothing is answered meanwhile. Each cut prolonged the time for which a missing target is kept. Each cut also counted as lost contact, so that further instances began to read the store.

Change: an outage is a time without any answer that is long enough for an entry to expire, by the heartbeat interval of targets, which is read from the settings. A watch of targets returns within one interval. A watch that the store closes raises WatchCutError, and the observer lists again before it counts contact as lost. Missing targets are kept while calls fail.

Why it works: listings are answered between the cuts, so that no time without an answer is as long as an outage that lets entries expire.

--- a/src/lacewinglift/kv.py
+++ b/src/lacewinglift/kv.py
@@ -5,7 +5,7 @@
 
 from attrs import frozen
 
-from lacewinglift.errors import StoreError
+from lacewinglift.errors import StoreError, StoreUnavailableError
 
 
 class HistoryLostError(StoreError):
@@ -14,6 +14,15 @@
     code = "store_history_lost"
 
 
+class WatchCutError(StoreUnavailableError):
+    """The service closed the connection of a watch that was waiting.
+
+    It may do so at any time, so that this alone tells nothing about its other calls.
+    """
+
+    code = "store_watch_cut"
+
+
 @frozen
 class Item:
     """A key, its value and the revision that wrote it."""
@@ -64,7 +73,7 @@
 
     Calls raise StoreUnavailableError if no reply came, so that it is unknown whether
     a write took effect, and StoreRefusedError if the service did not carry out the
-    call. `watch` also raises HistoryLostError.
+    call. `watch` also raises HistoryLostError and WatchCutError.
     """
 
     def list(self, prefix: str, stale: bool = False) -> Listing:
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -304,6 +304,7 @@
             resend_record=ResendRecordKeeper(
                 self.timers, self.retry_budgets, settings.retry_limits.window_s
             ),
+            target_heartbeat_interval_s=settings.target_heartbeat_interval_s,
         )
 
     def _build_relaying(self) -> Relaying:
@@ -904,7 +905,7 @@
         self.members.remove_unreachable()
         if self.members.reachable():
             self.peer_addresses.expire()
-        self.registry.remove_expired()
+        self.observer.remove_expired_targets()
         self.targets.shedding.remove_expired()
         # Callers may pause before the next target is seen.
         self._are_callers_served()
--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -1,32 +1,39 @@
 """Observers: the few instances that watch the store on behalf of all instances."""
 
 import contextlib
-import math
 import threading
 import time
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
-from attrs import define
-
 from lacewinglift.configuration import Configuration
 from lacewinglift.errors import ConfigurationError, StoreError
-from lacewinglift.kv import HistoryLostError, KeyValueStore, Listing, WatchResult
+from lacewinglift.kv import (
+    HistoryLostError,
+    KeyValueStore,
+    Listing,
+    WatchCutError,
+    WatchResult,
+)
 from lacewinglift.logs import log_exception, log_info, log_warning
 from lacewinglift.mesh.evacuations import Evacuations
 from lacewinglift.mesh.observer_election import ObserverElection
 from lacewinglift.mesh.registry import RegisteredTarget, TargetRegistry
 from lacewinglift.mesh.resend_records import ResendRecordKeeper
+from lacewinglift.mesh.settings import TARGET_HEARTBEAT_INTERVAL_S
+from lacewinglift.mesh.store_contact import StoreContact
 from lacewinglift.timers import Timers
 
 # Delay after changes of targets, so that the next watch call returns several at once.
 TARGETS_BATCH_DELAY_S = 0.1
 # A watch call returns after this time at the latest, so that one whose connection has
-# stalled is detected. The timeout for targets is shorter than
-# `STORE_CONTACT_MAX_AGE_S`, so that a watch without changes does not count as lost
-# contact.
-TARGETS_WATCH_TIMEOUT_S = 4.0
+# stalled is detected. The watch of targets takes their heartbeat interval instead.
 CONFIGURATION_WATCH_TIMEOUT_S = 8.0
+# Shortest time without an answer in which an entry can have expired, in heartbeat
+# intervals of a target. An entry expires after three of them, of which one may have
+# passed before an outage. The rest of the second one covers the time between the last
+# failed call and the end of the outage.
+MIN_OUTAGE_INTERVALS = 4 / 3
 # Backoff after a failed call. The first retry comes soon because time bounds run from
 # the failure.
 RETRY_INITIAL_DELAY_S = 0.1
@@ -65,44 +72,6 @@
         ...
 
 
-@define(eq=False)
-class StoreContact:
-    """Time of the last answer of the store, and whether calls fail now."""
-
-    timers: Timers
-    last_answer_at_s: float = float("-inf")
-    failing: bool = False
-    era: int = 0
-    """Newest era that the store has named."""
-    on_change: Callable[[], None] = lambda: None
-    """Called when calls begin to fail, and when the store answers again."""
-
-    def record_answer(self, era: int) -> None:
-        """Record that the store answered a call, and the era that it named."""
-        self.last_answer_at_s = self.timers.now()
-        if era > self.era:
-            if self.era:
-                log_warning("store_restored", previous=self.era, era=era)
-            self.era = era
-        if self.failing:
-            self.failing = False
-            log_info("store_regained")
-            self.on_change()
-
-    def record_failure(self, error: StoreError) -> None:
-        """Record that a call failed."""
-        if not self.failing:
-            self.failing = True
-            log_warning("store_lost", code=error.code, reason=error)
-            self.on_change()
-
-    def age_s(self) -> float:
-        """Return the time since the last answer; infinite while calls fail."""
-        if self.failing:
-            return math.inf
-        return self.timers.now() - self.last_answer_at_s
-
-
 class Observer:
     """Watches the store while this instance has the observer role.
 
@@ -136,6 +105,8 @@
         Receives the data centres that the operator evacuates.
     resend_record : ResendRecordKeeper, default=None
         Builds and applies the record of resends; by default, there is none.
+    target_heartbeat_interval_s : float, default=TARGET_HEARTBEAT_INTERVAL_S
+        Time after which a target writes its entry again, in seconds.
     """
 
     def __init__(
@@ -153,6 +124,7 @@
         on_role_change: Callable[[], None] | None = None,
         evacuations: Evacuations | None = None,
         resend_record: ResendRecordKeeper | None = None,
+        target_heartbeat_interval_s: float = TARGET_HEARTBEAT_INTERVAL_S,
     ) -> None:
         self.store = store
         self.codec = codec
@@ -168,7 +140,12 @@
         self.on_role_change = on_role_change
         self.evacuations = evacuations or Evacuations(timers)
         self.resend_record = resend_record
-        self.contact = StoreContact(timers, on_change=self._announce_contact)
+        self.targets_watch_timeout_s = target_heartbeat_interval_s
+        self.contact = StoreContact(
+            timers,
+            min_outage_s=MIN_OUTAGE_INTERVALS * target_heartbeat_interval_s,
+            on_change=self._announce_contact,
+        )
         election.start()
         self.watching = threading.Event()
         self.stopped = False
@@ -217,6 +194,14 @@
         """Return whether this instance receives changes from the store itself."""
         return self.watching.is_set() and not self.contact.failing
 
+    def remove_expired_targets(self) -> None:
+        """Remove targets that stayed missing, unless this instance lost the store.
+
+        While calls fail, a target cannot write its entry again, or not visibly.
+        """
+        if not (self.watching.is_set() and self.contact.failing):
+            self.registry.remove_expired()
+
     # ---- threads ----
 
     def _read_initial_state(self) -> None:
@@ -257,10 +242,10 @@
 
     @contextlib.contextmanager
     def _recorded_call(self) -> Iterator[None]:
-        """Record a failed call, and an outage unless the store has answered since.
+        """Record a failed call, and an outage in which entries may have expired.
 
-        A call that an outage swallowed fails by its timeout, when the store may have
-        been back for seconds.
+        The store may cut a waiting watch at any time. That is no lost contact, since a
+        listing follows at once.
         """
         sent_at_s = self.timers.now()
         try:
@@ -268,8 +253,9 @@
         except HistoryLostError:
             raise
         except StoreError as error:
-            self.contact.record_failure(error)
-            if self.contact.last_answer_at_s <= sent_at_s:
+            if not isinstance(error, WatchCutError):
+                self.contact.record_failure(error)
+            if self.contact.may_have_been_down(sent_at_s):
                 self.registry.record_outage()
             raise
 
@@ -318,6 +304,10 @@
             except HistoryLostError as error:
                 log_info("store_history_lost", prefix=prefix, reason=error)
                 return
+            except WatchCutError as error:
+                log_info("store_watch_cut", prefix=prefix, reason=error)
+                time.sleep(RETRY_INITIAL_DELAY_S)
+                return
             self.contact.record_answer(result.era)
             if result.era != listing.era:
                 self._read_restored_store()
@@ -328,7 +318,7 @@
     def _watch_targets(self) -> None:
         prefix = self.codec.targets_prefix
         listing = self._list_targets()
-        for result in self._watch(prefix, TARGETS_WATCH_TIMEOUT_S, listing):
+        for result in self._watch(prefix, self.targets_watch_timeout_s, listing):
             if result.changes:
                 self._apply_target_changes(result)
                 time.sleep(TARGETS_BATCH_DELAY_S)
--- a/src/lacewinglift/mesh/settings.py
+++ b/src/lacewinglift/mesh/settings.py
@@ -21,6 +21,7 @@
 RESPONSE_READ_TIMEOUT_S = 10.0
 # Stands for no concurrency limit: only the worker threads limit requests in progress.
 UNLIMITED_CONCURRENCY = 1_000_000
+TARGET_HEARTBEAT_INTERVAL_S = 1.5
 DEFAULT_RATE_TOLERANCE = RateTolerance(fraction=0.1, slack=20.0, window_s=5.0)
 DEFAULT_RETRY_LIMITS = RetryLimits(per_request=0.1, window_s=10.0, slack=10.0)
 
@@ -44,6 +45,8 @@
     store_address: str
     seeds: tuple[str, ...] = ()
     """Heartbeat addresses of instances to contact first."""
+    target_heartbeat_interval_s: float = TARGET_HEARTBEAT_INTERVAL_S
+    """Time after which a target writes its entry in the store again."""
     retry_limits: RetryLimits = DEFAULT_RETRY_LIMITS
     rate_tolerance: RateTolerance = DEFAULT_RATE_TOLERANCE
     """Requests that may exceed the rate of a workspace."""
--- a/testing/adapter/test_node_file.py
+++ b/testing/adapter/test_node_file.py
@@ -60,6 +60,16 @@
     assert settings.stop_bound_s < 6
 
 
+@pytest.mark.parametrize(
+    ("stated", "expected_s"), [(2500, 2.5), (None, 1.5), (0, 1.5), ("soon", 1.5)]
+)
+def test_heartbeat_interval_of_targets_is_read(write, stated, expected_s):
+    """Guards against a time of expiry that holds for one deployment only."""
+    fields = {**FIELDS, "heartbeat_interval_ms": stated}
+    settings = NodeFile(write(fields)).build_settings()
+    assert_that(settings.target_heartbeat_interval_s, Equals(expected_s))
+
+
 @pytest.mark.parametrize(
     ("contracts", "expected"),
     [(["base", "pressure"], True), (["base", "quota"], False), (None, False)],
--- a/testing/adapter/test_odd_entries.py
+++ b/testing/adapter/test_odd_entries.py
@@ -9,11 +9,7 @@
 
 from lacewinglift.errors import ConfigurationError
 from testing.adapter.test_codec import ENTRY
-from testing.adapter.test_restored_store import (  # noqa: F401
-    Watching,
-    make_entry,
-    watching,
-)
+from testing.adapter.watching_observer import make_entry
 from testing.standins.proxy_harness import wait_until
 
 DEPTH = 100_000
@@ -79,7 +75,7 @@
 
 
 @pytest.mark.parametrize("name", ODD_ENTRIES)
-def test_target_after_an_odd_entry_becomes_known(name, watching):  # noqa: F811
+def test_target_after_an_odd_entry_becomes_known(name, watching):
     """Guards against an observer that stops following the list at an odd entry."""
     watching.store.put("servers/odd", ODD_ENTRIES[name])
     watching.store.put("servers/new", make_entry())
@@ -88,7 +84,7 @@
 
 
 @pytest.mark.parametrize("name", ODD_ENTRIES)
-def test_snapshot_can_be_built_beside_an_odd_entry(name, watching):  # noqa: F811
+def test_snapshot_can_be_built_beside_an_odd_entry(name, watching):
     """Guards against an entry that observers can read and not pass on."""
     watching.store.put("servers/odd", ODD_ENTRIES[name])
     watching.store.put("servers/new", make_entry())
--- a/testing/mesh/test_observers.py
+++ b/testing/mesh/test_observers.py
@@ -1,11 +1,13 @@
+import contextlib
+
 import pytest
 from attrs import define, field
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, HasLength, LessThan
+from testtools.matchers import Contains, Equals, HasLength, LessThan, Not
 
 from lacewinglift.errors import StoreUnavailableError
 from lacewinglift.generated import beats_pb2
-from lacewinglift.kv import Item, Listing
+from lacewinglift.kv import Item, Listing, WatchCutError, WatchResult
 from lacewinglift.mesh.fleet_history import FleetHistory
 from lacewinglift.mesh.members import MEMBER_TIMEOUT_S, MemberTable
 from lacewinglift.mesh.observer_election import (
@@ -15,12 +17,17 @@
     ObserverElection,
 )
 from lacewinglift.mesh.observers import ROLE_CHECK_INTERVAL_S, Observer
-from lacewinglift.mesh.registry import TargetRegistry
+from lacewinglift.mesh.registry import EXPIRED_ENTRY_GRACE_S, TargetRegistry
 from lacewinglift.mesh.resend_records import ResendRecordKeeper
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets, RetryLimits
 from lacewinglift.rendezvous import rank_candidates
 from lacewinglift.timers import ManualTimers
 from testing.mesh.test_directory import build_heartbeat
+from testing.mesh.test_registry import TARGET
+
+# A target writes its entry each 1.5 s. The entry expires after three such intervals, of
+# which one may have passed when an outage begins, and calls fail at most 1 s apart.
+MAX_SILENCE_WITHOUT_EXPIRY_S = 2.0
 
 
 @define(slots=False)
@@ -68,7 +75,7 @@
     return ManualTimers()
 
 
-def observe(store, timers, name="f0"):
+def observe(store, timers, name="f0", interval_s=1.5):
     """Return the observer of one instance."""
     members = MemberTable(name, timers)
     return Observer(
@@ -82,6 +89,7 @@
         timers,
         lambda: True,
         read_immediately=False,
+        target_heartbeat_interval_s=interval_s,
     )
 
 
@@ -254,6 +262,65 @@
     assert_that(observer.registry.last_outage_at_s, Equals(expected))
 
 
+@pytest.mark.parametrize("silent_s", [0.1, 1.5, 2.1, 4.5])
+def test_watch_that_is_cut_after_a_silence_was_an_outage(timers, silent_s):
+    """Guards against losing all targets that could not write their entries.
+
+    The connection of a watch may stay open in an outage and be closed at its end.
+    """
+    observer = observe(EmptyStore(), timers)
+
+    def cut_late(prefix, after, wait_s):
+        timers.advance(silent_s)
+        raise WatchCutError("closed")
+
+    observer.store.watch = cut_late
+    observer.watching.set()
+    observer._watch_targets()
+    was_outage = silent_s > MAX_SILENCE_WITHOUT_EXPIRY_S
+    expected = timers.now() if was_outage else float("-inf")
+    assert_that(observer.registry.last_outage_at_s, Equals(expected))
+
+
+@pytest.mark.parametrize("interval_s", [0.5, 1.5, 5.0])
+def test_waiting_watch_is_no_silence_of_an_outage(timers, interval_s):
+    """Guards against a quiet store that counts as lost, at any heartbeat interval."""
+    observer = observe(EmptyStore(), timers, interval_s=interval_s)
+    waited = []
+
+    def watch(prefix, after, wait_s):
+        waited.append(wait_s)
+        observer.watching.clear()
+        return WatchResult((), 7)
+
+    observer.store.watch = watch
+    observer.watching.set()
+    observer._watch_targets()
+    assert_that(waited[0], LessThan(observer.contact.min_outage_s))
+    # Three intervals without a heartbeat, of which one may lie before the outage.
+    assert_that(observer.contact.min_outage_s, LessThan(2 * interval_s))
+
+
+def test_missing_target_is_kept_while_the_store_fails_again(timers):
+    """Guards against losing live targets in two outages that follow one another.
+
+    Their targets cannot write the entries again within the grace period.
+    """
+    observer = observe(EmptyStore(down=True), timers)
+    observer.registry.replace_all([TARGET], 5)
+    observer.watching.set()
+    for down in (True, False, True):
+        observer.store.down = down
+        with contextlib.suppress(StoreUnavailableError):
+            observer._list_targets()
+    timers.advance(EXPIRED_ENTRY_GRACE_S + 1.0)
+    observer.remove_expired_targets()
+    assert_that(observer.registry.targets, Contains(TARGET.name))
+    observer.contact.record_answer(0)
+    observer.remove_expired_targets()
+    assert_that(observer.registry.targets, Not(Contains(TARGET.name)))
+
+
 # Time in which another instance watches the store after the last heartbeat of an
 # observer: of the users' 2 s, 0.5 s are left to spread a change.
 MAX_UNWATCHED_S = 1.5
--- a/testing/mesh/test_telemetry.py
+++ b/testing/mesh/test_telemetry.py
@@ -10,10 +10,10 @@
 from lacewinglift.mesh.configuration_lag import ConfigurationLag
 from lacewinglift.mesh.fleet_limits import FleetQuota
 from lacewinglift.mesh.members import MemberTable
-from lacewinglift.mesh.observers import StoreContact
 from lacewinglift.mesh.registry import RegisteredTarget, TargetRegistry
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets, RetryLimits
 from lacewinglift.mesh.snapshots import SnapshotExchange, SnapshotService
+from lacewinglift.mesh.store_contact import StoreContact
 from lacewinglift.mesh.target_table import MeshTargetTable
 from lacewinglift.mesh.telemetry import InstrumentedStore, MeshCollector
 from lacewinglift.mesh.traffic import Direction, MeshTraffic, MessageKind
--- a/testing/standins/platform_store.py
+++ b/testing/standins/platform_store.py
@@ -11,6 +11,8 @@
 from attrs import define, field
 
 MAX_TXN_ENTRIES = 32
+# Stands for a connection that is closed instead of a response.
+NO_RESPONSE = (None, None)
 
 
 @define
@@ -48,6 +50,8 @@
     """Number of further writes that are applied without a response."""
     lost_reply_write_delay_s: float = 0.0
     """Delay until a write without a response is applied."""
+    watch_cuts: int = 0
+    """Number of times that all waiting watches were cut."""
     entries: dict = field(factory=dict)
     events: list = field(factory=list)
     leases: dict = field(factory=dict)
@@ -92,6 +96,12 @@
             self.oldest_revision = self.revision
             self.condition.notify_all()
 
+    def cut_watches(self):
+        """Close the connections of the watches that wait now."""
+        with self.condition:
+            self.watch_cuts += 1
+            self.condition.notify_all()
+
     def copy(self):
         """Return a copy to restore the store from."""
         with self.condition:
@@ -164,6 +174,7 @@
         after = int(query["after"])
         deadline_s = time.monotonic() + int(query["wait_ms"]) / 1000
         with self.condition:
+            cuts = self.watch_cuts
             while True:
                 if not self.oldest_revision <= after <= self.revision:
                     return 410, {}
@@ -173,6 +184,8 @@
                     if event["rev"] > after and event["key"].startswith(query["prefix"])
                 ]
                 remaining_s = deadline_s - time.monotonic()
+                if self.watch_cuts > cuts and not events:
+                    return NO_RESPONSE
                 if events or remaining_s <= 0:
                     return 200, {"events": events, "store_revision": self.revision}
                 self.condition.wait(remaining_s)
@@ -257,6 +270,9 @@
         return 404, {}
 
     def _send_json(self, status, fields):
+        if (status, fields) == NO_RESPONSE:
+            self.close_connection = True
+            return
         data = json.dumps(fields).encode()
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
