Keep the counts of a workspace while it has no limit

Cause: the count of admitted requests was a part of the token bucket and was dropped with it. The others charge what a count has risen beyond the highest one that they know, so they charged nothing until the new count had passed the old one, 15 s later.

Change: counts are kept for the life of the process, whose incarnation tells the others when counts start again. Full heartbeats hold them also while there is no limit.

Why it works: the counts only rise, as receivers assume.

--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -37,15 +37,24 @@
 RESTART_HEARD_FRACTION = 0.5
 
 
+@define(eq=False)
+class _OwnCount:
+    """Requests of a workspace that this instance has admitted within its limit."""
+
+    admitted: int = 0
+    last_admitted_at_s: float = float("-inf")
+
+    def add(self, now_s: float) -> None:
+        self.admitted += 1
+        self.last_admitted_at_s = now_s
+
+
 @define(eq=False)
 class _Bucket:
     rate_per_s: float
     burst: float
     level: float
     refilled_at_s: float
-    admitted: int = 0
-    last_admitted_at_s: float = float("-inf")
-    """Last time at which this instance admitted a request."""
     usage: UnreportedUsage | None = None
     """None until the workspace is used; most workspaces are not."""
 
@@ -110,6 +119,9 @@
         self.report_delay_s = report_delay_s
         self.tolerance = tolerance
         self.buckets: dict[str, _Bucket] = {}
+        self.own_counts: dict[str, _OwnCount] = {}
+        """Counts since the start of this process. They outlive the buckets, because the
+        others charge only what a count has risen beyond the highest one they know."""
         self.peer_counters = PeerCounters()
         self.charged_lost_debts = False
         self._lock = threading.Lock()
@@ -146,8 +158,7 @@
                 later_s = max(wait_s - MAX_TOKEN_WAIT_S / 2, MAX_TOKEN_WAIT_S / 2)
                 return Decision(False, OVER_LIMIT, later_s, log_fields=log_fields)
             bucket.level -= 1.0
-            bucket.admitted += 1
-            bucket.last_admitted_at_s = now
+            self.own_counts.setdefault(workspace.name, _OwnCount()).add(now)
             bucket.ensure_usage(now).record_own(now)
             return Decision(True, wait_s=wait_s, log_fields=log_fields)
 
@@ -262,15 +273,22 @@
             if with_levels:
                 self._refill_all(fraction)
             return [
-                beats_pb2.Usage(
-                    workspace=name,
-                    admitted=bucket.admitted,
-                    tokens=bucket.level if with_levels else None,
-                )
-                for name, bucket in self.buckets.items()
-                if bucket.last_admitted_at_s >= since_s or (full and bucket.admitted)
+                self._usage_message(name, count, with_levels)
+                for name, count in self.own_counts.items()
+                if full or count.last_admitted_at_s >= since_s
             ]
 
+    def _usage_message(
+        self, workspace: str, count: _OwnCount, with_level: bool
+    ) -> beats_pb2.Usage:
+        bucket = self.buckets.get(workspace)
+        has_level = with_level and bucket is not None
+        return beats_pb2.Usage(
+            workspace=workspace,
+            admitted=count.admitted,
+            tokens=bucket.level if has_level else None,
+        )
+
     def peer_usages(self, instance: str, incarnation: int) -> list[beats_pb2.Usage]:
         """Return all counts that another instance has reported."""
         with self._lock:
