Apply only the last change of a target in a watch result

Cause: the changes of one watch result were sorted into written and removed ones, and the removed ones were applied last. A target that was removed and written again was forgotten, and its removal was recorded with the version of its new process.

Change: the last readable change of each target counts.

Why it works: a key's last change is its state in the store at the revision that the result leads to.

--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -393,15 +393,22 @@
             time.sleep(ROLE_CHECK_INTERVAL_S)
 
     def _apply_target_changes(self, result: WatchResult) -> None:
-        written = []
-        removed = []
+        """Apply the last readable change of each target.
+
+        A target that restarts under its name within one result is first removed and
+        then written.
+        """
+        latest: dict[str, RegisteredTarget | None] = {}
         for change in result.changes:
+            name = self._target_name(change.key)
             if change.value is None:
-                removed.append(self._target_name(change.key))
-            else:
-                target = self._read_target(change.key, change.value)
-                if target is not None:
-                    written.append(target)
+                latest[name] = None
+                continue
+            target = self._read_target(change.key, change.value)
+            if target is not None:
+                latest[name] = target
+        written = [target for target in latest.values() if target is not None]
+        removed = [name for name, target in latest.items() if target is None]
         self.registry.apply_changes(written, removed, result.revision, result.era)
 
     def _target_name(self, key: str) -> str:
--- a/src/lacewinglift/mesh/registry.py
+++ b/src/lacewinglift/mesh/registry.py
@@ -203,7 +203,10 @@
         revision: int,
         era: int = 0,
     ) -> None:
-        """Apply changes from a watch of the store, unless of an earlier era."""
+        """Apply changes from a watch of the store, unless of an earlier era.
+
+        No target is among both the written and the removed ones.
+        """
         with self.lock:
             if era < self.era:
                 return
--- a/testing/adapter/watching_observer.py
+++ b/testing/adapter/watching_observer.py
@@ -15,10 +15,10 @@
 LOST_WRITES = 10
 
 
-def make_entry(state="ready", sequence=1):
+def make_entry(state="ready", sequence=1, born_ms=1):
     return {
         "address": "10.0.0.1:80",
-        "born": 1,
+        "born": born_ms,
         "server_info": {"service": "tills", "zone": "milano", "slots": 4},
         "status": {"state": state, "sequence": sequence},
     }
