Refill buckets by the reachable part of the fleet only

Cause: an instance grants the part of a rate that it can reach, but each report of another instance refilled the bucket by the whole rate first. In a surge reports come several times in 0.1 s, so that both sides of a partition went on granting the whole rate. The reviewer suspected the time until a loss is noticed, which is a second cause.

Change: reports refill by the same part as requests.

--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -168,7 +168,7 @@
             return MAX_TOKEN_WAIT_S
         return 0.0
 
-    def _grantable_fraction(self, known_fraction: float | None = None) -> float:
+    def _grantable_fraction(self) -> float:
         """Return the fraction of the rates that this instance grants now.
 
         After its start it grants nothing until it hears another instance. While it has
@@ -177,7 +177,7 @@
         """
         fraction = self.reachable_fraction()
         if self.history is None or self.history.has_heard_all():
-            return fraction if known_fraction is None else known_fraction
+            return fraction
         # The fraction is 1 also for an instance that knows no address of another one.
         if fraction < 1.0 and not self.history.has_heard_any():
             return 0.0
@@ -219,7 +219,7 @@
                     bucket.level = min(usage.tokens, bucket.burst)
                 elif increase:
                     now = self.timers.now()
-                    bucket.refill(now, self._grantable_fraction(1.0))
+                    bucket.refill(now, self._grantable_fraction())
                     bucket.charge(increase)
                     bucket.ensure_usage(now).record_peers(now, increase)
 
--- a/testing/mesh/limits_fleet.py
+++ b/testing/mesh/limits_fleet.py
@@ -20,6 +20,7 @@
 from lacewinglift.mesh.observer_election import INITIAL_LISTEN_S
 from lacewinglift.mesh.resend_records import ResendRecordKeeper
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets, RetryLimits
+from lacewinglift.mesh.unreported_usage import NO_TOLERANCE, RateTolerance
 from lacewinglift.timers import ManualTimers
 
 SERVICE = "catalogo"
@@ -50,6 +51,7 @@
     heartbeats: int = 0
 
     def build_heartbeat(self):
+        self.members.record_own_activity(True)
         self.heartbeats += 1
         full = (
             self.heartbeats <= INITIAL_FULL_HEARTBEATS
@@ -119,12 +121,15 @@
         Time between two heartbeats of an instance to all others.
     lost_heartbeats : float
         Fraction of the heartbeats that are lost.
+    tolerance : RateTolerance
+        What a workspace may exceed its rate by, as far as the instances know.
     """
 
     size: int
     limits: RetryLimits
     heartbeat_interval_s: float
     lost_heartbeats: float = 0.0
+    tolerance: RateTolerance = NO_TOLERANCE
     timers: ManualTimers = field(factory=ManualTimers)
     random: Random = field(factory=lambda: Random(19))
     processes: list = field(factory=list)
@@ -160,7 +165,13 @@
             history,
             Random(self.random.random()),
         )
-        quota = FleetQuota(self.timers, reachable_fraction, history)
+        quota = FleetQuota(
+            self.timers,
+            reachable_fraction,
+            history,
+            lambda: self.heartbeat_interval_s,
+            self.tolerance,
+        )
         quota.apply(CONFIGURATION)
         first_heartbeat_s = self.timers.now() + delay_s
         return Process(
--- a/testing/mesh/test_surging_workspace.py
+++ b/testing/mesh/test_surging_workspace.py
@@ -101,6 +101,17 @@
     assert_that(len(callers.admitted_at_s), GreaterThan(0.99 * callers.sent))
 
 
+def test_instances_of_a_whole_fleet_hear_each_other(callers):
+    """Guards against parts of the rates that are withheld although nothing is cut.
+
+    Relays pass heartbeats on in bundles, so that each hears others in turns only.
+    """
+    for _ in range(12):
+        callers.run(0.25, USUAL_RATE_PER_S)
+        fractions = [each.reachable_fraction() for each in callers.fleet.instances]
+        assert_that(min(fractions), GreaterThan(0.97))
+
+
 def test_surging_workspace_stays_within_its_rate(callers):
     """Load: a workspace sends 7.5 times its usual rate, through tens of instances.
 
