Divide bursts in a partition, and notice it sooner

Cause: while instances are cut off, only rates were divided. Each side could spend all that its bucket held, and both granted the whole rate for 2.5 s until they missed each other.

Change: the part of a bucket's level that belongs to lost instances is reserved until they are heard again, and what may exceed a rate by late reports is divided in the same way. Where heartbeats are not relayed, limits take a member for lost after 1.3 s.

--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -55,6 +55,12 @@
     burst: float
     level: float
     refilled_at_s: float
+    reachable_fraction: float = 1.0
+    reserved: float = 0.0
+    """Part of the level that belongs to instances that are not reachable."""
+    unheard: int = 0
+    """Requests that this instance has admitted since `unheard_since_s`."""
+    unheard_since_s: float = float("-inf")
     usage: UnreportedUsage | None = None
     """None until the workspace is used; most workspaces are not."""
 
@@ -63,9 +69,32 @@
         self.refilled_at_s = now_s
         self.level = min(self.level + increase, self.burst)
 
+    def reserve(self, fraction: float, last_heard_at_s: float) -> None:
+        """Reserve the tokens of instances that this one does not hear any more.
+
+        They may use their part of the level until they hear this instance again. What
+        this instance has admitted since it heard anybody counts towards its own part.
+        """
+        if fraction >= 1.0:
+            self.reserved = 0.0
+        elif fraction < self.reachable_fraction:
+            lost = 1.0 - fraction / self.reachable_fraction
+            unheard = self.unheard if last_heard_at_s == self.unheard_since_s else 0
+            self.reserved += lost * max(self.usable() + unheard, 0.0)
+            if not unheard:
+                # A silence may be a mistake, in a fleet that has just become quiet.
+                self.reserved = min(self.reserved, max(self.level - 1.0, 0.0))
+        elif fraction > self.reachable_fraction:
+            self.reserved *= (1.0 - fraction) / (1.0 - self.reachable_fraction)
+        self.reachable_fraction = fraction
+
+    def usable(self) -> float:
+        """Return the tokens that are not reserved for others."""
+        return self.level - self.reserved
+
     def log_fields(self, fraction: float) -> dict[str, object]:
         return {
-            "tokens": self.level,
+            "tokens": self.usable(),
             "rate_per_s": self.rate_per_s,
             "heard_part": fraction,
         }
@@ -73,6 +102,15 @@
     def charge(self, tokens: float) -> None:
         self.level = max(self.level - tokens, -MAX_DEBT_S * self.rate_per_s)
 
+    def record_own(self, now_s: float, last_heard_at_s: float) -> None:
+        """Count a request that this instance admits."""
+        self.level -= 1.0
+        if self.unheard_since_s != last_heard_at_s:
+            self.unheard_since_s = last_heard_at_s
+            self.unheard = 0
+        self.unheard += 1
+        self.ensure_usage(now_s).record_own(now_s)
+
     def ensure_usage(self, now_s: float) -> UnreportedUsage:
         if self.usage is None:
             self.usage = UnreportedUsage.since(now_s)
@@ -124,6 +162,8 @@
         others charge only what a count has risen beyond the highest one they know."""
         self.peer_counters = PeerCounters()
         self.charged_lost_debts = False
+        self.last_heard_at_s = float("-inf")
+        """Last time at which another instance reported its use."""
         self._lock = threading.Lock()
 
     def apply(self, configuration: Configuration) -> None:
@@ -148,18 +188,21 @@
                 return Decision(True)
             now = self.timers.now()
             bucket.refill(now, self._grantable_fraction())
+            if self.history is None or self.history.has_heard_all():
+                bucket.reserve(fraction, self.last_heard_at_s)
             unreported = bucket.unreported(now, self.report_delay_s())
-            tolerated = self.tolerance.usable(bucket.rate_per_s, bucket.burst)
-            tokens = bucket.level - max(unreported - tolerated, 0.0)
+            tolerated = fraction * self.tolerance.usable(
+                bucket.rate_per_s, bucket.burst
+            )
+            tokens = bucket.usable() - max(unreported - tolerated, 0.0)
             wait_s = max(1.0 - tokens, 0.0) / (bucket.rate_per_s * fraction)
             log_fields = {**bucket.log_fields(fraction), "unreported": unreported}
             max_wait_s = self._max_wait_s()
             if wait_s > max_wait_s:
                 later_s = max(wait_s - MAX_TOKEN_WAIT_S / 2, MAX_TOKEN_WAIT_S / 2)
                 return Decision(False, OVER_LIMIT, later_s, log_fields=log_fields)
-            bucket.level -= 1.0
+            bucket.record_own(now, self.last_heard_at_s)
             self.own_counts.setdefault(workspace.name, _OwnCount()).add(now)
-            bucket.ensure_usage(now).record_own(now)
             return Decision(True, wait_s=wait_s, log_fields=log_fields)
 
     def _max_wait_s(self) -> float:
@@ -207,6 +250,7 @@
         """Charge the requests that another instance has admitted."""
         own_history_s = 0.0 if self.history is None else self.history.own_s()
         with self._lock:
+            self.last_heard_at_s = self.timers.now()
             self._charge_lost_debts()
             adopts_levels = self._adopts_levels(heartbeat)
             counts = self.peer_counters.counts_of(heartbeat, own_history_s)
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -38,7 +38,13 @@
     Recipients,
 )
 from lacewinglift.mesh.hedge_capacity import crowded_targets
-from lacewinglift.mesh.members import Member, MemberTable, PeerAddresses
+from lacewinglift.mesh.members import (
+    DIRECT_MEMBER_TIMEOUT_S,
+    MEMBER_TIMEOUT_S,
+    Member,
+    MemberTable,
+    PeerAddresses,
+)
 from lacewinglift.mesh.observer_election import (
     OBSERVER_HEARTBEAT_INTERVAL_S,
     ObserverElection,
@@ -389,9 +395,11 @@
 
     def reachable_fraction(self) -> float:
         """Return the reachable fraction of the fleet, this instance included."""
-        if self.history.has_heard_all():
-            return self.members.reachable_fraction()
-        return self.members.reachable_fraction(len(self.peer_addresses.known()))
+        if not self.history.has_heard_all():
+            return self.members.reachable_fraction(len(self.peer_addresses.known()))
+        relayed = self.relaying.is_on()
+        timeout_s = MEMBER_TIMEOUT_S if relayed else DIRECT_MEMBER_TIMEOUT_S
+        return self.members.reachable_fraction(timeout_s=timeout_s)
 
     def report_delay_s(self) -> float:
         """Return the time that counts of other instances take to get here."""
--- a/src/lacewinglift/mesh/members.py
+++ b/src/lacewinglift/mesh/members.py
@@ -8,6 +8,7 @@
 from lacewinglift.generated import beats_pb2
 from lacewinglift.logs import log_info, log_warning
 from lacewinglift.mesh.heartbeat_rounds import HEARTBEAT_INTERVAL_S
+from lacewinglift.mesh.isolation import HeartbeatGaps
 from lacewinglift.rendezvous import rank_candidates
 from lacewinglift.socket_addresses import split_address
 from lacewinglift.timers import Timers
@@ -15,6 +16,9 @@
 # An instance without a heartbeat for this long counts as unreachable: callers are not
 # sent to it and it is not chosen as observer.
 MEMBER_TIMEOUT_S = 2.5
+# Timeout of members that send to all others in each interval, as far as limits of the
+# fleet are concerned. A late heartbeat costs their part of the limits for a moment.
+DIRECT_MEMBER_TIMEOUT_S = 1.3
 # Time by which a heartbeat may come later than in the stated interval.
 TURN_SLACK_S = 0.6
 # Longest interval between heartbeats that a sender may state.
@@ -121,6 +125,11 @@
         stated_s = min(self.heartbeat.interval_ms / 1000, MAX_STATED_INTERVAL_S)
         return max(stated_s, HEARTBEAT_INTERVAL_S)
 
+    def turn_timeout_s(self) -> float:
+        """Return the timeout if the sender sends in turns; 0 if it sends to all."""
+        interval_s = self.interval_s()
+        return interval_s + TURN_SLACK_S if interval_s > HEARTBEAT_INTERVAL_S else 0.0
+
     def silent_s(self, now_s: float) -> float:
         """Return the time since the last heartbeat."""
         return now_s - self.last_heartbeat_at_s
@@ -141,6 +150,7 @@
     """Time since which this instance serves callers; None if it does not."""
     own_active_until_s: float = float("-inf")
     """Last time at which this instance served callers."""
+    gaps: HeartbeatGaps = field(factory=HeartbeatGaps)
     on_join: Callable[[str], None] = lambda address: None
     """Called with the heartbeat address of an instance or incarnation that joined."""
     lock: threading.RLock = field(factory=threading.RLock)
@@ -174,6 +184,7 @@
                 log_info("member_state", member=heartbeat.instance, state=state)
             member.heartbeat = heartbeat
             member.last_heartbeat_at_s = now
+            self.gaps.record(now)
             member.loss_reporters.clear()
             if heartbeat.active:
                 member.last_active_at_s = now
@@ -284,7 +295,9 @@
         now = self.timers.now()
         return [m for m in self.known() if now - m.last_active_at_s <= ACTIVE_TIMEOUT_S]
 
-    def reachable_fraction(self, expected: int = 0) -> float:
+    def reachable_fraction(
+        self, expected: int = 0, timeout_s: float = MEMBER_TIMEOUT_S
+    ) -> float:
         """Return the reachable fraction of the fleet, this instance included.
 
         Parameters
@@ -292,14 +305,18 @@
         expected : int, default=0
             Number of other instances that are known by their address; some may not
             have been heard yet.
+        timeout_s : float, default=MEMBER_TIMEOUT_S
+            Silence after which a member is not reachable, at least.
         """
         now = self.timers.now()
         known = self.known()
+        # Others send rarely to an instance that has just ceased to serve callers.
+        if self.hears_active_often() and self.gaps.is_isolated(now):
+            return 1 / (max(len(known), expected) + 1)
         # An instance that is cut off must notice it before the longer timeouts of
         # instances that send rarely.
         heard = sum(
-            each.silent_s(now)
-            <= max(MEMBER_TIMEOUT_S, each.interval_s() + TURN_SLACK_S)
+            each.silent_s(now) <= max(timeout_s, each.turn_timeout_s())
             for each in known
         )
         return (heard + 1) / (max(len(known), expected) + 1)
--- a/testing/mesh/limits_fleet.py
+++ b/testing/mesh/limits_fleet.py
@@ -16,7 +16,11 @@
 from lacewinglift.mesh.fleet_history import FleetHistory
 from lacewinglift.mesh.fleet_limits import FleetQuota
 from lacewinglift.mesh.full_heartbeats import INITIAL_FULL_HEARTBEATS
-from lacewinglift.mesh.members import MemberTable, PeerAddresses
+from lacewinglift.mesh.members import (
+    DIRECT_MEMBER_TIMEOUT_S,
+    MemberTable,
+    PeerAddresses,
+)
 from lacewinglift.mesh.observer_election import INITIAL_LISTEN_S
 from lacewinglift.mesh.resend_records import ResendRecordKeeper
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets, RetryLimits
@@ -156,7 +160,7 @@
 
         def reachable_fraction():
             expected = 0 if history.has_heard_all() else len(addresses.known())
-            return members.reachable_fraction(expected)
+            return members.reachable_fraction(expected, DIRECT_MEMBER_TIMEOUT_S)
 
         budgets = FleetRetryBudgets(
             self.timers,
--- a/testing/mesh/test_quota_cuts.py
+++ b/testing/mesh/test_quota_cuts.py
@@ -20,6 +20,7 @@
 HOT_RATE_PER_S = 7.5 * USUAL_RATE_PER_S
 SIZE = 40
 CUT_SHARE = 0.35
+CUT_S = 12.0
 
 
 @pytest.fixture
@@ -35,6 +36,12 @@
     fleet.groups = dict.fromkeys(names[: round(share * len(names))], "cut")
 
 
+def isolate(fleet, share):
+    """Cut a share of the instances off from all others, each by itself."""
+    names = [process.name for process in fleet.processes]
+    fleet.groups = {name: name for name in names[: round(share * len(names))]}
+
+
 def test_both_sides_of_a_partition_share_the_rate(fleet):
     """Load: a workspace sends 7.5 times its usual rate to a fleet in two parts.
 
@@ -48,3 +55,20 @@
     admitted = len(fleet.admission_times_s) - before
     assert_that(admitted, LessThan(1.1 * HOUSE.rate_per_s * QUOTA_WINDOW_S))
     assert_that(admitted, GreaterThan(0.8 * HOUSE.rate_per_s * QUOTA_WINDOW_S))
+
+
+@pytest.mark.parametrize("onset_s", [0.0, 0.3, 1.0, 3.0])
+def test_surge_while_instances_are_isolated(fleet, onset_s):
+    """Load: a workspace sends 7.5 times its usual rate, some time after a cut.
+
+    Guards against isolated instances that each grant the whole rate and burst until
+    they miss the others, and a burst each after that.
+    """
+    for _ in range(2):
+        isolate(fleet, CUT_SHARE)
+        fleet.run_workspace(onset_s, USUAL_RATE_PER_S)
+        fleet.run_workspace(6.5, HOT_RATE_PER_S)
+        fleet.run_workspace(CUT_S - onset_s - 6.5, USUAL_RATE_PER_S)
+        fleet.groups = {}
+        fleet.run_workspace(5.0, USUAL_RATE_PER_S)
+    assert_that(fleet.admissions_over_the_rule(), LessThan(0.001))
