Do not charge what was withheld in a partition once more after it

What callers saw: after a cut of 12 s, a workspace at two thirds of its rate loses 11 (two parts) to 22 per cent (isolated instances) of its requests in the following ten seconds, although it keeps its limit.

Cause: during a cut an instance does not grant the part of the rate that belongs to the instances that it cannot reach. Once it hears them again, it charged all that they had admitted to its bucket, which had never got these tokens.

Change: the first report of each count after a silence is charged against what was withheld, and only the rest to the level. What was withheld lapses 2 s after the cut.

--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -58,6 +58,9 @@
     reachable_fraction: float = 1.0
     reserved: float = 0.0
     """Part of the level that belongs to instances that are not reachable."""
+    withheld: float = 0.0
+    """Tokens that were not granted here, as they belonged to such instances."""
+    withheld_at_s: float = float("-inf")
     unheard: int = 0
     """Requests that this instance has admitted since `unheard_since_s`."""
     unheard_since_s: float = float("-inf")
@@ -65,9 +68,17 @@
     """None until the workspace is used; most workspaces are not."""
 
     def refill(self, now_s: float, fraction: float) -> None:
-        increase = (now_s - self.refilled_at_s) * self.rate_per_s * fraction
+        earned = (now_s - self.refilled_at_s) * self.rate_per_s
         self.refilled_at_s = now_s
-        self.level = min(self.level + increase, self.burst)
+        self.level = min(self.level + earned * fraction, self.burst)
+        self._withhold(now_s, earned * (1.0 - fraction))
+
+    def _withhold(self, now_s: float, tokens: float) -> None:
+        if tokens > 0:
+            self.withheld = min(self.withheld + tokens, MAX_DEBT_S * self.rate_per_s)
+            self.withheld_at_s = now_s
+        elif now_s - self.withheld_at_s > COUNT_REPEAT_S:
+            self.withheld = 0.0
 
     def reserve(self, fraction: float, last_heard_at_s: float) -> None:
         """Reserve the tokens of instances that this one does not hear any more.
@@ -99,6 +110,12 @@
             "heard_part": fraction,
         }
 
+    def charge_late(self, tokens: float) -> None:
+        """Charge what an instance admitted while it was not reachable."""
+        granted = min(tokens, self.withheld)
+        self.withheld -= granted
+        self.charge(tokens - granted)
+
     def charge(self, tokens: float) -> None:
         self.level = max(self.level - tokens, -MAX_DEBT_S * self.rate_per_s)
 
@@ -187,8 +204,8 @@
             if bucket is None:
                 return Decision(True)
             now = self.timers.now()
-            bucket.refill(now, self._grantable_fraction())
-            if self.history is None or self.history.has_heard_all():
+            self._refill(bucket, now)
+            if self._has_heard_all():
                 bucket.reserve(fraction, self.last_heard_at_s)
             unreported = bucket.unreported(now, self.report_delay_s())
             tolerated = fraction * self.tolerance.usable(
@@ -205,9 +222,18 @@
             self.own_counts.setdefault(workspace.name, _OwnCount()).add(now)
             return Decision(True, wait_s=wait_s, log_fields=log_fields)
 
+    def _refill(self, bucket: _Bucket, now_s: float) -> None:
+        bucket.refill(now_s, self._grantable_fraction())
+        if not self._has_heard_all():
+            # What it does not grant yet is not withheld from anybody's later reports.
+            bucket.withheld = 0.0
+
+    def _has_heard_all(self) -> bool:
+        return self.history is None or self.history.has_heard_all()
+
     def _max_wait_s(self) -> float:
         """Return how long a request may wait for a token now."""
-        if self.history is None or self.history.has_heard_all():
+        if self._has_heard_all():
             return MAX_TOKEN_WAIT_S
         return 0.0
 
@@ -219,7 +245,7 @@
         pairs that hear each other know each other's use.
         """
         fraction = self.reachable_fraction()
-        if self.history is None or self.history.has_heard_all():
+        if self._has_heard_all():
             return fraction
         # The fraction is 1 also for an instance that knows no address of another one.
         if fraction < 1.0 and not self.history.has_heard_any():
@@ -254,7 +280,9 @@
             self._charge_lost_debts()
             adopts_levels = self._adopts_levels(heartbeat)
             counts = self.peer_counters.counts_of(heartbeat, own_history_s)
+            counts.record_heartbeat(self.last_heard_at_s)
             for usage in heartbeat.usages:
+                is_late = counts.take_late(usage.workspace)
                 increase = counts.update(usage.workspace, usage.admitted)
                 bucket = self.buckets.get(usage.workspace)
                 if bucket is None:
@@ -263,19 +291,20 @@
                     bucket.level = min(usage.tokens, bucket.burst)
                 elif increase:
                     now = self.timers.now()
-                    bucket.refill(now, self._grantable_fraction())
-                    bucket.charge(increase)
+                    self._refill(bucket, now)
+                    charge = bucket.charge_late if is_late else bucket.charge
+                    charge(increase)
                     bucket.ensure_usage(now).record_peers(now, increase)
 
     def _initial_burst(self, workspace: Workspace) -> float:
         """Return the tokens of a new bucket, whose workspace may have used them."""
-        if self.history is None or self.history.has_heard_all():
+        if self._has_heard_all():
             return _min_burst(workspace)
         return 1.0
 
     def _adopts_levels(self, heartbeat: beats_pb2.Beat) -> bool:
         """Return whether the sender knows better what was admitted recently."""
-        if self.history is None or self.history.has_heard_all():
+        if self._has_heard_all():
             return False
         is_full = heartbeat.HasField("description")
         return is_full and heartbeat.history_ms > self.history.own_ms()
--- a/src/lacewinglift/mesh/peer_counters.py
+++ b/src/lacewinglift/mesh/peer_counters.py
@@ -4,6 +4,7 @@
 
 from lacewinglift.generated import beats_pb2
 from lacewinglift.mesh.fleet_history import MAX_HISTORY_MS
+from lacewinglift.mesh.members import DIRECT_MEMBER_TIMEOUT_S
 
 # A count is repeated in heartbeats for this long, since datagrams can be lost.
 COUNT_REPEAT_S = 2.0
@@ -17,6 +18,28 @@
     has_baseline: bool = False
     """Whether a count that was not reported before is known to have been zero."""
     counts: dict[str, int] = field(factory=dict)
+    heard_at_s: float = float("inf")
+    """Time of its last heartbeat; infinite before the first one."""
+    late_until_s: float = float("-inf")
+    """Time until which its counts may have risen while it was not reachable."""
+    caught_up: set[str] = field(factory=set)
+    """Counts that it has reported since it is reachable again."""
+
+    def record_heartbeat(self, now_s: float) -> None:
+        """Record a heartbeat; after a silence, counts may have risen in it."""
+        is_back = now_s - self.heard_at_s > DIRECT_MEMBER_TIMEOUT_S
+        if is_back or now_s > self.late_until_s:
+            self.caught_up.clear()
+        if is_back:
+            self.late_until_s = now_s + COUNT_REPEAT_S
+        self.heard_at_s = now_s
+
+    def take_late(self, name: str) -> bool:
+        """Return whether a count is reported for the first time after a silence."""
+        if self.heard_at_s > self.late_until_s or name in self.caught_up:
+            return False
+        self.caught_up.add(name)
+        return True
 
     def update(self, name: str, count: int) -> int:
         """Store a reported count and return its increase since the last report.
--- a/testing/mesh/test_quota_cuts.py
+++ b/testing/mesh/test_quota_cuts.py
@@ -72,3 +72,19 @@
         fleet.groups = {}
         fleet.run_workspace(5.0, USUAL_RATE_PER_S)
     assert_that(fleet.admissions_over_the_rule(), LessThan(0.001))
+
+
+@pytest.mark.parametrize("cut", [isolate, partition])
+def test_usual_requests_are_admitted_once_a_cut_is_healed(fleet, cut):
+    """Guards against buckets that are charged for what was withheld from them already.
+
+    The reports of a cut come all at once when it is healed.
+    """
+    cut(fleet, CUT_SHARE)
+    fleet.run_workspace(CUT_S, USUAL_RATE_PER_S)
+    fleet.groups = {}
+    fleet.run_workspace(2.0, USUAL_RATE_PER_S)
+    before = len(fleet.admission_times_s)
+    fleet.run_workspace(10.0, USUAL_RATE_PER_S)
+    admitted = len(fleet.admission_times_s) - before
+    assert_that(admitted, GreaterThan(0.99 * 10.0 * USUAL_RATE_PER_S))
