--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -11,18 +11,15 @@
 import threading
 from collections.abc import Callable
 
-from attrs import define, evolve
+from attrs import evolve
 
 from lacewinglift.admission import OVER_LIMIT, Decision
 from lacewinglift.configuration import Configuration, Workspace
 from lacewinglift.generated import beats_pb2
+from lacewinglift.mesh.fleet_bucket import FleetBucket, OwnCount
 from lacewinglift.mesh.fleet_history import FleetHistory
 from lacewinglift.mesh.peer_counters import COUNT_REPEAT_S, PeerCounters
-from lacewinglift.mesh.unreported_usage import (
-    NO_TOLERANCE,
-    RateTolerance,
-    UnreportedUsage,
-)
+from lacewinglift.mesh.unreported_usage import NO_TOLERANCE, RateTolerance
 from lacewinglift.timers import Timers
 
 # Longest wait for a token. A refusal costs the caller more than this wait. A workspace
@@ -30,115 +27,11 @@
 MAX_TOKEN_WAIT_S = 0.25
 # Minimum burst, in seconds of the rate, since requests do not arrive evenly spaced.
 MIN_BURST_S = 0.25
-# Maximum debt of a bucket, in seconds of its rate.
-MAX_DEBT_S = 5.0
 # Fraction of the fleet that a new process hears before it judges that most of it is
 # new as well.
 RESTART_HEARD_FRACTION = 0.5
 
 
-@define(eq=False)
-class _OwnCount:
-    """Requests of a workspace that this instance has admitted within its limit."""
-
-    admitted: int = 0
-    last_admitted_at_s: float = float("-inf")
-
-    def add(self, now_s: float) -> None:
-        self.admitted += 1
-        self.last_admitted_at_s = now_s
-
-
-@define(eq=False)
-class _Bucket:
-    rate_per_s: float
-    burst: float
-    level: float
-    refilled_at_s: float
-    reachable_fraction: float = 1.0
-    reserved: float = 0.0
-    """Part of the level that belongs to instances that are not reachable."""
-    withheld: float = 0.0
-    """Tokens that were not granted here, as they belonged to such instances."""
-    withheld_at_s: float = float("-inf")
-    unheard: int = 0
-    """Requests that this instance has admitted since `unheard_since_s`."""
-    unheard_since_s: float = float("-inf")
-    usage: UnreportedUsage | None = None
-    """None until the workspace is used; most workspaces are not."""
-
-    def refill(self, now_s: float, fraction: float) -> None:
-        earned = (now_s - self.refilled_at_s) * self.rate_per_s
-        self.refilled_at_s = now_s
-        self.level = min(self.level + earned * fraction, self.burst)
-        self._withhold(now_s, earned * (1.0 - fraction))
-
-    def _withhold(self, now_s: float, tokens: float) -> None:
-        if tokens > 0:
-            self.withheld = min(self.withheld + tokens, MAX_DEBT_S * self.rate_per_s)
-            self.withheld_at_s = now_s
-        elif now_s - self.withheld_at_s > COUNT_REPEAT_S:
-            self.withheld = 0.0
-
-    def reserve(self, fraction: float, last_heard_at_s: float) -> None:
-        """Reserve the tokens of instances that this one does not hear any more.
-
-        They may use their part of the level until they hear this instance again. What
-        this instance has admitted since it heard anybody counts towards its own part.
-        """
-        if fraction >= 1.0:
-            self.reserved = 0.0
-        elif fraction < self.reachable_fraction:
-            lost = 1.0 - fraction / self.reachable_fraction
-            unheard = self.unheard if last_heard_at_s == self.unheard_since_s else 0
-            self.reserved += lost * max(self.usable() + unheard, 0.0)
-            if not unheard:
-                # A silence may be a mistake, in a fleet that has just become quiet.
-                self.reserved = min(self.reserved, max(self.level - 1.0, 0.0))
-        elif fraction > self.reachable_fraction:
-            self.reserved *= (1.0 - fraction) / (1.0 - self.reachable_fraction)
-        self.reachable_fraction = fraction
-
-    def usable(self) -> float:
-        """Return the tokens that are not reserved for others."""
-        return self.level - self.reserved
-
-    def log_fields(self, fraction: float) -> dict[str, object]:
-        return {
-            "tokens": self.usable(),
-            "rate_per_s": self.rate_per_s,
-            "heard_part": fraction,
-        }
-
-    def charge_late(self, tokens: float) -> None:
-        """Charge what an instance admitted while it was not reachable."""
-        granted = min(tokens, self.withheld)
-        self.withheld -= granted
-        self.charge(tokens - granted)
-
-    def charge(self, tokens: float) -> None:
-        self.level = max(self.level - tokens, -MAX_DEBT_S * self.rate_per_s)
-
-    def record_own(self, now_s: float, last_heard_at_s: float) -> None:
-        """Count a request that this instance admits."""
-        self.level -= 1.0
-        if self.unheard_since_s != last_heard_at_s:
-            self.unheard_since_s = last_heard_at_s
-            self.unheard = 0
-        self.unheard += 1
-        self.ensure_usage(now_s).record_own(now_s)
-
-    def ensure_usage(self, now_s: float) -> UnreportedUsage:
-        if self.usage is None:
-            self.usage = UnreportedUsage.since(now_s)
-        return self.usage
-
-    def unreported(self, now_s: float, report_delay_s: float) -> float:
-        if self.usage is None:
-            return 0.0
-        return self.usage.estimate(now_s, report_delay_s)
-
-
 class FleetQuota:
     """Admits requests of workspaces within their rate over all instances.
 
@@ -173,8 +66,8 @@
         self.history = history
         self.report_delay_s = report_delay_s
         self.tolerance = tolerance
-        self.buckets: dict[str, _Bucket] = {}
-        self.own_counts: dict[str, _OwnCount] = {}
+        self.buckets: dict[str, FleetBucket] = {}
+        self.own_counts: dict[str, OwnCount] = {}
         """Counts since the start of this process. They outlive the buckets, because the
         others charge only what a count has risen beyond the highest one they know."""
         self.peer_counters = PeerCounters()
@@ -219,10 +112,10 @@
                 later_s = max(wait_s - MAX_TOKEN_WAIT_S / 2, MAX_TOKEN_WAIT_S / 2)
                 return Decision(False, OVER_LIMIT, later_s, log_fields=log_fields)
             bucket.record_own(now, self.last_heard_at_s)
-            self.own_counts.setdefault(workspace.name, _OwnCount()).add(now)
+            self.own_counts.setdefault(workspace.name, OwnCount()).add(now)
             return Decision(True, wait_s=wait_s, log_fields=log_fields)
 
-    def _refill(self, bucket: _Bucket, now_s: float) -> None:
+    def _refill(self, bucket: FleetBucket, now_s: float) -> None:
         bucket.refill(now_s, self._grantable_fraction())
         if not self._has_heard_all():
             # What it does not grant yet is not withheld from anybody's later reports.
@@ -352,7 +245,7 @@
             ]
 
     def _usage_message(
-        self, workspace: str, count: _OwnCount, with_level: bool
+        self, workspace: str, count: OwnCount, with_level: bool
     ) -> beats_pb2.Usage:
         bucket = self.buckets.get(workspace)
         has_level = with_level and bucket is not None
@@ -377,12 +270,12 @@
 
 
 def _resize_or_create_bucket(
-    known: _Bucket | None, workspace: Workspace, now_s: float, initial_burst: float
-) -> _Bucket:
+    known: FleetBucket | None, workspace: Workspace, now_s: float, initial_burst: float
+) -> FleetBucket:
     burst = max(float(workspace.burst), _min_burst(workspace))
     if known is None:
         # After a restart of the fleet, earlier use is unknown, so the bucket does not
         # start with the whole burst.
-        return _Bucket(workspace.rate_per_s, burst, initial_burst, now_s)
+        return FleetBucket(workspace.rate_per_s, burst, initial_burst, now_s)
     level = min(known.level, burst)
     return evolve(known, rate_per_s=workspace.rate_per_s, burst=burst, level=level)
