Name what is counted after a silence in a partition

Reading the diff as a newcomer: "late", "unheard" and "all" said little. The counts that follow a silence, the own requests since others were heard and the total use are named as such. No behaviour changes.

--- a/src/lacewinglift/mesh/fleet_bucket.py
+++ b/src/lacewinglift/mesh/fleet_bucket.py
@@ -41,9 +41,9 @@
     withheld: float = 0.0
     """Tokens that were not granted here, as they belonged to such instances."""
     withheld_at_s: float = float("-inf")
-    unheard: int = 0
-    """Requests that this instance has admitted since `unheard_since_s`."""
-    unheard_since_s: float = float("-inf")
+    own_since_heard: int = 0
+    """Requests that this instance has admitted since `counted_since_s`."""
+    counted_since_s: float = float("-inf")
     usage: UnreportedUsage | None = None
     """None until the workspace is used; most workspaces are not."""
 
@@ -100,7 +100,9 @@
     def _spent_unnoticed(self, now_s: float, last_heard_at_s: float) -> float:
         """Return what was spent on this side before it noticed a loss."""
         if now_s - last_heard_at_s > ISOLATION_MIN_S:
-            return self.unheard if last_heard_at_s == self.unheard_since_s else 0
+            return (
+                self.own_since_heard if last_heard_at_s == self.counted_since_s else 0
+            )
         return 0.0 if self.usage is None else self.usage.spent_until_missed(now_s)
 
     def usable(self) -> float:
@@ -115,7 +117,7 @@
             "heard_part": fraction,
         }
 
-    def charge_late(self, tokens: float) -> None:
+    def charge_after_silence(self, tokens: float) -> None:
         """Charge what an instance admitted while it was not reachable."""
         granted = min(tokens, self.withheld)
         self.withheld -= granted
@@ -128,10 +130,10 @@
     def record_own(self, now_s: float, last_heard_at_s: float) -> None:
         """Count a request that this instance admits."""
         self.level -= 1.0
-        if self.unheard_since_s != last_heard_at_s:
-            self.unheard_since_s = last_heard_at_s
-            self.unheard = 0
-        self.unheard += 1
+        if self.counted_since_s != last_heard_at_s:
+            self.counted_since_s = last_heard_at_s
+            self.own_since_heard = 0
+        self.own_since_heard += 1
         self.ensure_usage(now_s).record_own(now_s)
 
     def ensure_usage(self, now_s: float) -> UnreportedUsage:
--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -176,7 +176,7 @@
             counts = self.peer_counters.counts_of(heartbeat, own_history_s)
             counts.record_heartbeat(self.last_heard_at_s)
             for usage in heartbeat.usages:
-                is_late = counts.take_late(usage.workspace)
+                after_silence = counts.is_first_after_silence(usage.workspace)
                 increase = counts.update(usage.workspace, usage.admitted)
                 bucket = self.buckets.get(usage.workspace)
                 if bucket is None:
@@ -186,7 +186,9 @@
                 elif increase:
                     now = self.timers.now()
                     self._refill(bucket, now)
-                    charge = bucket.charge_late if is_late else bucket.charge
+                    charge = (
+                        bucket.charge_after_silence if after_silence else bucket.charge
+                    )
                     charge(increase)
                     bucket.ensure_usage(now).record_peers(now, increase)
 
--- a/src/lacewinglift/mesh/peer_counters.py
+++ b/src/lacewinglift/mesh/peer_counters.py
@@ -20,7 +20,7 @@
     counts: dict[str, int] = field(factory=dict)
     heard_at_s: float = float("inf")
     """Time of its last heartbeat; infinite before the first one."""
-    late_until_s: float = float("-inf")
+    returned_until_s: float = float("-inf")
     """Time until which its counts may have risen while it was not reachable."""
     caught_up: set[str] = field(factory=set)
     """Counts that it has reported since it is reachable again."""
@@ -28,15 +28,15 @@
     def record_heartbeat(self, now_s: float) -> None:
         """Record a heartbeat; after a silence, counts may have risen in it."""
         is_back = now_s - self.heard_at_s > DIRECT_MEMBER_TIMEOUT_S
-        if is_back or now_s > self.late_until_s:
+        if is_back or now_s > self.returned_until_s:
             self.caught_up.clear()
         if is_back:
-            self.late_until_s = now_s + COUNT_REPEAT_S
+            self.returned_until_s = now_s + COUNT_REPEAT_S
         self.heard_at_s = now_s
 
-    def take_late(self, name: str) -> bool:
+    def is_first_after_silence(self, name: str) -> bool:
         """Return whether a count is reported for the first time after a silence."""
-        if self.heard_at_s > self.late_until_s or name in self.caught_up:
+        if self.heard_at_s > self.returned_until_s or name in self.caught_up:
             return False
         self.caught_up.add(name)
         return True
--- a/src/lacewinglift/mesh/unreported_usage.py
+++ b/src/lacewinglift/mesh/unreported_usage.py
@@ -53,7 +53,7 @@
         Requests that other instances report.
     own : DemandMeter
         Requests that this instance has admitted, the recent ones excepted.
-    all : DemandMeter
+    total : DemandMeter
         Requests of both kinds, over the time until a lost instance is missed.
     recent_s : list of float
         Times at which this instance has admitted requests that others may not know.
@@ -61,7 +61,7 @@
 
     peers: DemandMeter
     own: DemandMeter
-    all: DemandMeter
+    total: DemandMeter
     # An empty deque takes ten times as much memory, for each workspace in use.
     recent_s: list[float] = field(factory=list)
 
@@ -77,16 +77,16 @@
     def record_own(self, now_s: float) -> None:
         """Count a request that this instance has admitted."""
         self.recent_s.append(now_s)
-        self.all.record(now_s)
+        self.total.record(now_s)
 
     def record_peers(self, now_s: float, increase: int) -> None:
         """Count requests that another instance reports."""
         self.peers.record(now_s, increase)
-        self.all.record(now_s, increase)
+        self.total.record(now_s, increase)
 
     def spent_until_missed(self, now_s: float) -> float:
         """Return about what was admitted in the time until a loss is noticed."""
-        return self.all.average_at(now_s) * DIRECT_MEMBER_TIMEOUT_S
+        return self.total.average_at(now_s) * DIRECT_MEMBER_TIMEOUT_S
 
     def estimate(self, now_s: float, report_delay_s: float) -> float:
         """Return what the others have probably admitted and not reported yet.
