Let watches of targets wait as long as before

Change: a watch waits 4 s again. One that the store cuts before it had to answer is no outage; one that is cut when it is overdue is, if nothing was answered for as long as entries need to expire. For other calls that fail the time without an answer decides, as before.

--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -27,7 +27,10 @@
 # Delay after changes of targets, so that the next watch call returns several at once.
 TARGETS_BATCH_DELAY_S = 0.1
 # A watch call returns after this time at the latest, so that one whose connection has
-# stalled is detected. The watch of targets takes their heartbeat interval instead.
+# stalled is detected. The timeout for targets is shorter than
+# `STORE_CONTACT_MAX_AGE_S`, so that a watch without changes does not count as lost
+# contact.
+TARGETS_WATCH_TIMEOUT_S = 4.0
 CONFIGURATION_WATCH_TIMEOUT_S = 8.0
 # Shortest time without an answer in which an entry can have expired, in heartbeat
 # intervals of a target. An entry expires after three of them, of which one may have
@@ -140,7 +143,6 @@
         self.on_role_change = on_role_change
         self.evacuations = evacuations or Evacuations(timers)
         self.resend_record = resend_record
-        self.targets_watch_timeout_s = target_heartbeat_interval_s
         self.contact = StoreContact(
             timers,
             min_outage_s=MIN_OUTAGE_INTERVALS * target_heartbeat_interval_s,
@@ -241,11 +243,16 @@
         self._list_targets()
 
     @contextlib.contextmanager
-    def _recorded_call(self) -> Iterator[None]:
+    def _recorded_call(self, wait_s: float = 0.0) -> Iterator[None]:
         """Record a failed call, and an outage in which entries may have expired.
 
         The store may cut a waiting watch at any time. That is no lost contact, since a
-        listing follows at once.
+        listing follows at once, and no outage before it should have answered.
+
+        Parameters
+        ----------
+        wait_s : float, default=0.0
+            Time for which the call may wait for its answer.
         """
         sent_at_s = self.timers.now()
         try:
@@ -253,9 +260,13 @@
         except HistoryLostError:
             raise
         except StoreError as error:
-            if not isinstance(error, WatchCutError):
+            is_cut = isinstance(error, WatchCutError)
+            if not is_cut:
                 self.contact.record_failure(error)
-            if self.contact.may_have_been_down(sent_at_s):
+            is_overdue = self.timers.now() - sent_at_s > wait_s
+            if (is_overdue or not is_cut) and self.contact.may_have_been_down(
+                sent_at_s
+            ):
                 self.registry.record_outage()
             raise
 
@@ -299,7 +310,7 @@
         revision = listing.revision
         while self._is_watching():
             try:
-                with self._recorded_call():
+                with self._recorded_call(timeout_s):
                     result = self.store.watch(prefix, revision, timeout_s)
             except HistoryLostError as error:
                 log_info("store_history_lost", prefix=prefix, reason=error)
@@ -318,7 +329,7 @@
     def _watch_targets(self) -> None:
         prefix = self.codec.targets_prefix
         listing = self._list_targets()
-        for result in self._watch(prefix, self.targets_watch_timeout_s, listing):
+        for result in self._watch(prefix, TARGETS_WATCH_TIMEOUT_S, listing):
             if result.changes:
                 self._apply_target_changes(result)
                 time.sleep(TARGETS_BATCH_DELAY_S)
