--- a/review/standins-3/backend.py
+++ b/review/standins-3/backend.py
@@ -6,7 +6,7 @@
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
-HEARTBEAT_INTERVAL_S = 1.5
+LOST_HEARTBEATS = 6
 
 
 class Backend:
@@ -96,7 +96,13 @@
         self.state = "draining"
         return self.register()
 
+    def write_again(self):
+        """Write the entry after heartbeats that have not reached the store."""
+        self.sequence += LOST_HEARTBEATS
+        return self.register()
+
     def deregister(self):
+        """Remove the entry; return the time of the acknowledgement."""
         return self.store.remove(f"servers/{self.instance_id}")
 
     def end(self):
--- a/review/standins-3/store.py
+++ b/review/standins-3/store.py
@@ -8,7 +8,6 @@
 import urllib.parse
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
-PAGE_ITEMS = 500
 HISTORY_S = 20.0
 RESERVED_PREFIXES = ("op/", "servers/")
 
@@ -35,6 +34,9 @@
         """Returns whether the response to a call is lost; its connection stays open."""
         self.response_delay_s = lambda path, query, machine: 0.0
         """Returns the time between the execution of a call and its response."""
+        self.page_items = 500
+        self.on_call = lambda path, query, machine: None
+        """Called when a call arrives."""
         self.watchers = {}
         """Machine that was the last one to watch each prefix."""
         self.stopping = threading.Event()
@@ -139,7 +141,7 @@
     def _range(self, query):
         prefix, after = query["prefix"], query.get("after", "")
         keys = sorted(k for k in self.entries if k.startswith(prefix) and k > after)
-        page = keys[:PAGE_ITEMS]
+        page = keys[: self.page_items]
         return 200, {
             "items": [self.entries[key] for key in page],
             "truncated": len(keys) > len(page),
@@ -214,6 +216,7 @@
         query = dict(urllib.parse.parse_qsl(text))
         if path == "/kv-watch":
             self.store.watchers[query["prefix"]] = self.machine
+        self.store.on_call(path, query, self.machine)
         status, fields = self.store.call(self.command, path, query, body)
         if self.store.lose_response(path, query, fields, self.machine):
             # The connection stays open and returns nothing further.
