--- a/review/standins-3/backend.py
+++ b/review/standins-3/backend.py
@@ -7,6 +7,8 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 LOST_HEARTBEATS = 6
+# Time after which a server notices that it is to end.
+POLL_INTERVAL_S = 0.02
 
 
 class Backend:
@@ -59,7 +61,9 @@
         handler = type("Handler", (_Handler,), {"backend": self})
         self.server = _Server((host, port), handler)
         self.server.backend = self
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        threading.Thread(
+            target=self.server.serve_forever, args=(POLL_INTERVAL_S,), daemon=True
+        ).start()
 
     @property
     def address(self):
--- a/review/standins-3/store.py
+++ b/review/standins-3/store.py
@@ -9,6 +9,8 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 HISTORY_S = 20.0
+# Time after which a server notices that it is to end.
+POLL_INTERVAL_S = 0.02
 RESERVED_PREFIXES = ("op/", "servers/")
 
 
@@ -49,7 +51,9 @@
         handler = type("Handler", (_Handler,), {"store": self, "machine": machine})
         server = _Server((self.host, 0), handler)
         self.servers.append(server)
-        threading.Thread(target=server.serve_forever, daemon=True).start()
+        threading.Thread(
+            target=server.serve_forever, args=(POLL_INTERVAL_S,), daemon=True
+        ).start()
         host, port = server.server_address
         return f"{host}:{port}"
 
