Notice the lost response of a watch before changes are due

Cause: a watch whose response is lost looks like one that waits. It failed by its timeout only, 9.5 s after it was sent (5.5 s for targets). The users' bounds hold again 3 s after a disturbance of the store, and a change is due 2 s later.

Evidence: on the log of the observer has store_lost, a read timeout of the watch, 9.2 s after the loss, and the version in force 0.07 s after that. Ruled out: the way of a version through the fleet (0.02 s) and the takeover (0.06 s).

Change: the wait of both watches follows from the deployment's bounds (mesh/watch_timeouts): 2 s on the small sites, 2.5 s on the grown ones, 4 s on the large one, and one response timeout of 1.5 s. The test of a cut watch that is overdue names its times relative to that wait, as 4 s was the old one; its cases are as close to it as before.

--- a/src/lacewinglift/kv.py
+++ b/src/lacewinglift/kv.py
@@ -7,6 +7,10 @@
 
 from lacewinglift.errors import StoreError, StoreUnavailableError
 
+# Time in which the response to a call is to arrive, besides the time for which the call
+# may wait. A driver raises StoreUnavailableError after it.
+RESPONSE_TIMEOUT_S = 1.5
+
 
 class HistoryLostError(StoreError):
     """The service no longer keeps the changes since the requested revision."""
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -311,6 +311,7 @@
                 self.timers, self.retry_budgets, settings.retry_limits.window_s
             ),
             target_heartbeat_interval_s=settings.target_heartbeat_interval_s,
+            change_bounds=settings.change_bounds,
         )
 
     def _build_relaying(self) -> Relaying:
--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -22,16 +22,11 @@
 from lacewinglift.mesh.resend_records import ResendRecordKeeper
 from lacewinglift.mesh.settings import TARGET_HEARTBEAT_INTERVAL_S
 from lacewinglift.mesh.store_contact import StoreContact
+from lacewinglift.mesh.watch_timeouts import ChangeBounds
 from lacewinglift.timers import Timers
 
 # Delay after changes of targets, so that the next watch call returns several at once.
 TARGETS_BATCH_DELAY_S = 0.1
-# A watch call returns after this time at the latest, so that one whose connection has
-# stalled is detected. The timeout for targets is shorter than
-# `STORE_CONTACT_MAX_AGE_S`, so that a watch without changes does not count as lost
-# contact.
-TARGETS_WATCH_TIMEOUT_S = 4.0
-CONFIGURATION_WATCH_TIMEOUT_S = 8.0
 # Shortest time without an answer in which an entry can have expired, in heartbeat
 # intervals of a target. An entry expires after three of them, of which one may have
 # passed before an outage. The rest of the second one covers the time between the last
@@ -110,6 +105,8 @@
         Builds and applies the record of resends; by default, there is none.
     target_heartbeat_interval_s : float, default=TARGET_HEARTBEAT_INTERVAL_S
         Time after which a target writes its entry again, in seconds.
+    change_bounds : ChangeBounds, default=None
+        How soon changes have to be in force; by default, those of `ChangeBounds`.
     """
 
     def __init__(
@@ -128,6 +125,7 @@
         evacuations: Evacuations | None = None,
         resend_record: ResendRecordKeeper | None = None,
         target_heartbeat_interval_s: float = TARGET_HEARTBEAT_INTERVAL_S,
+        change_bounds: ChangeBounds | None = None,
     ) -> None:
         self.store = store
         self.codec = codec
@@ -148,6 +146,7 @@
             min_outage_s=MIN_OUTAGE_INTERVALS * target_heartbeat_interval_s,
             on_change=self._announce_contact,
         )
+        self.watch_wait_s = (change_bounds or ChangeBounds()).watch_wait_s()
         election.start()
         self.watching = threading.Event()
         self.stopped = False
@@ -299,9 +298,7 @@
                 self.apply_configuration(item.value)
         return listing
 
-    def _watch(
-        self, prefix: str, timeout_s: float, listing: Listing
-    ) -> Iterator[WatchResult]:
+    def _watch(self, prefix: str, listing: Listing) -> Iterator[WatchResult]:
         """Yield changes since a listing; end if some may have been missed.
 
         After a restore of the store, a revision that was given out again is not the
@@ -310,8 +307,8 @@
         revision = listing.revision
         while self._is_watching():
             try:
-                with self._recorded_call(timeout_s):
-                    result = self.store.watch(prefix, revision, timeout_s)
+                with self._recorded_call(self.watch_wait_s):
+                    result = self.store.watch(prefix, revision, self.watch_wait_s)
             except HistoryLostError as error:
                 log_info("store_history_lost", prefix=prefix, reason=error)
                 return
@@ -329,7 +326,7 @@
     def _watch_targets(self) -> None:
         prefix = self.codec.targets_prefix
         listing = self._list_targets()
-        for result in self._watch(prefix, TARGETS_WATCH_TIMEOUT_S, listing):
+        for result in self._watch(prefix, listing):
             if result.changes:
                 self._apply_target_changes(result)
                 time.sleep(TARGETS_BATCH_DELAY_S)
@@ -337,7 +334,7 @@
     def _watch_configuration(self) -> None:
         prefix = self.codec.operator_prefix
         listing = self._list_configuration()
-        for result in self._watch(prefix, CONFIGURATION_WATCH_TIMEOUT_S, listing):
+        for result in self._watch(prefix, listing):
             self._apply_evacuation_changes(result)
             for change in result.changes:
                 is_configuration = change.key == self.codec.configuration_key
--- a/src/lacewinglift/mesh/settings.py
+++ b/src/lacewinglift/mesh/settings.py
@@ -7,6 +7,7 @@
 from lacewinglift.held_bytes import MAX_HELD_PER_INSTANCE
 from lacewinglift.mesh.retry_budgets import RetryLimits
 from lacewinglift.mesh.unreported_usage import RateTolerance
+from lacewinglift.mesh.watch_timeouts import ChangeBounds
 
 ADDRESS_LIFETIME_S = 3.0
 # Part of the grace period that is reserved for the exit of the process.
@@ -23,6 +24,7 @@
 UNLIMITED_CONCURRENCY = 1_000_000
 TARGET_HEARTBEAT_INTERVAL_S = 1.5
 DEFAULT_RATE_TOLERANCE = RateTolerance(fraction=0.1, slack=20.0, window_s=5.0)
+DEFAULT_CHANGE_BOUNDS = ChangeBounds()
 DEFAULT_RETRY_LIMITS = RetryLimits(per_request=0.1, window_s=10.0, slack=10.0)
 
 
@@ -47,6 +49,8 @@
     """Heartbeat addresses of instances to contact first."""
     target_heartbeat_interval_s: float = TARGET_HEARTBEAT_INTERVAL_S
     """Time after which a target writes its entry in the store again."""
+    change_bounds: ChangeBounds = DEFAULT_CHANGE_BOUNDS
+    """How soon changes in the store have to be in force in the whole fleet."""
     retry_limits: RetryLimits = DEFAULT_RETRY_LIMITS
     rate_tolerance: RateTolerance = DEFAULT_RATE_TOLERANCE
     """Requests that may exceed the rate of a workspace."""
--- a/testing/adapter/test_node_file.py
+++ b/testing/adapter/test_node_file.py
@@ -10,6 +10,7 @@
 
 from lacewinglift.errors import SettingsError
 from lacewinglift.mesh.unreported_usage import RateTolerance
+from lacewinglift.mesh.watch_timeouts import ChangeBounds
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 FIELDS = {
@@ -28,8 +29,11 @@
         "budget_ratio=0.2",
         "budget_slack=58",
         "closed=false",
+        "config_propagation_ms=2500",
+        "drain_ms=1500",
         "grace_s=6",
         "quota_window_s=4",
+        "stable_window_ms=4000",
     ],
     "platform": {"address": "10.200.1.7:8382"},
     "zones": {"milano": "south", "torino": 7},
@@ -50,6 +54,7 @@
 def test_settings_come_from_the_fields(write):
     """Guards against an address that is read from the wrong field."""
     settings = NodeFile(write(FIELDS)).build_settings()
+    assert_that(settings.change_bounds, Equals(ChangeBounds(1.5, 4.0)))
     assert_that(settings.caller_address, Equals("10.1.0.37:8388"))
     assert_that(settings.heartbeat_address, Equals("10.1.0.37:8381"))
     assert_that(settings.fetch_address, Equals("10.1.0.37:7560"))
--- a/testing/mesh/test_observers.py
+++ b/testing/mesh/test_observers.py
@@ -259,10 +259,10 @@
 
 
 @pytest.mark.parametrize(
-    ("silent_s", "was_outage"), [(0.1, False), (3.9, False), (4.1, True)]
+    ("overdue_s", "was_outage"), [(-1.9, False), (-0.1, False), (0.1, True)]
 )
 def test_watch_that_is_cut_when_it_is_overdue_was_an_outage(
-    timers, silent_s, was_outage
+    timers, overdue_s, was_outage
 ):
     """Guards against losing all targets that could not write their entries.
 
@@ -272,7 +272,7 @@
     observer = observe(EmptyStore(), timers)
 
     def cut_late(prefix, after, wait_s):
-        timers.advance(silent_s)
+        timers.advance(wait_s + overdue_s)
         raise WatchCutError("closed")
 
     observer.store.watch = cut_late
--- a/testing/standins/platform_store.py
+++ b/testing/standins/platform_store.py
@@ -50,6 +50,8 @@
     """Number of further writes that are applied without a response."""
     lost_reply_write_delay_s: float = 0.0
     """Delay until a write without a response is applied."""
+    lost_watch_responses: list = field(factory=list)
+    """Prefixes of watches of which the next response is lost; the connection stays."""
     watch_cuts: int = 0
     """Number of times that all waiting watches were cut."""
     entries: dict = field(factory=dict)
@@ -57,6 +59,7 @@
     leases: dict = field(factory=dict)
     calls: list = field(factory=list)
     lease_ids: object = field(factory=lambda: itertools.count(77001))
+    closed: threading.Event = field(factory=threading.Event)
     condition: threading.Condition = field(factory=threading.Condition)
 
     def __attrs_post_init__(self):
@@ -71,6 +74,7 @@
         return f"{host}:{port}"
 
     def close(self):
+        self.closed.set()
         self.server.shutdown()
         self.server.server_close()
 
@@ -251,11 +255,17 @@
             threading.Timer(store.lost_reply_write_delay_s, store.txn, (body,)).start()
             self.close_connection = True
             return
-        self._send_json(*self._dispatch(body))
-
-    def _dispatch(self, body):
         path, _, text = self.path.partition("?")
         query = dict(urllib.parse.parse_qsl(text))
+        answer = self._dispatch(path, query, body)
+        if path == "/kv-watch" and query["prefix"] in store.lost_watch_responses:
+            store.lost_watch_responses.remove(query["prefix"])
+            store.closed.wait()
+            self.close_connection = True
+            return
+        self._send_json(*answer)
+
+    def _dispatch(self, path, query, body):
         store = self.store
         if path == "/kv-range":
             return store.range(query)
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -395,6 +395,14 @@
         "return True",
         "testing/adapter/test_cut_watches.py",
     ),
+    Mutation(
+        "lost-watch-response-noticed-late",
+        "version-reaches-all",
+        "mesh/watch_timeouts.py",
+        "return min(max(wait_s, MIN_WATCH_WAIT_S), MAX_WATCH_WAIT_S)",
+        "return MAX_WATCH_WAIT_S",
+        "testing/adapter/test_lost_watch_responses.py",
+    ),
     Mutation(
         "removal-after-restart",
         "leaving-target",
