Report use of limits beyond a leased share at once

Cause: instances that the directory does not name and that have few requests report their use once a second, while FleetQuota takes reports to be 0.1 s late. The heartbeats of a fleet come close together, so all instances admit the same tokens for up to a second, are in debt together, and do it again. The cut is not needed for it.

Change: an instance leases its share of the tokens left and of the tolerated excess for use that it has not reported. Each report renews the lease; use beyond it is reported at once, and the instance then gets the reports of others soon (Beat.shares_limits). Off where heartbeats are relayed.

--- a/src/lacewinglift/mesh/fleet_bucket.py
+++ b/src/lacewinglift/mesh/fleet_bucket.py
@@ -20,6 +20,8 @@
 
     admitted: int = 0
     last_admitted_at_s: float = float("-inf")
+    reported: int = 0
+    """Those of them that the instances which share limits have been told of."""
 
     def add(self, now_s: float) -> None:
         """Count one more request."""
--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -9,7 +9,7 @@
 """
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import evolve
 
@@ -19,6 +19,7 @@
 from lacewinglift.mesh.fleet_bucket import FleetBucket, OwnCount
 from lacewinglift.mesh.fleet_history import FleetHistory
 from lacewinglift.mesh.peer_counters import COUNT_REPEAT_S, PeerCounters
+from lacewinglift.mesh.report_lease import ReportLease
 from lacewinglift.mesh.unreported_usage import NO_TOLERANCE, RateTolerance
 from lacewinglift.timers import Timers
 
@@ -51,6 +52,8 @@
         they take no time.
     tolerance : RateTolerance, default=NO_TOLERANCE
         Requests that may exceed a rate.
+    lease : ReportLease, default=None
+        Decides when use is reported at once; by default, it never is.
     """
 
     def __init__(
@@ -60,12 +63,14 @@
         history: FleetHistory | None = None,
         report_delay_s: Callable[[], float] = float,
         tolerance: RateTolerance = NO_TOLERANCE,
+        lease: ReportLease | None = None,
     ) -> None:
         self.timers = timers
         self.reachable_fraction = reachable_fraction
         self.history = history
         self.report_delay_s = report_delay_s
         self.tolerance = tolerance
+        self.lease = lease
         self.buckets: dict[str, FleetBucket] = {}
         self.own_counts: dict[str, OwnCount] = {}
         """Counts since the start of this process. They outlive the buckets, because the
@@ -113,7 +118,11 @@
                 later_s = max(wait_s - MAX_TOKEN_WAIT_S / 2, MAX_TOKEN_WAIT_S / 2)
                 return Decision(False, OVER_LIMIT, later_s, log_fields=log_fields)
             bucket.record_own(now, self.last_heard_at_s)
-            self.own_counts.setdefault(workspace.name, OwnCount()).add(now)
+            count = self.own_counts.setdefault(workspace.name, OwnCount())
+            count.add(now)
+            if self.lease is not None:
+                unreported_own = count.admitted - count.reported
+                self.lease.record_unreported(unreported_own, tokens + tolerated)
             return Decision(True, wait_s=wait_s, log_fields=log_fields)
 
     def _refill(self, bucket: FleetBucket, now_s: float) -> None:
@@ -258,6 +267,13 @@
             tokens=bucket.level if has_level else None,
         )
 
+    def record_report(self, usages: Iterable[beats_pb2.Usage]) -> None:
+        """Record that counts are sent to all instances that share limits."""
+        with self._lock:
+            for usage in usages:
+                self.own_counts[usage.workspace].reported = usage.admitted
+        return usages
+
     def peer_usages(self, instance: str, incarnation: int) -> list[beats_pb2.Usage]:
         """Return all counts that another instance has reported."""
         with self._lock:
--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -59,6 +59,7 @@
     DETAILS_INTERVAL_S,
     Relaying,
 )
+from lacewinglift.mesh.report_lease import ReportLease
 from lacewinglift.mesh.resend_records import ResendRecordKeeper
 from lacewinglift.mesh.retry_budgets import FleetRetryBudgets
 from lacewinglift.mesh.route_priorities import check_choice, choice_for
@@ -178,12 +179,20 @@
         self.registry = TargetRegistry(self.timers, self._registry_changed)
         self.targets.on_leaving = self.registry.mark_leaving
         self.history = FleetHistory(self.timers, self.members, settings.first_start)
+        self.report_lease = ReportLease(
+            self.timers,
+            lambda: not self.relaying.is_on(),
+            lambda: len(self.members.known()) + 1,
+            self.heartbeats.send_soon,
+            self.heartbeats.send_to_active_soon,
+        )
         self.quota = FleetQuota(
             self.timers,
             self.reachable_fraction,
             self.history,
             self.report_delay_s,
             settings.rate_tolerance,
+            self.report_lease,
         )
         self.retry_budgets = FleetRetryBudgets(
             self.timers,
@@ -458,7 +467,8 @@
 
     def _schedule_active_heartbeat(self) -> None:
         # Where heartbeats are relayed, one more costs two or three datagrams only.
-        if self.is_active() or self.relaying.is_on():
+        reports_soon = self.is_active() or self.report_lease.is_sharing()
+        if reports_soon or self.relaying.is_on():
             self.heartbeats.schedule_active_heartbeat()
 
     # ---- configuration and registry ----
@@ -586,8 +596,9 @@
             else DETAILS_INTERVAL_S
         )
         brief = self._build_brief_heartbeat()
+        self.quota.record_report(brief.usages)
         self.relaying.note_own(brief)
-        active = self.members.active()
+        active = self._report_recipients()
         detailed = self.relaying.for_details(active)
         outgoing = [_outgoing(brief, detailed)]
         number = max((each.number for each in brief.evidence), default=0)
@@ -598,6 +609,13 @@
         self.evidence_number = number
         return outgoing
 
+    def _report_recipients(self) -> list[Member]:
+        """Return the instances that get each report of use and evidence."""
+        active = self.members.active()
+        names = {member.name for member in active}
+        sharing = self.members.sharing_limits()
+        return active + [member for member in sharing if member.name not in names]
+
     def _without_details(self, brief: beats_pb2.Beat) -> beats_pb2.Beat:
         """Return a heartbeat without the counts and loads that relays pass on."""
         heartbeat = beats_pb2.Beat()
@@ -633,6 +651,8 @@
         if not addresses:
             return []
         brief = self._build_brief_heartbeat(in_turn)
+        if not in_turn:
+            self.quota.record_report(brief.usages)
         self.relaying.note_own(brief)
         full_recipients, others = self.full_heartbeats.split(addresses)
         full = self._build_full_heartbeat(brief, MAX_GOSSIPED_PEERS)
@@ -682,6 +702,7 @@
             loads=self.targets.loads() if with_loads else [],
             loads_omitted=not with_loads and self.relaying.is_on(),
             active=is_active,
+            shares_limits=self.report_lease.is_sharing(),
             history_ms=self.history.own_ms(),
             relays_to=self.relaying.relays_to,
             failing_services=sorted(self.targets.failing_services()),
--- a/src/lacewinglift/mesh/members.py
+++ b/src/lacewinglift/mesh/members.py
@@ -9,6 +9,7 @@
 from lacewinglift.logs import log_info, log_warning
 from lacewinglift.mesh.heartbeat_rounds import HEARTBEAT_INTERVAL_S
 from lacewinglift.mesh.isolation import HeartbeatGaps
+from lacewinglift.mesh.report_lease import SHARING_TIMEOUT_S
 from lacewinglift.rendezvous import rank_candidates
 from lacewinglift.socket_addresses import split_address
 from lacewinglift.timers import Timers
@@ -295,6 +296,16 @@
         now = self.timers.now()
         return [m for m in self.known() if now - m.last_active_at_s <= ACTIVE_TIMEOUT_S]
 
+    def sharing_limits(self) -> list[Member]:
+        """Return the members to which use of limits has to be reported soon."""
+        now = self.timers.now()
+        return [
+            member
+            for member in self.known()
+            if member.heartbeat.shares_limits
+            and member.silent_s(now) <= SHARING_TIMEOUT_S
+        ]
+
     def reachable_fraction(
         self, expected: int = 0, timeout_s: float = MEMBER_TIMEOUT_S
     ) -> float:
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -403,6 +403,14 @@
         "return MAX_WATCH_WAIT_S",
         "testing/adapter/test_lost_watch_responses.py",
     ),
+    Mutation(
+        "use-beyond-lease-not-reported",
+        "limits",
+        "mesh/report_lease.py",
+        "        if unreported <= lease:\n",
+        "        if True:\n",
+        "testing/mesh/test_surge_in_quiet_fleet.py",
+    ),
     Mutation(
         "removal-after-restart",
         "leaving-target",
