Do not take a response that was reset in an upload for a complete one

Callers saw: a part of a body as a complete 200.

Cause: a socket reports a reset once. The blocked write of the upload took the error, and the reads after it ended like those of a connection that was closed, which is the end of a body without a length.

Evidence: testing/test_reset_responses.py brings it about with real sockets; before, the attempt counted as a success and the caller got the last chunk. Ruled out: responses with a length or in chunks, which are found cut, and resets that a read sees.

Change: a reset is remembered with the connection, and a body without a length after it is truncated. Related path: the look for what has arrived while a slow caller does not read swallowed the same error.

--- a/src/lacewinglift/attempt_loop.py
+++ b/src/lacewinglift/attempt_loop.py
@@ -489,6 +489,7 @@
         except (BrokenPipeError, ConnectionResetError):
             # The target may have sent a response before it closed the connection.
             upload_finished = False
+            connection.was_reset = True
         except (HTTPError, http.client.HTTPException, OSError) as error:
             raise self._connection_error(error) from error
         if self.exchange.cancel_reason is not None:
--- a/src/lacewinglift/forwarded_response.py
+++ b/src/lacewinglift/forwarded_response.py
@@ -172,6 +172,9 @@
         try:
             sock.settimeout(0)
             return bool(stream.peek(1)) or wait_for_read(sock, 0)
+        except ConnectionResetError:
+            self._raw.was_reset = True
+            return True
         except (OSError, ValueError):
             return True
         finally:
@@ -246,8 +249,11 @@
         self._source.close()
 
     def _finish_body(self) -> None:
-        close_delimited = self._raw.will_close and self._raw.length is None
-        if not (self._raw.complete or close_delimited or self._received_full_length()):
+        if not (
+            self._raw.complete
+            or self._raw.ended_by_close
+            or self._received_full_length()
+        ):
             self._raise_truncated(OutcomeKind.CUT, None)
         if self._call.exchange.cancel_reason is not None:
             self._raise_truncated(OutcomeKind.CANCELLED, None)
--- a/src/lacewinglift/pools.py
+++ b/src/lacewinglift/pools.py
@@ -112,6 +112,9 @@
         self.socket = sock
         self.complete = False
         self.has_trailing_bytes = False
+        self.was_reset = False
+        """Whether the target has reset the connection. The socket raises that error
+        once; reads after it end as if the connection had been closed."""
         self.expected_id_header: tuple[str, str] | None = None
         """Name and expected value of the header that identifies the request."""
 
@@ -120,6 +123,11 @@
         """Return whether the connection can carry another request."""
         return self.complete and not self.has_trailing_bytes and not self.will_close
 
+    @property
+    def ended_by_close(self) -> bool:
+        """Return whether the end of the connection is the end of the body."""
+        return self.will_close and self.length is None and not self.was_reset
+
     def begin(self) -> None:
         """Read the head of the response; discard responses to earlier requests."""
         if self.headers is not None:
@@ -249,6 +257,8 @@
         super().__init__(*args, **kwargs)
         self.reuse_until_s = 0.0
         self.send_started = False
+        self.was_reset = False
+        """Whether the target has reset the connection before its response was read."""
         self.expected_id_header: tuple[str, str] | None = None
         self.last_response: TargetResponse | None = None
         self.response_class = self._create_response
@@ -258,6 +268,7 @@
     ) -> TargetResponse:
         self.last_response = TargetResponse(sock, *args, **kwargs)
         self.last_response.expected_id_header = self.expected_id_header
+        self.last_response.was_reset = self.was_reset
         return self.last_response
 
     def has_unread_data(self) -> bool:
@@ -294,6 +305,7 @@
         if self._is_expired(connection) or connection.has_unread_data():
             connection.close()
         connection.send_started = False
+        connection.was_reset = False
         return connection
 
     def checkin(self, connection: TargetConnection) -> None:
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -411,6 +411,22 @@
         "        if True:\n",
         "testing/mesh/test_surge_in_quiet_fleet.py",
     ),
+    Mutation(
+        "reset-seen-by-a-write-forgotten",
+        "response-whole",
+        "attempt_loop.py",
+        "            connection.was_reset = True\n",
+        "",
+        "testing/test_reset_responses.py -k upload",
+    ),
+    Mutation(
+        "reset-seen-ahead-of-the-caller-forgotten",
+        "response-whole",
+        "forwarded_response.py",
+        "            self._raw.was_reset = True\n",
+        "",
+        "testing/test_reset_responses.py -k slow_caller",
+    ),
     Mutation(
         "removal-after-restart",
         "leaving-target",
