Believe a target that restarts after its clock was set back

Cause: reports are ordered by the start time of the process, a wall-clock time, because a write that was given up may take effect late. After the clock was set back, all that the new process said was taken for such writes; a tombstone did the same for 60 s.

Change: the second report with the same earlier start and a higher number, with none of the known process between, is the target in force. New event target_clock_set_back.

--- a/src/lacewinglift/mesh/registry.py
+++ b/src/lacewinglift/mesh/registry.py
@@ -140,7 +140,9 @@
     """Registered targets as of a revision of the store.
 
     Reports of one target are ordered by its start time and its own sequence number,
-    because a write that timed out may take effect seconds later.
+    because a write that timed out may take effect seconds later. A target that starts
+    again after its clock was set back has an earlier start time. Its process is
+    recognized by a second report, as a delayed write comes once.
     """
 
     timers: Timers
@@ -153,6 +155,8 @@
     ready: bool = False
     """Whether the targets were read from the store or fetched at least once."""
     tombstones: dict[str, _Tombstone] = field(factory=dict)
+    earlier_starts: dict[str, RegisteredTarget] = field(factory=dict)
+    """First report of a process with an earlier start time than the known one."""
     missing_since_s: dict[str, float] = field(factory=dict)
     """Targets whose entry disappeared around an outage of the store, and since when."""
     reported_at_s: dict[str, float] = field(factory=dict)
@@ -190,7 +194,7 @@
                 self.record_outage()
             listed = {target.name: target for target in targets}
             for target in listed.values():
-                self._upsert(target, from_store=True)
+                self._upsert_reported(target)
             for name in [name for name in self.targets if name not in listed]:
                 self._remove_or_mark_missing(name)
             self._advance(revision, era)
@@ -211,7 +215,7 @@
             if era < self.era:
                 return
             for target in written:
-                self._upsert(target, from_store=True)
+                self._upsert_reported(target)
                 if target.name in self.targets:
                     self.reported_at_s[target.name] = self.timers.now()
             for name in removed:
@@ -233,7 +237,11 @@
             listed = {target.name: target for target in targets}
             for name in [name for name in self.targets if name not in listed]:
                 self._remove_with_tombstone(name)
+            is_newer = self.position_of(revision, era) > self.position()
             for target in listed.values():
+                if is_newer and self._has_earlier_start(target):
+                    # The other instance has seen that process report twice.
+                    self._forget(target.name)
                 self._upsert(target, from_store=False)
             self._advance(revision, era)
             self._commit_update()
@@ -268,6 +276,8 @@
             for name, tombstone in list(self.tombstones.items()):
                 if now - tombstone.removed_at_s > TOMBSTONE_TTL_S:
                     del self.tombstones[name]
+                    if name not in self.targets:
+                        self.earlier_starts.pop(name, None)
             if due:
                 self._commit_update()
 
@@ -285,6 +295,37 @@
         position = self.position_of(revision, era)
         self.era, self.revision = max(self.position(), position)
 
+    def _upsert_reported(self, target: RegisteredTarget) -> None:
+        """Apply a report from the store."""
+        if not self._has_earlier_start(target):
+            self.earlier_starts.pop(target.name, None)
+        elif self._repeats_earlier_start(target):
+            log_info("target_clock_set_back", target=target.name, born=target.born_ms)
+            self._forget(target.name)
+        self._upsert(target, from_store=True)
+
+    def _has_earlier_start(self, target: RegisteredTarget) -> bool:
+        """Return whether a report names an earlier start than the known process."""
+        known = self.targets.get(target.name)
+        if known is not None:
+            return target.born_ms < known.born_ms
+        tombstone = self.tombstones.get(target.name)
+        return tombstone is not None and target.born_ms < tombstone.report_version[0]
+
+    def _repeats_earlier_start(self, target: RegisteredTarget) -> bool:
+        """Return whether this is a further report of a process that started earlier."""
+        first = self.earlier_starts.get(target.name)
+        if first is None or first.born_ms != target.born_ms:
+            self.earlier_starts[target.name] = target
+            return False
+        return target.sequence > first.sequence
+
+    def _forget(self, name: str) -> None:
+        """Forget a target and its removal, so that any report of it is news."""
+        self.targets.pop(name, None)
+        self.tombstones.pop(name, None)
+        self.earlier_starts.pop(name, None)
+
     def _upsert(self, target: RegisteredTarget, from_store: bool) -> None:
         tombstone = self.tombstones.get(target.name)
         if (
--- a/testing/mesh/test_registry.py
+++ b/testing/mesh/test_registry.py
@@ -50,6 +50,43 @@
     assert_that(registry.targets["i-1"].address, Equals("10.0.0.1:80"))
 
 
+@pytest.mark.parametrize("removed", [True, False])
+def test_target_whose_clock_was_set_back_is_known_by_its_second_report(
+    registry, removed
+):
+    """Guards against requests to a target that has said that it leaves.
+
+    All that a process says whose start time is before that of the previous one was
+    taken for delayed writes.
+    """
+    if removed:
+        registry.apply_changes([], ["i-1"], 11)
+    restarted = evolve(TARGET, born_ms=500, sequence=1, address="10.0.0.9:80")
+    registry.apply_changes([restarted], [], 12)
+    registry.apply_changes([evolve(restarted, sequence=2)], [], 13)
+    assert_that(registry.targets["i-1"].address, Equals("10.0.0.9:80"))
+    registry.apply_changes([evolve(restarted, sequence=3, leaving=True)], [], 14)
+    assert registry.targets["i-1"].leaving
+
+
+def test_delayed_reports_of_a_previous_process_do_not_add_up(registry):
+    """Guards against a delayed write that is believed as it comes after another one."""
+    previous = evolve(TARGET, born_ms=500, address="10.0.0.9:80")
+    registry.apply_changes([evolve(previous, sequence=7)], [], 11)
+    registry.apply_changes([evolve(TARGET, sequence=6)], [], 12)
+    registry.apply_changes([evolve(previous, sequence=8)], [], 13)
+    assert_that(registry.targets["i-1"].address, Equals("10.0.0.1:80"))
+
+
+@pytest.mark.parametrize("revision", [10, 11])
+def test_set_back_clock_is_learned_from_newer_states_only(registry, revision):
+    """Guards against instances that do not believe the observer, or an older state."""
+    restarted = evolve(TARGET, born_ms=500, sequence=2)
+    registry.apply_snapshot([restarted], revision)
+    expected = 500 if revision > 10 else 1000
+    assert_that(registry.targets["i-1"].born_ms, Equals(expected))
+
+
 def test_removed_target_is_not_restored_by_an_old_report(registry):
     """Guards against a write that takes effect seconds after its target has left."""
     registry.apply_changes([], ["i-1"], 11)
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -427,6 +427,14 @@
         "",
         "testing/test_reset_responses.py -k slow_caller",
     ),
+    Mutation(
+        "set-back-clock-ignored",
+        "leaving-target",
+        "mesh/registry.py",
+        "        return target.sequence > first.sequence\n",
+        "        return False\n",
+        "testing/mesh/test_registry.py -k set_back",
+    ),
     Mutation(
         "removal-after-restart",
         "leaving-target",
