Keep targets that are known from a later state than a listing

Cause: a listing of a slow store was applied although the state that had been fetched from others was newer, and removed targets that had come back. The tombstone then kept them away for 60 s, and the others took the removal over.

Weighed and left: to ignore an older listing or to list again, which never ends in a slow store.

Change: the registry remembers the position of the state that last named each target, and an older listing or removal does not remove it.

--- a/src/lacewinglift/mesh/registry.py
+++ b/src/lacewinglift/mesh/registry.py
@@ -159,6 +159,8 @@
     """First report of a process with an earlier start time than the known one."""
     missing_since_s: dict[str, float] = field(factory=dict)
     """Targets whose entry disappeared around an outage of the store, and since when."""
+    known_as_of: dict[str, tuple[int, int]] = field(factory=dict)
+    """Position of the state that last named each target."""
     reported_at_s: dict[str, float] = field(factory=dict)
     """Last time at which a watch brought a report of a target."""
     last_outage_at_s: float = float("-inf")
@@ -185,7 +187,11 @@
     def replace_all(
         self, targets: Iterable[RegisteredTarget], revision: int, era: int = 0
     ) -> None:
-        """Apply a complete listing of the store, unless it is of an earlier era."""
+        """Apply a complete listing of the store, unless it is of an earlier era.
+
+        A listing that took long is older than what was fetched from others meanwhile;
+        targets that are known from a later state stay.
+        """
         with self.lock:
             if era < self.era:
                 return
@@ -193,10 +199,12 @@
                 # Targets whose entries were lost by a restore write them again.
                 self.record_outage()
             listed = {target.name: target for target in targets}
+            position = self.position_of(revision, era)
             for target in listed.values():
-                self._upsert_reported(target)
+                self._upsert_reported(target, position)
             for name in [name for name in self.targets if name not in listed]:
-                self._remove_or_mark_missing(name)
+                if self.known_as_of[name] <= position:
+                    self._remove_or_mark_missing(name)
             self._advance(revision, era)
             self._commit_update()
 
@@ -214,12 +222,13 @@
         with self.lock:
             if era < self.era:
                 return
+            position = self.position_of(revision, era)
             for target in written:
-                self._upsert_reported(target)
+                self._upsert_reported(target, position)
                 if target.name in self.targets:
                     self.reported_at_s[target.name] = self.timers.now()
             for name in removed:
-                if name in self.targets:
+                if name in self.targets and self.known_as_of[name] <= position:
                     self._remove_or_mark_missing(name)
             self._advance(revision, era)
             self._commit_update()
@@ -237,12 +246,13 @@
             listed = {target.name: target for target in targets}
             for name in [name for name in self.targets if name not in listed]:
                 self._remove_with_tombstone(name)
-            is_newer = self.position_of(revision, era) > self.position()
+            position = self.position_of(revision, era)
+            is_newer = position > self.position()
             for target in listed.values():
                 if is_newer and self._has_earlier_start(target):
                     # The other instance has seen that process report twice.
                     self._forget(target.name)
-                self._upsert(target, from_store=False)
+                self._upsert(target, position, from_store=False)
             self._advance(revision, era)
             self._commit_update()
             return True
@@ -295,14 +305,16 @@
         position = self.position_of(revision, era)
         self.era, self.revision = max(self.position(), position)
 
-    def _upsert_reported(self, target: RegisteredTarget) -> None:
+    def _upsert_reported(
+        self, target: RegisteredTarget, position: tuple[int, int]
+    ) -> None:
         """Apply a report from the store."""
         if not self._has_earlier_start(target):
             self.earlier_starts.pop(target.name, None)
         elif self._repeats_earlier_start(target):
             log_info("target_clock_set_back", target=target.name, born=target.born_ms)
             self._forget(target.name)
-        self._upsert(target, from_store=True)
+        self._upsert(target, position, from_store=True)
 
     def _has_earlier_start(self, target: RegisteredTarget) -> bool:
         """Return whether a report names an earlier start than the known process."""
@@ -323,16 +335,21 @@
     def _forget(self, name: str) -> None:
         """Forget a target and its removal, so that any report of it is news."""
         self.targets.pop(name, None)
+        self.known_as_of.pop(name, None)
         self.tombstones.pop(name, None)
         self.earlier_starts.pop(name, None)
 
-    def _upsert(self, target: RegisteredTarget, from_store: bool) -> None:
+    def _upsert(
+        self, target: RegisteredTarget, position: tuple[int, int], from_store: bool
+    ) -> None:
         tombstone = self.tombstones.get(target.name)
         if (
             tombstone is not None
             and target.report_version() <= tombstone.report_version
         ):
             return
+        as_of = self.known_as_of.get(target.name, position)
+        self.known_as_of[target.name] = max(as_of, position)
         known = self.targets.get(target.name)
         if known is not None and target.report_version() < known.report_version():
             self.targets[target.name] = adopt_warmup_number(known, target)
@@ -372,6 +389,7 @@
     def _remove_with_tombstone(self, name: str) -> None:
         self.missing_since_s.pop(name, None)
         self.reported_at_s.pop(name, None)
+        self.known_as_of.pop(name, None)
         target = self.targets.pop(name, None)
         if target is None:
             return
--- a/testing/mesh/test_registry.py
+++ b/testing/mesh/test_registry.py
@@ -87,6 +87,23 @@
     assert_that(registry.targets["i-1"].born_ms, Equals(expected))
 
 
+def test_older_listing_does_not_remove_what_has_come_back(registry):
+    """Guards against ready targets that no instance knows any more.
+
+    A listing of a slow store arrives after a newer state of another instance, and the
+    watch then brings what that state held.
+    """
+    returned = evolve(TARGET, name="i-2", sequence=9)
+    registry.apply_snapshot([TARGET, returned], 13)
+    registry.replace_all([TARGET], revision=11)
+    registry.apply_changes([], ["i-2"], 12)
+    assert_that(registry.targets, Contains("i-2"))
+    registry.apply_changes([returned], [], 13)
+    assert_that(registry.targets, Contains("i-2"))
+    registry.apply_changes([], ["i-2"], 14)
+    assert_that(registry.targets, Not(Contains("i-2")))
+
+
 def test_removed_target_is_not_restored_by_an_old_report(registry):
     """Guards against a write that takes effect seconds after its target has left."""
     registry.apply_changes([], ["i-1"], 11)
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -435,6 +435,15 @@
         "        return False\n",
         "testing/mesh/test_registry.py -k set_back",
     ),
+    Mutation(
+        "older-listing-removes",
+        "all-targets-known",
+        "mesh/registry.py",
+        "                if self.known_as_of[name] <= position:\n"
+        "                    self._remove_or_mark_missing(name)\n",
+        "                self._remove_or_mark_missing(name)\n",
+        "testing/mesh/test_registry.py -k older_listing",
+    ),
     Mutation(
         "removal-after-restart",
         "leaving-target",
