--- a/src/lacewinglift/mesh/fleet_history.py
+++ b/src/lacewinglift/mesh/fleet_history.py
@@ -39,8 +39,9 @@
         self.members = members
         self.started_at_s = -math.inf if first_start else timers.now()
         self.looked_up_at_s = math.inf
-        """Time at which the store first named the instances that it knows."""
+        """Time at which this instance, which heard nobody, first looked for others."""
         self.heard_all = first_start
+        """Whether it has had the time to hear from all others; stays so."""
 
     def own_s(self) -> float:
         """Return the time for which this instance has counted."""
@@ -52,7 +53,7 @@
         return int(max(min(self.own_s() * 1000, MAX_HISTORY_MS), 1))
 
     def record_lookup(self) -> None:
-        """Record that the store has named the instances that it knows."""
+        """Record that this instance, which hears nobody, has looked for others."""
         self.looked_up_at_s = min(self.looked_up_at_s, self.timers.now())
 
     def has_heard_all(self) -> bool:
--- a/src/lacewinglift/mesh/fleet_limits.py
+++ b/src/lacewinglift/mesh/fleet_limits.py
@@ -188,6 +188,7 @@
             adopts_levels = self._adopts_levels(heartbeat)
             counts = self.peer_counters.counts_of(heartbeat, own_history_s)
             counts.record_heartbeat(self.last_heard_at_s)
+            # Counting the members takes time that grows with the fleet.
             fraction = None
             for usage in heartbeat.usages:
                 after_silence = counts.is_first_after_silence(usage.workspace)
@@ -279,7 +280,6 @@
         with self._lock:
             for usage in usages:
                 self.own_counts[usage.workspace].reported = usage.admitted
-        return usages
 
     def peer_usages(self, instance: str, incarnation: int) -> list[beats_pb2.Usage]:
         """Return all counts that another instance has reported."""
--- a/src/lacewinglift/mesh/watch_timeouts.py
+++ b/src/lacewinglift/mesh/watch_timeouts.py
@@ -13,7 +13,9 @@
 # everywhere: a retry, a listing and its way through the fleet.
 CATCH_UP_S = 1.5
 # A watch that waits longer without changes would count as lost contact to the store.
-MAX_WATCH_WAIT_S = STORE_CONTACT_MAX_AGE_S - RESPONSE_TIMEOUT_S - 0.5
+CONTACT_MARGIN_S = 0.5
+MAX_WATCH_WAIT_S = STORE_CONTACT_MAX_AGE_S - RESPONSE_TIMEOUT_S - CONTACT_MARGIN_S
+# A shorter wait would turn the watch into a poll.
 MIN_WATCH_WAIT_S = 1.0
 
 
