Take back the restarts that hear nobody; more requests were refused

A restarted instance grants by the part of the known addresses that it hears.

Result: 99 tests of history, observers, restarts, limits, leases and the registry pass.

--- a/src/lacewinglift/mesh/instance.py
+++ b/src/lacewinglift/mesh/instance.py
@@ -309,7 +309,7 @@
             self.registry,
             election,
             self.apply_configuration,
-            self._add_listed_addresses,
+            self.peer_addresses.add,
             settings.heartbeat_address,
             self.timers,
             self.is_started,
@@ -320,7 +320,6 @@
                 self.timers, self.retry_budgets, settings.retry_limits.window_s
             ),
             target_heartbeat_interval_s=settings.target_heartbeat_interval_s,
-            on_lookup=self.history.record_lookup,
             change_bounds=settings.change_bounds,
         )
 
@@ -472,12 +471,6 @@
         if reports_soon or self.relaying.is_on():
             self.heartbeats.schedule_active_heartbeat()
 
-    def _add_listed_addresses(self, addresses: Sequence[str]) -> None:
-        """Greet the instances that the store names, if this one knows no others."""
-        self.peer_addresses.add(addresses)
-        if not self.members.known():
-            self.heartbeats.send_soon()
-
     # ---- configuration and registry ----
 
     def apply_configuration(self, value: bytes) -> None:
--- a/src/lacewinglift/mesh/observers.py
+++ b/src/lacewinglift/mesh/observers.py
@@ -105,9 +105,6 @@
         Builds and applies the record of resends; by default, there is none.
     target_heartbeat_interval_s : float, default=TARGET_HEARTBEAT_INTERVAL_S
         Time after which a target writes its entry again, in seconds.
-    on_lookup : callable, default=None
-        Called when this instance, which hears nobody, has announced itself and read
-        the addresses of all others that did.
     change_bounds : ChangeBounds, default=None
         How soon changes have to be in force; by default, those of `ChangeBounds`.
     """
@@ -128,7 +125,6 @@
         evacuations: Evacuations | None = None,
         resend_record: ResendRecordKeeper | None = None,
         target_heartbeat_interval_s: float = TARGET_HEARTBEAT_INTERVAL_S,
-        on_lookup: Callable[[], None] | None = None,
         change_bounds: ChangeBounds | None = None,
     ) -> None:
         self.store = store
@@ -150,7 +146,6 @@
             min_outage_s=MIN_OUTAGE_INTERVALS * target_heartbeat_interval_s,
             on_change=self._announce_contact,
         )
-        self.on_lookup = on_lookup
         self.watch_wait_s = (change_bounds or ChangeBounds()).watch_wait_s()
         election.start()
         self.watching = threading.Event()
@@ -216,10 +211,6 @@
             try:
                 self._list_configuration()
                 self._list_targets()
-                # Instances that all start with outdated addresses would find each
-                # other only once they have become observers.
-                if not self.members.known():
-                    self._list_instances(stale=True)
             except StoreError:
                 time.sleep(RETRY_INITIAL_DELAY_S)
 
@@ -375,19 +366,11 @@
                     self.heartbeat_address.encode(),
                     ANNOUNCEMENT_TTL_S,
                 )
-        # Others that started at the same time must not miss each other.
-        knows_others = bool(self.members.known())
-        self._list_instances(stale=knows_others)
-        if self.on_lookup is not None and not knows_others:
-            self.on_lookup()
-        self._sleep(PEER_DISCOVERY_INTERVAL_S - ANNOUNCEMENT_DELAY_S, era)
-
-    def _list_instances(self, stale: bool) -> None:
-        """Read the addresses of the instances that watch the store, or did lately."""
-        listing = self._list(self.codec.instances_prefix, stale=stale)
+        listing = self._list(prefix, stale=True)
         self.add_addresses(
             [item.value.decode(errors="replace") for item in listing.items]
         )
+        self._sleep(PEER_DISCOVERY_INTERVAL_S - ANNOUNCEMENT_DELAY_S, era)
 
     def keep_resend_record(self) -> None:
         """Read the record of resends after a restart; write it when it is due."""
